--- /dev/null
+++ b/include/corianderdock/corianderdock.h
@@ -0,0 +1,25 @@
+/// \file
+/// Umbrella header of the coordination library.
+#pragma once
+
+#include "corianderdock/client_calls.h"
+#include "corianderdock/codec.h"
+#include "corianderdock/configuration.h"
+#include "corianderdock/directory.h"
+#include "corianderdock/effects.h"
+#include "corianderdock/events.h"
+#include "corianderdock/forward.h"
+#include "corianderdock/group_monitor.h"
+#include "corianderdock/membership.h"
+#include "corianderdock/options.h"
+#include "corianderdock/policy.h"
+#include "corianderdock/reducer.h"
+#include "corianderdock/result.h"
+#include "corianderdock/server_pool.h"
+#include "corianderdock/server_queue.h"
+#include "corianderdock/session_token.h"
+#include "corianderdock/sheet.h"
+#include "corianderdock/statement_check.h"
+#include "corianderdock/topology.h"
+#include "corianderdock/types.h"
+#include "corianderdock/work.h"
--- /dev/null
+++ b/include/corianderdock/detail/context.h
@@ -0,0 +1,46 @@
+/// \file
+/// What each part of the reducer shares while it handles one event.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "corianderdock/detail/timers.h"
+#include "corianderdock/effects.h"
+#include "corianderdock/options.h"
+#include "corianderdock/policy.h"
+
+namespace corianderdock::detail {
+
+/// State common to all parts: clock, randomness, timers, effects, counters.
+struct Context {
+  Identity self;
+  Options options;
+  const Policy* policy = nullptr;
+  std::mt19937_64 random;
+  TimePoint now;
+  Timers timers;
+  Effects effects;
+  std::map<std::string, std::uint64_t, std::less<>> counters;
+  std::uint64_t next_id = 1000;  ///< lower ids mark special timers
+
+  void Emit(Effect effect) { effects.push_back(std::move(effect)); }
+  void Log(std::string text) { Emit(LogLine{std::move(text)}); }
+  void Count(std::string_view name) {
+    const auto it = counters.find(name);
+    if (it == counters.end()) {
+      counters.emplace(name, 1);
+    } else {
+      ++it->second;
+    }
+  }
+  [[nodiscard]] std::uint64_t NewId() { return next_id++; }
+  void After(Duration delay, Timer timer) {
+    timers.Schedule(now + delay, std::move(timer));
+  }
+};
+
+}  // namespace corianderdock::detail
--- /dev/null
+++ b/include/corianderdock/detail/fields.h
@@ -0,0 +1,48 @@
+/// \file
+/// Checked reading of JSON objects.
+#pragma once
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "corianderdock/result.h"
+
+namespace corianderdock::detail {
+
+/// Reads the members of one object and remembers the first fault with its
+/// path. Missing optional members yield the default.
+class Fields {
+ public:
+  Fields(const Json::Value& object, std::string path);
+
+  [[nodiscard]] std::string Text(const char* name, bool required = false);
+  [[nodiscard]] std::uint64_t Number(const char* name, std::uint64_t fallback,
+                                     std::uint64_t lowest = 0,
+                                     std::uint64_t highest = UINT64_MAX);
+  [[nodiscard]] bool Flag(const char* name, bool fallback);
+  /// Member array; an empty one when absent.
+  [[nodiscard]] const Json::Value& Array(const char* name);
+  /// Member object; an empty one when absent.
+  [[nodiscard]] const Json::Value& Object(const char* name);
+
+  /// Reports members outside `known`.
+  void RejectUnknown(std::initializer_list<std::string_view> known);
+
+  void Fail(const std::string& place, std::string reason);
+  [[nodiscard]] const std::optional<Error>& error() const { return error_; }
+  [[nodiscard]] std::string Path(const std::string& name) const;
+
+ private:
+  [[nodiscard]] const Json::Value* Find(const char* name);
+
+  const Json::Value& object_;
+  std::string path_;
+  std::optional<Error> error_;
+};
+
+}  // namespace corianderdock::detail
--- /dev/null
+++ b/include/corianderdock/detail/timers.h
@@ -0,0 +1,73 @@
+/// \file
+/// Pending timers of the reducer, ordered by due time.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "corianderdock/types.h"
+
+namespace corianderdock::detail {
+
+enum class TimerKind {
+  kCallDeadline,
+  kCallRetry,
+  kWorkDeadline,
+  kTransactionIdle,
+  kGroupPoll,
+  kClaim,
+  kConnect,
+  kPing,
+  kProbe,
+  kSuspicion,
+  kPlatformPoll,
+  kDrainCheck,
+};
+
+/// A timer; `key` and `id` name its object, which may have ended since.
+struct Timer {
+  TimerKind kind = TimerKind::kProbe;
+  std::string key;
+  std::uint64_t id = 0;
+};
+
+/// Min-heap of timers. Timers are not cancelled: owners ignore stale ones.
+class Timers {
+ public:
+  void Schedule(TimePoint due, Timer timer) {
+    heap_.push({due, next_++, std::move(timer)});
+  }
+
+  [[nodiscard]] std::optional<TimePoint> Next() const {
+    if (heap_.empty()) return std::nullopt;
+    return heap_.top().due;
+  }
+
+  /// Takes the earliest timer due at `now`.
+  [[nodiscard]] std::optional<Timer> TakeDue(TimePoint now) {
+    if (heap_.empty() || heap_.top().due > now) return std::nullopt;
+    Timer timer = heap_.top().timer;
+    heap_.pop();
+    return timer;
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return heap_.size(); }
+
+ private:
+  struct Entry {
+    TimePoint due;
+    std::uint64_t order;
+    Timer timer;
+    bool operator<(const Entry& other) const {
+      return std::pair(due, order) > std::pair(other.due, other.order);
+    }
+  };
+  std::priority_queue<Entry> heap_;
+  std::uint64_t next_ = 0;
+};
+
+}  // namespace corianderdock::detail
--- /dev/null
+++ b/include/corianderdock/effects.h
@@ -0,0 +1,107 @@
+/// \file
+/// What the reducer asks the outside to do, as data.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "corianderdock/events.h"
+
+namespace corianderdock {
+
+/// Answer a caller.
+struct ReplyToCaller {
+  CallId call = 0;
+  Answer answer;
+};
+
+/// Answer another instance's request.
+struct ReplyToPeer {
+  CallId call = 0;
+  RoutedAnswer answer;
+};
+
+/// Pass a request to another instance; ends in `ForwardResult`.
+struct ForwardRequest {
+  CallId call = 0;
+  std::uint64_t attempt = 0;
+  std::string address;
+  RoutedRequest routed;
+  Duration timeout{0};
+};
+
+/// Open a backend connection; ends in `ConnectResult`.
+struct OpenConnection {
+  ServerId server;
+  std::string address;
+  ConnectionId connection = 0;
+};
+
+/// Close a backend connection; nothing more is reported for it.
+struct CloseConnection {
+  ConnectionId connection = 0;
+};
+
+/// Run a statement; ends in `StatementDone`.
+struct RunStatement {
+  WorkId work = 0;
+  ConnectionId connection = 0;
+  Statement statement;
+};
+
+/// Run a group operation on the server's control connection; ends in
+/// `GroupResult`.
+struct CallGroup {
+  ServerId server;
+  std::string address;
+  std::uint64_t call = 0;
+  GroupOperation operation;
+  Duration timeout{0};
+};
+
+/// Send gossip; ends in `GossipResult`.
+struct SendGossip {
+  std::uint64_t probe = 0;
+  std::string address;
+  Gossip gossip;
+  Duration timeout{0};
+};
+
+/// Answer received gossip.
+struct ReplyGossip {
+  CallId call = 0;
+  Gossip gossip;
+};
+
+/// Fetch the newer sheet and lists a peer announced; may end in `SheetRead`
+/// and `TopologyRead`.
+struct FetchFromPeer {
+  std::string address;
+  bool sheet = false;
+  bool topology = false;
+};
+
+/// Read the platform; ends in `PlatformPolled` after any `SheetRead` and
+/// `TopologyRead`.
+struct PollPlatform {
+  SheetVersion known_sheet = 0;
+  std::uint64_t known_topology = 0;
+};
+
+/// Write a log line about a change of state.
+struct LogLine {
+  std::string text;
+};
+
+/// Everything in flight is finished; the process may end.
+struct Exit {};
+
+using Effect =
+    std::variant<ReplyToCaller, ReplyToPeer, ForwardRequest, OpenConnection,
+                 CloseConnection, RunStatement, CallGroup, SendGossip,
+                 ReplyGossip, FetchFromPeer, PollPlatform, LogLine, Exit>;
+
+using Effects = std::vector<Effect>;
+
+}  // namespace corianderdock
--- /dev/null
+++ b/include/corianderdock/metrics.h
@@ -0,0 +1,54 @@
+/// \file
+/// Latency histograms and counters in Prometheus text form.
+#pragma once
+
+#include <boost/histogram.hpp>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "corianderdock/types.h"
+
+namespace corianderdock {
+
+/// A latency distribution with logarithmic buckets from 10 us to 100 s.
+/// Not thread-safe.
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+
+  void Record(Duration latency);
+
+  /// Upper bound of the bucket that holds the given share, 0 to 1.
+  [[nodiscard]] Duration Quantile(double share) const;
+  [[nodiscard]] std::uint64_t count() const noexcept { return count_; }
+
+  /// Appends the series `name` with `labels`, as `a="b"` pairs.
+  void Render(std::string& out, std::string_view name,
+              std::string_view labels) const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<
+      double, boost::histogram::axis::transform::log>;
+  boost::histogram::histogram<std::tuple<Axis>> buckets_;
+  std::uint64_t count_ = 0;
+  double sum_seconds_ = 0;
+};
+
+/// Histograms of one daemon by name and labels. Not thread-safe.
+class Metrics {
+ public:
+  /// Histogram of one series, made on first use.
+  LatencyHistogram& Latency(const std::string& name,
+                            const std::string& labels);
+
+  /// All histograms and the given counters as Prometheus text.
+  [[nodiscard]] std::string Render(
+      const std::map<std::string, std::uint64_t, std::less<>>& counters,
+      const std::map<std::string, double>& gauges) const;
+
+ private:
+  std::map<std::string, std::map<std::string, LatencyHistogram>> latencies_;
+};
+
+}  // namespace corianderdock
--- /dev/null
+++ b/include/corianderdock/request.h
@@ -0,0 +1,86 @@
+/// \file
+/// Requests of callers, their answers and the outcomes promised for them.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "corianderdock/session_token.h"
+#include "corianderdock/types.h"
+
+namespace corianderdock {
+
+enum class Method { kExecute, kBegin, kCommit, kRollback, kResolve };
+
+/// What is known about the effect of a request.
+enum class Outcome {
+  kDone,     ///< ran; a write is held by a majority of its group
+  kNotRun,   ///< did not run and never will under this request id
+  kUnknown,  ///< may have run; ask with `resolve`
+  kFailed,   ///< the database rejected it; it left no effect
+};
+
+/// One request of a caller.
+struct Request {
+  Method method = Method::kExecute;
+  ServiceId service;
+  KindId kind;
+  std::string sql;
+  std::vector<std::optional<std::string>> params;
+  SessionToken token;
+  RequestId request_id;
+  TransactionId transaction;
+  Duration timeout{0};
+};
+
+/// Rows of an answer; values in text form.
+struct ResultSet {
+  std::vector<std::string> columns;
+  std::vector<bool> numeric;
+  std::vector<std::vector<std::optional<std::string>>> rows;
+  std::uint64_t affected = 0;
+};
+
+/// Why a request was refused, failed or is in doubt.
+enum class Reason {
+  kNone,
+  kUnknownService,
+  kUnknownKind,
+  kZoneNotServed,
+  kBadStatement,
+  kNotReady,
+  kOverloaded,
+  kDeadline,
+  kNoPrimary,
+  kReplicationBehind,
+  kTokenNotReached,
+  kTransactionLost,
+  kNoEvidence,
+  kConnectionLost,
+  kRetryBudget,
+  kSqlError,
+  kTombstoned,
+  kDraining,
+};
+
+/// Answer to one request.
+struct Answer {
+  Outcome outcome = Outcome::kNotRun;
+  Reason reason = Reason::kNone;
+  std::string detail;
+  std::string sqlstate;
+  std::optional<Duration> retry_after;
+  ResultSet result;
+  SessionToken token;
+  RequestId request_id;
+  TransactionId transaction;
+  ServerId server;             ///< backend server that ran it
+  bool from_replica = false;   ///< read served by a replica
+};
+
+[[nodiscard]] const char* Name(Outcome outcome) noexcept;
+[[nodiscard]] const char* Name(Reason reason) noexcept;
+[[nodiscard]] const char* Name(Method method) noexcept;
+
+}  // namespace corianderdock
--- /dev/null
+++ b/include/corianderdock/result.h
@@ -0,0 +1,56 @@
+/// \file
+/// A value or a typed error, tested like a bool.
+#pragma once
+
+#include <cassert>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace corianderdock {
+
+/// What was wrong with an input and where.
+struct Error {
+  std::string place;   ///< path, line and column, or field
+  std::string reason;  ///< what was expected
+};
+
+/// Holds either a `T` or an `E`.
+///
+/// \code
+/// if (auto sheet = ParseSheet(text)) Use(*sheet); else Show(sheet.error());
+/// \endcode
+template <typename T, typename E = Error>
+class [[nodiscard]] Result {
+ public:
+  Result(T value) : state_(std::in_place_index<0>, std::move(value)) {}  // NOLINT
+  Result(E error) : state_(std::in_place_index<1>, std::move(error)) {}  // NOLINT
+
+  [[nodiscard]] explicit operator bool() const noexcept {
+    return state_.index() == 0;
+  }
+
+  /// \pre The result holds a value.
+  [[nodiscard]] const T& operator*() const& {
+    assert(*this);
+    return std::get<0>(state_);
+  }
+  [[nodiscard]] T& operator*() & {
+    assert(*this);
+    return std::get<0>(state_);
+  }
+  [[nodiscard]] T&& operator*() && { return std::get<0>(std::move(state_)); }
+  [[nodiscard]] const T* operator->() const { return &**this; }
+  [[nodiscard]] T* operator->() { return &**this; }
+
+  /// \pre The result holds an error.
+  [[nodiscard]] const E& error() const {
+    assert(!*this);
+    return std::get<1>(state_);
+  }
+
+ private:
+  std::variant<T, E> state_;
+};
+
+}  // namespace corianderdock
--- /dev/null
+++ b/share/schema.sql
@@ -0,0 +1,4 @@
+CREATE TABLE IF NOT EXISTS corianderdock_request (
+  id TEXT PRIMARY KEY,
+  outcome TEXT NOT NULL
+);
--- /dev/null
+++ b/src/adapters/http_client.cc
@@ -0,0 +1,171 @@
+#include "corianderdock/net/http_client.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "corianderdock/net/http_server.h"
+
+namespace corianderdock::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr Duration kLongestIdle = std::chrono::seconds(5);
+constexpr std::size_t kMostIdle = 64;
+constexpr std::size_t kLargestResponse = 16 << 20;
+
+struct IdleStream {
+  std::unique_ptr<beast::tcp_stream> stream;
+  TimePoint since;
+};
+
+}  // namespace
+
+/// Idle connections by address.
+struct HttpClient::Pool {
+  std::map<std::string, std::vector<IdleStream>> idle;
+
+  std::unique_ptr<beast::tcp_stream> Take(const std::string& address) {
+    auto& streams = idle[address];
+    while (!streams.empty()) {
+      IdleStream last = std::move(streams.back());
+      streams.pop_back();
+      if (Clock::now() - last.since < kLongestIdle) {
+        return std::move(last.stream);
+      }
+      streams.clear();
+    }
+    return nullptr;
+  }
+
+  void Put(const std::string& address,
+           std::unique_ptr<beast::tcp_stream> stream) {
+    auto& streams = idle[address];
+    if (streams.size() < kMostIdle) {
+      streams.push_back({std::move(stream), Clock::now()});
+    }
+  }
+};
+
+/// One request and its response.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(asio::io_context& io, std::shared_ptr<Pool> pool,
+           std::string address, Duration timeout, Callback callback)
+      : io_(io),
+        pool_(std::move(pool)),
+        address_(std::move(address)),
+        deadline_(Clock::now() + timeout),
+        callback_(std::move(callback)) {}
+
+  void Run(const std::string& target, bool is_post, std::string body) {
+    request_.method(is_post ? http::verb::post : http::verb::get);
+    request_.target(target);
+    request_.version(11);
+    request_.set(http::field::host, address_);
+    request_.set(http::field::content_type, "application/json");
+    request_.body() = std::move(body);
+    request_.keep_alive(true);
+    request_.prepare_payload();
+    stream_ = pool_->Take(address_);
+    if (stream_) return Write();
+    Connect();
+  }
+
+ private:
+  void Connect() {
+    stream_ = std::make_unique<beast::tcp_stream>(io_);
+    stream_->expires_at(deadline_);
+    asio::ip::tcp::endpoint endpoint;
+    try {
+      endpoint = ParseEndpoint(address_);
+    } catch (const std::invalid_argument&) {
+      return asio::post(io_, [self = shared_from_this()] { self->Fail(); });
+    }
+    stream_->async_connect(
+        endpoint, [self = shared_from_this()](beast::error_code ec) {
+          if (ec) return self->Fail();
+          beast::error_code ignored;
+          self->stream_->socket().set_option(asio::ip::tcp::no_delay(true),
+                                             ignored);
+          self->Write();
+        });
+  }
+
+  void Write() {
+    result_.sent = true;
+    stream_->expires_at(deadline_);
+    http::async_write(
+        *stream_, request_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          if (ec) return self->Fail();
+          self->Read();
+        });
+  }
+
+  void Read() {
+    parser_.body_limit(kLargestResponse);
+    http::async_read(
+        *stream_, buffer_, parser_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          if (ec) return self->Fail();
+          self->Finish();
+        });
+  }
+
+  void Finish() {
+    result_.ok = true;
+    result_.status = parser_.get().result_int();
+    result_.body = std::move(parser_.get().body());
+    if (parser_.get().keep_alive()) {
+      stream_->expires_never();
+      pool_->Put(address_, std::move(stream_));
+    }
+    callback_(std::move(result_));
+  }
+
+  void Fail() {
+    if (stream_) stream_->close();
+    callback_(std::move(result_));
+  }
+
+  asio::io_context& io_;
+  std::shared_ptr<Pool> pool_;
+  std::string address_;
+  TimePoint deadline_;
+  Callback callback_;
+  HttpResult result_;
+  std::unique_ptr<beast::tcp_stream> stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+};
+
+HttpClient::HttpClient(asio::io_context& io)
+    : io_(io), pool_(std::make_shared<Pool>()) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Post(const std::string& address, const std::string& target,
+                      std::string body, Duration timeout, Callback callback) {
+  Start(address, target, true, std::move(body), timeout, std::move(callback));
+}
+
+void HttpClient::Get(const std::string& address, const std::string& target,
+                     Duration timeout, Callback callback) {
+  Start(address, target, false, {}, timeout, std::move(callback));
+}
+
+void HttpClient::Start(const std::string& address, const std::string& target,
+                       bool is_post, std::string body, Duration timeout,
+                       Callback callback) {
+  std::make_shared<Exchange>(io_, pool_, address, timeout, std::move(callback))
+      ->Run(target, is_post, std::move(body));
+}
+
+}  // namespace corianderdock::net
--- /dev/null
+++ b/src/adapters/platform_client.cc
@@ -0,0 +1,380 @@
+#include "corianderdock/net/platform_client.h"
+
+#include <algorithm>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+
+#include "corianderdock/codec.h"
+#include "corianderdock/detail/fields.h"
+#include "corianderdock/detail/hash.h"
+
+namespace corianderdock::net {
+
+namespace asio = boost::asio;
+using detail::Fields;
+
+namespace {
+
+constexpr Duration kCallTimeout = Milliseconds(800);
+constexpr Duration kLoadRetryPause = Milliseconds(200);
+constexpr int kLoadAttempts = 20;
+constexpr std::size_t kChunkSize = 256 * 1024;
+constexpr std::size_t kHistoryKept = 32;
+
+std::string Encode64(const std::string& bytes) {
+  using namespace boost::archive::iterators;  // NOLINT
+  using Text =
+      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+  std::string out(Text(bytes.cbegin()), Text(bytes.cend()));
+  out.append((3 - bytes.size() % 3) % 3, '=');
+  return out;
+}
+
+Result<std::string> Decode64(std::string text) {
+  using namespace boost::archive::iterators;  // NOLINT
+  using Binary =
+      transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
+  while (!text.empty() && text.back() == '=') text.pop_back();
+  try {
+    std::string out(Binary(text.cbegin()), Binary(text.cend()));
+    out.resize(text.size() * 6 / 8);
+    return out;
+  } catch (const std::exception&) {
+    return Error{"platform", "answered with malformed base64"};
+  }
+}
+
+std::uint64_t NumberOf(const Json::Value& value) {
+  if (value.isUInt64()) return value.asUInt64();
+  std::uint64_t number = 0;
+  if (value.isString()) {
+    const std::string text = value.asString();
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  }
+  return number;
+}
+
+/// First key after all keys with this prefix.
+std::string PrefixEnd(std::string prefix) {
+  prefix.back() = static_cast<char>(prefix.back() + 1);
+  return prefix;
+}
+
+asio::awaitable<HttpResult> AsyncPost(HttpClient& http, std::string address,
+                                      std::string target, std::string body) {
+  auto start = [&](auto handler) {
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    http.Post(address, target, std::move(body), kCallTimeout,
+              [shared](HttpResult result) {
+                std::move (*shared)(std::move(result));
+              });
+  };
+  co_return co_await asio::async_initiate<
+      decltype(asio::use_awaitable), void(HttpResult)>(std::move(start),
+                                                       asio::use_awaitable);
+}
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> chunks;
+  for (std::size_t at = 0; at < text.size(); at += kChunkSize) {
+    chunks.push_back(text.substr(at, kChunkSize));
+  }
+  return chunks;
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(asio::io_context& io,
+                               std::vector<std::string> endpoints)
+    : io_(io), http_(io), endpoints_(std::move(endpoints)) {}
+
+// Calls ----------------------------------------------------------------------
+
+asio::awaitable<Result<Json::Value>> PlatformClient::Call(std::string path,
+                                                          Json::Value body) {
+  if (endpoints_.empty()) co_return Error{"platform", "no endpoint is set"};
+  const std::string address = endpoints_[current_ % endpoints_.size()];
+  const HttpResult result =
+      co_await AsyncPost(http_, address, path, ToText(body));
+  if (!result.ok || result.status != 200) {
+    ++current_;
+    co_return Error{"platform " + address, "did not answer " + path};
+  }
+  auto value = ParseJson(result.body);
+  if (!value || !value->isObject()) {
+    co_return Error{"platform " + address, "answered with malformed JSON"};
+  }
+  co_return std::move(value);
+}
+
+asio::awaitable<Result<PlatformClient::RangeAnswer>> PlatformClient::Range(
+    std::string key, std::string end, std::uint64_t min_mod_revision) {
+  Json::Value body;
+  body["key"] = Encode64(key);
+  if (!end.empty()) body["range_end"] = Encode64(end);
+  if (min_mod_revision > 0) {
+    body["min_mod_revision"] = std::to_string(min_mod_revision);
+  }
+  const auto value = co_await Call("/v3/kv/range", body);
+  if (!value) co_return value.error();
+  RangeAnswer answer;
+  const Json::Value& header = (*value)["header"];
+  if (header.isObject()) answer.revision = NumberOf(header["revision"]);
+  answer.count = NumberOf((*value)["count"]);
+  const Json::Value& kvs = (*value)["kvs"];
+  if (!kvs.isArray()) co_return answer;
+  for (const auto& it : kvs) {
+    if (!it.isObject() || !it["key"].isString()) {
+      co_return Error{"platform", "answered with a malformed key"};
+    }
+    const auto decoded_key = Decode64(it["key"].asString());
+    const auto decoded = Decode64(it.get("value", "").asString());
+    if (!decoded_key) co_return decoded_key.error();
+    if (!decoded) co_return decoded.error();
+    answer.values.push_back(
+        {*decoded_key, *decoded, NumberOf(it["mod_revision"])});
+  }
+  co_return answer;
+}
+
+asio::awaitable<Result<bool>> PlatformClient::Put(std::string key,
+                                                  std::string value) {
+  Json::Value body;
+  body["key"] = Encode64(key);
+  body["value"] = Encode64(value);
+  const auto answer = co_await Call("/v3/kv/put", body);
+  if (!answer) co_return answer.error();
+  co_return true;
+}
+
+// Lists ----------------------------------------------------------------------
+
+Result<Topology> PlatformClient::ToTopology(const RangeAnswer& answer) {
+  Json::Value lists;
+  lists["revision"] = Json::UInt64(answer.revision);
+  lists["servers"] = Json::objectValue;
+  lists["instances"] = Json::objectValue;
+  for (const auto& it : answer.values) {
+    const auto value = ParseJson(it.value);
+    if (!value) return Error{it.key, value.error().reason};
+    const std::string servers = kServerPrefix;
+    const std::string instances = kInstancePrefix;
+    if (it.key.starts_with(servers)) {
+      lists["servers"][it.key.substr(servers.size())] = *value;
+    } else if (it.key.starts_with(instances)) {
+      lists["instances"][it.key.substr(instances.size())] = *value;
+    }
+  }
+  return ParseTopology(lists);
+}
+
+asio::awaitable<Result<Topology>> PlatformClient::ReadTopology() {
+  const auto all = co_await Range(kListPrefix, PrefixEnd(kListPrefix), 0);
+  if (!all) co_return all.error();
+  auto topology = ToTopology(*all);
+  if (!topology) co_return topology.error();
+  list_mod_revision_ = 0;
+  for (const auto& it : all->values) {
+    list_mod_revision_ = std::max(list_mod_revision_, it.mod_revision);
+  }
+  list_count_ = all->count;
+  co_return std::move(topology);
+}
+
+// Sheets ---------------------------------------------------------------------
+
+Result<PlatformClient::Manifest> PlatformClient::ParseManifest(
+    const KeyValue& in) {
+  const auto value = ParseJson(in.value);
+  if (!value) return Error{in.key, value.error().reason};
+  Fields fields(*value, "manifest");
+  Manifest manifest;
+  manifest.mod_revision = in.mod_revision;
+  manifest.sheet.version = fields.Number("version", 0, 1);
+  manifest.sheet.load_id = fields.Text("load_id", true);
+  manifest.sheet.author = fields.Text("author");
+  for (const auto& it : fields.Array("chunks")) {
+    if (!it.isString()) return Error{"manifest.chunks", "expected strings"};
+    manifest.chunks.push_back(it.asString());
+  }
+  for (const auto& it : fields.Array("history")) {
+    Fields entry(it, "manifest.history");
+    const SheetVersion version = entry.Number("version", 0, 1);
+    manifest.history.emplace_back(version, entry.Text("load_id", true));
+    if (entry.error()) return *entry.error();
+  }
+  if (fields.error()) return *fields.error();
+  return manifest;
+}
+
+asio::awaitable<Result<std::optional<PlatformClient::Manifest>>>
+PlatformClient::ReadManifest() {
+  using Answer = Result<std::optional<Manifest>>;
+  const auto range = co_await Range(kManifestKey, "", 0);
+  if (!range) co_return Answer(range.error());
+  if (range->values.empty()) co_return Answer(std::optional<Manifest>());
+  auto manifest = ParseManifest(range->values.front());
+  if (!manifest) co_return Answer(manifest.error());
+  co_return Answer(std::optional<Manifest>(std::move(*manifest)));
+}
+
+asio::awaitable<Result<std::string>> PlatformClient::ReadChunks(
+    std::vector<std::string> chunks) {
+  std::string text;
+  for (const auto& it : chunks) {
+    const auto range = co_await Range(kChunkPrefix + it, "", 0);
+    if (!range) co_return range.error();
+    const bool whole =
+        range->values.size() == 1 &&
+        detail::ContentAddress(range->values.front().value) == it;
+    if (!whole) co_return Error{kChunkPrefix + it, "is missing or damaged"};
+    text += range->values.front().value;
+  }
+  co_return text;
+}
+
+asio::awaitable<Result<std::optional<AcceptedSheet>>>
+PlatformClient::ReadSheet(SheetVersion known) {
+  using Answer = Result<std::optional<AcceptedSheet>>;
+  auto manifest = co_await ReadManifest();
+  if (!manifest) co_return Answer(manifest.error());
+  if (!*manifest || (*manifest)->sheet.version <= known) {
+    co_return Answer(std::optional<AcceptedSheet>());
+  }
+  const auto text = co_await ReadChunks((*manifest)->chunks);
+  if (!text) co_return Answer(text.error());
+  AcceptedSheet sheet = (*manifest)->sheet;
+  sheet.text = *text;
+  co_return Answer(std::optional<AcceptedSheet>(std::move(sheet)));
+}
+
+asio::awaitable<Result<bool>> PlatformClient::SwapManifest(
+    const Manifest& next, std::uint64_t expected) {
+  Json::Value manifest;
+  manifest["version"] = Json::UInt64(next.sheet.version);
+  manifest["load_id"] = next.sheet.load_id;
+  manifest["author"] = next.sheet.author;
+  for (const auto& it : next.chunks) manifest["chunks"].append(it);
+  for (const auto& [version, load_id] : next.history) {
+    Json::Value entry;
+    entry["version"] = Json::UInt64(version);
+    entry["load_id"] = load_id;
+    manifest["history"].append(entry);
+  }
+  Json::Value compare;
+  compare["key"] = Encode64(kManifestKey);
+  compare["target"] = "MOD";
+  compare["result"] = "EQUAL";
+  compare["mod_revision"] = std::to_string(expected);
+  Json::Value put;
+  put["requestPut"]["key"] = Encode64(kManifestKey);
+  put["requestPut"]["value"] = Encode64(ToText(manifest));
+  Json::Value body;
+  body["compare"].append(compare);
+  body["success"].append(put);
+  const auto answer = co_await Call("/v3/kv/txn", body);
+  if (!answer) co_return answer.error();
+  // The gateway leaves out false values.
+  co_return (*answer)["succeeded"].isBool() &&
+      (*answer)["succeeded"].asBool();
+}
+
+asio::awaitable<Result<LoadResult>> PlatformClient::Load(std::string text,
+                                                         std::string author,
+                                                         std::string load_id) {
+  Error last{"platform", "no attempt was made"};
+  bool chunks_written = false;
+  bool offered = false;
+  std::uint64_t expected = 0;
+  const std::vector<std::string> chunks = Split(text);
+  for (int attempt = 0; attempt < kLoadAttempts; ++attempt) {
+    if (attempt > 0) {
+      asio::steady_timer timer(io_, kLoadRetryPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    auto current = co_await ReadManifest();
+    if (!current) {
+      last = current.error();
+      continue;
+    }
+    Manifest next;
+    if (*current) {
+      for (const auto& [version, id] : (*current)->history) {
+        if (id == load_id) co_return LoadResult{true, version, ""};
+      }
+      next = **current;
+    }
+    const std::uint64_t revision = next.mod_revision;
+    if (offered && revision != expected) {
+      // Ours was never accepted and the key has moved on.
+      co_return LoadResult{false, next.sheet.version, next.sheet.author};
+    }
+    if (!chunks_written) {
+      chunks_written = true;
+      for (const auto& it : chunks) {
+        const auto put =
+            co_await Put(kChunkPrefix + detail::ContentAddress(it), it);
+        if (put) continue;
+        chunks_written = false;
+        last = put.error();
+      }
+      if (!chunks_written) continue;
+    }
+    next.sheet = {next.sheet.version + 1, load_id, author, ""};
+    next.chunks.clear();
+    for (const auto& it : chunks) {
+      next.chunks.push_back(detail::ContentAddress(it));
+    }
+    next.history.emplace_back(next.sheet.version, load_id);
+    if (next.history.size() > kHistoryKept) {
+      next.history.erase(next.history.begin());
+    }
+    offered = true;
+    expected = revision;
+    const auto swapped = co_await SwapManifest(next, revision);
+    if (swapped && *swapped) {
+      co_return LoadResult{true, next.sheet.version, ""};
+    }
+    if (!swapped) last = swapped.error();
+  }
+  co_return last;
+}
+
+// Polling --------------------------------------------------------------------
+
+void PlatformClient::Poll(const PollPlatform& effect, Sink sink) {
+  asio::co_spawn(
+      io_,
+      [this, effect, sink = std::move(sink)]() -> asio::awaitable<void> {
+        co_await PollTask(effect, sink);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> PlatformClient::PollTask(PollPlatform effect, Sink sink) {
+  const auto changes = co_await Range(kListPrefix, PrefixEnd(kListPrefix),
+                                      list_mod_revision_ + 1);
+  if (!changes) {
+    sink(PlatformPolled{false});
+    co_return;
+  }
+  const bool changed = !changes->values.empty() ||
+                       changes->count != list_count_ ||
+                       effect.known_topology == 0;
+  if (changed) {
+    auto topology = co_await ReadTopology();
+    if (topology) sink(TopologyRead{std::move(*topology)});
+  }
+  auto sheet = co_await ReadSheet(effect.known_sheet);
+  if (sheet && *sheet) sink(SheetRead{std::move(**sheet)});
+  sink(PlatformPolled{sheet ? true : false});
+}
+
+}  // namespace corianderdock::net
--- /dev/null
+++ b/src/adapters/statement_runner.cc
@@ -0,0 +1,223 @@
+#include "corianderdock/detail/statement_runner.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "corianderdock/codec.h"
+
+namespace corianderdock::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr char kWrongTermState[] = "CD001";
+constexpr char kUniqueViolation[] = "23505";
+constexpr char kConnectionStates[] = "08";  // class of connection exceptions
+constexpr char kShutdownStates[] = "57P";   // operator intervention
+
+Position ParsePosition(const PqReply& reply) {
+  Position position;
+  if (reply.result.rows.empty() || reply.result.rows[0].empty()) return {};
+  const std::string text = reply.result.rows[0][0].value_or("");
+  const auto slash = text.find('/');
+  if (slash == std::string::npos) return {};
+  const char* end = text.data() + text.size();
+  std::from_chars(text.data(), text.data() + slash, position.term);
+  std::from_chars(text.data() + slash + 1, end, position.index);
+  return position;
+}
+
+const PqReply* FirstError(const std::vector<PqReply>& replies) {
+  const auto it =
+      std::find_if(replies.begin(), replies.end(), [](const PqReply& reply) {
+        return reply.status == PqReply::Status::kError;
+      });
+  return it == replies.end() ? nullptr : &*it;
+}
+
+StatementFailure ToFailure(const PqReply& error) {
+  StatementFailure failure;
+  failure.fault = StatementFault::kSqlError;
+  if (error.sqlstate == kWrongTermState) {
+    failure.fault = StatementFault::kWrongTerm;
+  } else if (error.sqlstate.starts_with(kConnectionStates) ||
+             error.sqlstate.starts_with(kShutdownStates)) {
+    failure.fault = StatementFault::kLost;
+  }
+  failure.sqlstate = error.sqlstate;
+  failure.message = error.message;
+  return failure;
+}
+
+}  // namespace
+
+StatementRunner::StatementRunner(PqConnection& connection, Statement statement)
+    : connection_(connection), statement_(std::move(statement)) {}
+
+asio::awaitable<StatementResult> StatementRunner::Run() {
+  static constexpr std::array<Step, 8> kSteps = {
+      &StatementRunner::Read,   &StatementRunner::Write,
+      &StatementRunner::Begin,  &StatementRunner::Inside,
+      &StatementRunner::Commit, &StatementRunner::Rollback,
+      &StatementRunner::Resolve, &StatementRunner::Ping};
+  const Step step = kSteps[static_cast<std::size_t>(statement_.type)];
+  try {
+    co_return co_await (this->*step)();
+  } catch (const PqBroken& broken) {
+    const auto fault =
+        commit_sent_ ? StatementFault::kInDoubt : StatementFault::kLost;
+    co_return StatementFailure{fault, "", broken.message};
+  }
+}
+
+PqQuery StatementRunner::Guard() const {
+  if (statement_.term == 0) return {"SELECT group_position()", {}};
+  return {"SELECT group_guard($1)", {std::to_string(statement_.term)}};
+}
+
+asio::awaitable<void> StatementRunner::Abort() {
+  std::vector<PqQuery> batch = {{"ROLLBACK", {}}};
+  co_await connection_.Run(std::move(batch));
+}
+
+asio::awaitable<StatementResult> StatementRunner::Read() {
+  std::vector<PqQuery> batch = {{"BEGIN READ ONLY", {}},
+                                {"SELECT group_position()", {}},
+                                {statement_.sql, statement_.params},
+                                {"COMMIT", {}}};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    co_return failure;
+  }
+  StatementSuccess success;
+  success.position = ParsePosition(replies[1]);
+  success.result = std::move(replies[2].result);
+  co_return success;
+}
+
+asio::awaitable<StatementResult> StatementRunner::Write() {
+  std::vector<PqQuery> batch = {
+      {"BEGIN", {}}, Guard(), {statement_.sql, statement_.params}};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    if (failure.fault != StatementFault::kSqlError ||
+        statement_.request_id.empty()) {
+      co_return failure;
+    }
+    // A repeat of a recorded request may fail on its own earlier effect.
+    StatementResult recorded = co_await LookUp();
+    const auto* success = std::get_if<StatementSuccess>(&recorded);
+    if (success != nullptr && success->recorded) co_return recorded;
+    co_return failure;
+  }
+  co_return co_await RecordAndCommit(std::move(replies[2].result), false);
+}
+
+asio::awaitable<StatementResult> StatementRunner::RecordAndCommit(
+    ResultSet result, bool tombstone) {
+  std::vector<PqQuery> batch;
+  if (!statement_.request_id.empty()) {
+    const std::string outcome = tombstone ? kTombstone : EncodeOutcome(result);
+    batch.push_back(
+        {"INSERT INTO corianderdock_request (id, outcome) VALUES ($1, $2)",
+         {statement_.request_id, outcome}});
+  }
+  batch.push_back({"COMMIT", {}});
+  batch.push_back({"SELECT group_commit_position()", {}});
+  commit_sent_ = true;
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    commit_sent_ = false;  // the server reported that it did not commit
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    if (failure.sqlstate == kUniqueViolation) co_return co_await LookUp();
+    co_return failure;
+  }
+  StatementSuccess success;
+  success.result = std::move(result);
+  success.position = ParsePosition(replies.back());
+  success.tombstone = tombstone;
+  co_return success;
+}
+
+asio::awaitable<StatementResult> StatementRunner::LookUp() {
+  std::vector<PqQuery> batch = {
+      {"BEGIN READ ONLY", {}},
+      Guard(),
+      {"SELECT outcome FROM corianderdock_request WHERE id = $1",
+       {statement_.request_id}},
+      {"SELECT group_position()", {}},
+      {"COMMIT", {}}};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    co_return failure;
+  }
+  StatementSuccess success;
+  success.position = ParsePosition(replies[3]);
+  if (replies[2].result.rows.empty()) co_return success;
+  const std::string outcome = replies[2].result.rows[0][0].value_or("");
+  success.recorded = true;
+  success.tombstone = outcome == kTombstone;
+  if (!success.tombstone) success.result = DecodeOutcome(outcome);
+  co_return success;
+}
+
+asio::awaitable<StatementResult> StatementRunner::Begin() {
+  std::vector<PqQuery> batch = {{"BEGIN", {}}, Guard()};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    co_return failure;
+  }
+  co_return StatementSuccess{};
+}
+
+asio::awaitable<StatementResult> StatementRunner::Inside() {
+  std::vector<PqQuery> batch = {{statement_.sql, statement_.params}};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) co_return ToFailure(*error);
+  StatementSuccess success;
+  success.result = std::move(replies[0].result);
+  co_return success;
+}
+
+asio::awaitable<StatementResult> StatementRunner::Commit() {
+  co_return co_await RecordAndCommit({}, false);
+}
+
+asio::awaitable<StatementResult> StatementRunner::Rollback() {
+  co_await Abort();
+  co_return StatementSuccess{};
+}
+
+asio::awaitable<StatementResult> StatementRunner::Resolve() {
+  StatementResult recorded = co_await LookUp();
+  const auto* found = std::get_if<StatementSuccess>(&recorded);
+  if (found == nullptr || found->recorded) co_return recorded;
+  std::vector<PqQuery> batch = {{"BEGIN", {}}, Guard()};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) {
+    const StatementFailure failure = ToFailure(*error);
+    co_await Abort();
+    co_return failure;
+  }
+  co_return co_await RecordAndCommit({}, true);
+}
+
+asio::awaitable<StatementResult> StatementRunner::Ping() {
+  std::vector<PqQuery> batch = {{"SELECT group_position()", {}}};
+  auto replies = co_await connection_.Run(std::move(batch));
+  if (const PqReply* error = FirstError(replies)) co_return ToFailure(*error);
+  co_return StatementSuccess{};
+}
+
+}  // namespace corianderdock::detail
--- /dev/null
+++ b/src/core/codec.cc
@@ -0,0 +1,511 @@
+#include "corianderdock/codec.h"
+
+#include <memory>
+
+#include "corianderdock/detail/fields.h"
+
+namespace corianderdock {
+
+namespace {
+
+using detail::Fields;
+
+constexpr std::uint64_t kLargestTimeoutMs = 60000;
+constexpr std::size_t kLongestRequestId = 128;
+constexpr int kDeepestJson = 64;
+
+std::uint64_t ToMilliseconds(Duration duration) {
+  const auto ms = std::chrono::duration_cast<Milliseconds>(duration).count();
+  return ms < 0 ? 0 : static_cast<std::uint64_t>(ms);
+}
+
+std::uint64_t ToMicroseconds(Duration duration) {
+  const auto us =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return us < 0 ? 0 : static_cast<std::uint64_t>(us);
+}
+
+Duration FromMicroseconds(std::uint64_t us) {
+  return std::chrono::microseconds(us);
+}
+
+Json::Value ToJsonParams(const std::vector<std::optional<std::string>>& in) {
+  Json::Value out(Json::arrayValue);
+  for (const auto& it : in) {
+    out.append(it ? Json::Value(*it) : Json::Value());
+  }
+  return out;
+}
+
+/// Values of callers become text, as the database reads them.
+std::vector<std::optional<std::string>> ParseParams(Fields& fields,
+                                                    const char* name) {
+  std::vector<std::optional<std::string>> params;
+  const Json::Value& in = fields.Array(name);
+  for (Json::ArrayIndex n = 0; n < in.size(); ++n) {
+    const Json::Value& it = in[n];
+    if (it.isNull()) {
+      params.emplace_back(std::nullopt);
+    } else if (it.isString()) {
+      params.emplace_back(it.asString());
+    } else if (it.isBool() || it.isNumeric()) {
+      params.emplace_back(it.asString());
+    } else {
+      fields.Fail(fields.Path(name) + "[" + std::to_string(n) + "]",
+                  "expected a string, number, true, false or null");
+    }
+  }
+  return params;
+}
+
+SessionToken ParseToken(Fields& fields) {
+  auto token = SessionToken::Decode(fields.Text("token"));
+  if (token) return *token;
+  fields.Fail(fields.Path("token"), token.error().reason);
+  return {};
+}
+
+Json::Value ToJson(const ResultSet& result) {
+  Json::Value out;
+  out["columns"] = Json::arrayValue;
+  for (const auto& it : result.columns) out["columns"].append(it);
+  out["rows"] = Json::arrayValue;
+  for (const auto& row : result.rows) {
+    Json::Value values(Json::arrayValue);
+    for (std::size_t n = 0; n < row.size(); ++n) {
+      if (!row[n]) {
+        values.append(Json::Value());
+      } else if (n < result.numeric.size() && result.numeric[n]) {
+        values.append(Json::Int64(std::strtoll(row[n]->c_str(), nullptr, 10)));
+      } else {
+        values.append(*row[n]);
+      }
+    }
+    out["rows"].append(values);
+  }
+  out["affected"] = Json::UInt64(result.affected);
+  return out;
+}
+
+ResultSet ParseResultSet(const Json::Value& in) {
+  ResultSet result;
+  if (!in.isObject()) return result;
+  for (const auto& it : in["columns"]) result.columns.push_back(it.asString());
+  result.numeric.assign(result.columns.size(), false);
+  for (const auto& row : in["rows"]) {
+    std::vector<std::optional<std::string>> values;
+    for (Json::ArrayIndex n = 0; n < row.size(); ++n) {
+      if (row[n].isNull()) {
+        values.emplace_back(std::nullopt);
+        continue;
+      }
+      if (row[n].isInt64() && n < result.numeric.size()) {
+        result.numeric[n] = true;
+      }
+      values.emplace_back(row[n].asString());
+    }
+    result.rows.push_back(std::move(values));
+  }
+  if (in["affected"].isUInt64()) result.affected = in["affected"].asUInt64();
+  return result;
+}
+
+template <typename Enum, std::size_t N>
+Enum FindName(const char* const (&names)[N], const std::string& text,
+              Fields& fields, const char* field) {
+  for (std::size_t n = 0; n < N; ++n) {
+    if (text == names[n]) return static_cast<Enum>(n);
+  }
+  fields.Fail(fields.Path(field), "has an unknown value");
+  return static_cast<Enum>(0);
+}
+
+constexpr const char* kMethods[] = {"execute", "begin", "commit", "rollback",
+                                    "resolve"};
+constexpr const char* kOutcomes[] = {"done", "not_run", "unknown", "failed"};
+constexpr const char* kStatuses[] = {"final", "stale", "not_primary",
+                                     "busy",  "retry", "in_doubt"};
+constexpr const char* kMemberStates[] = {"alive", "suspect", "leaving", "dead"};
+constexpr const char* kRoles[] = {"primary", "replica", "fenced"};
+constexpr int kReasons = static_cast<int>(Reason::kDraining) + 1;
+
+Reason FindReason(const std::string& text) {
+  for (int n = 0; n < kReasons; ++n) {
+    if (text == Name(static_cast<Reason>(n))) return static_cast<Reason>(n);
+  }
+  return Reason::kNone;
+}
+
+Json::Value ToJson(const Request& request) {
+  Json::Value out;
+  out["method"] = Name(request.method);
+  out["service"] = request.service;
+  out["kind"] = request.kind;
+  out["statement"] = request.sql;
+  out["parameters"] = ToJsonParams(request.params);
+  out["token"] = request.token.Encode();
+  out["request_id"] = request.request_id;
+  out["transaction"] = request.transaction;
+  return out;
+}
+
+Request ParseForwardedRequest(Fields& fields) {
+  Request request;
+  request.method = FindName<Method>(kMethods, fields.Text("method"), fields,
+                                    "method");
+  request.service = fields.Text("service");
+  request.kind = fields.Text("kind");
+  request.sql = fields.Text("statement");
+  request.params = ParseParams(fields, "parameters");
+  request.token = ParseToken(fields);
+  request.request_id = fields.Text("request_id");
+  request.transaction = fields.Text("transaction");
+  return request;
+}
+
+Json::Value ToJson(const MemberUpdate& update) {
+  Json::Value out;
+  out["id"] = update.id;
+  out["zone"] = update.zone;
+  out["address"] = update.address;
+  out["incarnation"] = Json::UInt64(update.incarnation);
+  out["state"] = Name(update.state);
+  return out;
+}
+
+MemberUpdate ParseMember(Fields& fields) {
+  MemberUpdate update;
+  update.id = fields.Text("id", true);
+  update.zone = fields.Text("zone", true);
+  update.address = fields.Text("address", true);
+  update.incarnation = fields.Number("incarnation", 0);
+  update.state = FindName<MemberState>(kMemberStates, fields.Text("state"),
+                                       fields, "state");
+  return update;
+}
+
+}  // namespace
+
+// Text -----------------------------------------------------------------------
+
+std::string ToText(const Json::Value& value) {
+  static const Json::StreamWriterBuilder kBuilder = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return builder;
+  }();
+  return Json::writeString(kBuilder, value);
+}
+
+Result<Json::Value> ParseJson(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = kDeepestJson;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  try {
+    if (reader->parse(text.data(), text.data() + text.size(), &value,
+                      &errors)) {
+      return value;
+    }
+  } catch (const Json::Exception& error) {
+    errors = error.what();
+  }
+  return Error{"json", errors};
+}
+
+std::string EncodeOutcome(const ResultSet& result) {
+  return ToText(ToJson(result));
+}
+
+ResultSet DecodeOutcome(const std::string& text) {
+  const auto value = ParseJson(text);
+  return value ? ParseResultSet(*value) : ResultSet{};
+}
+
+// Callers --------------------------------------------------------------------
+
+Result<Request> ParseRequest(Method method, const Json::Value& params) {
+  Fields fields(params, "params");
+  Request request;
+  request.method = method;
+  request.service = fields.Text("service", true);
+  request.timeout =
+      Milliseconds(fields.Number("timeout_ms", 0, 0, kLargestTimeoutMs));
+  request.token = ParseToken(fields);
+  request.request_id =
+      fields.Text("request_id", method == Method::kResolve);
+  if (request.request_id.size() > kLongestRequestId) {
+    fields.Fail(fields.Path("request_id"), "is longer than 128 characters");
+  }
+  const bool needs_transaction =
+      method == Method::kCommit || method == Method::kRollback;
+  request.transaction = fields.Text("transaction", needs_transaction);
+  if (method == Method::kExecute) {
+    request.kind = fields.Text("kind", true);
+    request.sql = fields.Text("statement", true);
+    request.params = ParseParams(fields, "parameters");
+    fields.RejectUnknown({"service", "kind", "statement", "parameters",
+                          "token", "request_id", "transaction", "timeout_ms"});
+  } else {
+    fields.RejectUnknown(
+        {"service", "token", "request_id", "transaction", "timeout_ms"});
+  }
+  if (fields.error()) return *fields.error();
+  return request;
+}
+
+Json::Value ToJson(const Answer& answer) {
+  Json::Value out;
+  out["outcome"] = Name(answer.outcome);
+  if (answer.reason != Reason::kNone) out["reason"] = Name(answer.reason);
+  if (!answer.detail.empty()) out["detail"] = answer.detail;
+  if (!answer.sqlstate.empty()) out["sqlstate"] = answer.sqlstate;
+  if (answer.retry_after) {
+    out["retry_after_ms"] = Json::UInt64(ToMilliseconds(*answer.retry_after));
+  }
+  out["token"] = answer.token.Encode();
+  if (!answer.request_id.empty()) out["request_id"] = answer.request_id;
+  if (!answer.transaction.empty()) out["transaction"] = answer.transaction;
+  if (answer.outcome != Outcome::kDone) return out;
+  out["server"] = answer.server;
+  out["from_replica"] = answer.from_replica;
+  out["result"] = ToJson(answer.result);
+  return out;
+}
+
+// Forwarding -----------------------------------------------------------------
+
+Json::Value ToJson(const RoutedRequest& routed) {
+  Json::Value out;
+  out["server"] = routed.server;
+  out["mode"] = routed.mode == Mode::kRead ? "read" : "write";
+  out["max_age_us"] = Json::UInt64(ToMicroseconds(routed.max_age));
+  out["remaining_us"] = Json::UInt64(ToMicroseconds(routed.remaining));
+  out["request"] = ToJson(routed.request);
+  return out;
+}
+
+Result<RoutedRequest> ParseRoutedRequest(const Json::Value& in) {
+  Fields fields(in, "params");
+  RoutedRequest routed;
+  routed.server = fields.Text("server");
+  routed.mode = fields.Text("mode") == "read" ? Mode::kRead : Mode::kWrite;
+  routed.max_age = FromMicroseconds(fields.Number("max_age_us", 0));
+  routed.remaining = FromMicroseconds(fields.Number("remaining_us", 0));
+  Fields request(fields.Object("request"), "params.request");
+  routed.request = ParseForwardedRequest(request);
+  if (fields.error()) return *fields.error();
+  if (request.error()) return *request.error();
+  return routed;
+}
+
+Json::Value ToJson(const RoutedAnswer& answer) {
+  Json::Value out;
+  out["status"] = kStatuses[static_cast<std::size_t>(answer.status)];
+  out["answer"] = ToJson(answer.answer);
+  out["leadership"] = ToJson(answer.leadership);
+  out["wait_us"] = Json::UInt64(ToMicroseconds(answer.expected_wait));
+  return out;
+}
+
+Result<RoutedAnswer> ParseRoutedAnswer(const Json::Value& in) {
+  Fields fields(in, "result");
+  RoutedAnswer routed;
+  routed.status = FindName<RoutedStatus>(kStatuses, fields.Text("status"),
+                                         fields, "status");
+  routed.leadership = ParseLeadership(fields.Object("leadership"));
+  routed.expected_wait = FromMicroseconds(fields.Number("wait_us", 0));
+  Fields answer(fields.Object("answer"), "result.answer");
+  Answer& out = routed.answer;
+  out.outcome = FindName<Outcome>(kOutcomes, answer.Text("outcome"), answer,
+                                  "outcome");
+  out.reason = FindReason(answer.Text("reason"));
+  out.detail = answer.Text("detail");
+  out.sqlstate = answer.Text("sqlstate");
+  out.token = ParseToken(answer);
+  out.request_id = answer.Text("request_id");
+  out.transaction = answer.Text("transaction");
+  out.server = answer.Text("server");
+  out.from_replica = answer.Flag("from_replica", false);
+  const std::uint64_t retry = answer.Number("retry_after_ms", UINT64_MAX);
+  if (retry != UINT64_MAX) out.retry_after = Milliseconds(retry);
+  out.result = ParseResultSet(answer.Object("result"));
+  if (fields.error()) return *fields.error();
+  if (answer.error()) return *answer.error();
+  return routed;
+}
+
+Json::Value ToJson(const Leadership& leadership) {
+  Json::Value out;
+  out["term"] = Json::UInt64(leadership.term);
+  out["primary"] = leadership.primary;
+  out["starts"] = Json::arrayValue;
+  for (const auto& [term, index] : leadership.starts) {
+    Json::Value start;
+    start["term"] = Json::UInt64(term);
+    start["index"] = Json::UInt64(index);
+    out["starts"].append(start);
+  }
+  return out;
+}
+
+Leadership ParseLeadership(const Json::Value& in) {
+  Leadership leadership;
+  Fields fields(in, "leadership");
+  leadership.term = fields.Number("term", 0);
+  leadership.primary = fields.Text("primary");
+  for (const auto& it : fields.Array("starts")) {
+    Fields start(it, "starts");
+    const Term term = start.Number("term", 0);
+    leadership.starts[term] = start.Number("index", 0);
+  }
+  if (fields.error()) return {};
+  return leadership;
+}
+
+Result<ServerStatus> ParseServerStatus(std::string_view text) {
+  const auto value = ParseJson(text);
+  if (!value) return value.error();
+  Fields fields(*value, "status");
+  ServerStatus status;
+  status.term = fields.Number("term", 0);
+  status.role = FindName<ServerRole>(kRoles, fields.Text("role"), fields,
+                                     "role");
+  status.last.term = fields.Number("last_term", 0);
+  status.last.index = fields.Number("last_index", 0);
+  status.primary_heard = Milliseconds(fields.Number("primary_heard_ms", 0));
+  status.primary_address = fields.Text("primary");
+  status.claimant = fields.Text("claimant");
+  status.connections = static_cast<int>(fields.Number("connections", 0));
+  for (const auto& it : fields.Array("term_starts")) {
+    Fields start(it, "status.term_starts");
+    const Term term = start.Number("term", 0);
+    status.starts[term] = start.Number("index", 0);
+  }
+  if (fields.error()) return *fields.error();
+  return status;
+}
+
+// Gossip and configuration ---------------------------------------------------
+
+Json::Value ToJson(const Gossip& gossip) {
+  Json::Value out;
+  out["sender"] = ToJson(gossip.sender);
+  out["members"] = Json::arrayValue;
+  for (const auto& it : gossip.members) out["members"].append(ToJson(it));
+  for (const auto& it : gossip.leaderships) {
+    Json::Value update = ToJson(it.leadership);
+    update["group"] = it.group;
+    out["leaderships"].append(update);
+  }
+  out["sheet_version"] = Json::UInt64(gossip.sheet_version);
+  out["topology_revision"] = Json::UInt64(gossip.topology_revision);
+  if (!gossip.probe_target.empty()) out["probe_target"] = gossip.probe_target;
+  if (gossip.full) out["full"] = true;
+  return out;
+}
+
+Result<Gossip> ParseGossip(const Json::Value& in) {
+  Fields fields(in, "gossip");
+  Gossip gossip;
+  Fields sender(fields.Object("sender"), "gossip.sender");
+  gossip.sender = ParseMember(sender);
+  if (sender.error()) return *sender.error();
+  for (const auto& it : fields.Array("members")) {
+    Fields member(it, "gossip.members");
+    gossip.members.push_back(ParseMember(member));
+    if (member.error()) return *member.error();
+  }
+  for (const auto& it : fields.Array("leaderships")) {
+    Fields update(it, "gossip.leaderships");
+    gossip.leaderships.push_back(
+        {update.Text("group", true), ParseLeadership(it)});
+    if (update.error()) return *update.error();
+  }
+  gossip.sheet_version = fields.Number("sheet_version", 0);
+  gossip.topology_revision = fields.Number("topology_revision", 0);
+  gossip.probe_target = fields.Text("probe_target");
+  gossip.full = fields.Flag("full", false);
+  if (fields.error()) return *fields.error();
+  return gossip;
+}
+
+Json::Value ToJson(const Topology& topology) {
+  Json::Value out;
+  out["revision"] = Json::UInt64(topology.revision);
+  out["servers"] = Json::objectValue;
+  for (const auto& [id, server] : topology.servers) {
+    Json::Value& it = out["servers"][id];
+    it["group"] = server.group;
+    it["zone"] = server.zone;
+    it["address"] = server.address;
+    it["slots"] = server.slots;
+    it["connection_limit"] = server.connection_limit;
+    it["leaving"] = server.leaving;
+  }
+  out["instances"] = Json::objectValue;
+  for (const auto& [id, instance] : topology.instances) {
+    Json::Value& it = out["instances"][id];
+    it["zone"] = instance.zone;
+    it["address"] = instance.address;
+    it["leaving"] = instance.leaving;
+  }
+  return out;
+}
+
+Result<Topology> ParseTopology(const Json::Value& in) {
+  constexpr std::uint64_t kMostSlots = 10000;
+  Fields fields(in, "topology");
+  Topology topology;
+  topology.revision = fields.Number("revision", 0);
+  const Json::Value& servers = fields.Object("servers");
+  for (const auto& id : servers.getMemberNames()) {
+    Fields it(servers[id], "servers." + id);
+    Server server;
+    server.id = id;
+    server.group = it.Text("group", true);
+    server.zone = it.Text("zone", true);
+    server.address = it.Text("address", true);
+    server.slots = static_cast<int>(it.Number("slots", 2, 1, kMostSlots));
+    server.connection_limit =
+        static_cast<int>(it.Number("connection_limit", 16, 1, kMostSlots));
+    server.leaving = it.Flag("leaving", false);
+    if (it.error()) return *it.error();
+    topology.servers[id] = server;
+  }
+  const Json::Value& instances = fields.Object("instances");
+  for (const auto& id : instances.getMemberNames()) {
+    Fields it(instances[id], "instances." + id);
+    ListedInstance instance{id, it.Text("zone", true), it.Text("address", true),
+                            it.Flag("leaving", false)};
+    if (it.error()) return *it.error();
+    topology.instances[id] = instance;
+  }
+  if (fields.error()) return *fields.error();
+  return topology;
+}
+
+Json::Value ToJson(const AcceptedSheet& sheet) {
+  Json::Value out;
+  out["version"] = Json::UInt64(sheet.version);
+  out["load_id"] = sheet.load_id;
+  out["author"] = sheet.author;
+  out["text"] = sheet.text;
+  return out;
+}
+
+Result<AcceptedSheet> ParseAcceptedSheet(const Json::Value& in) {
+  Fields fields(in, "sheet");
+  AcceptedSheet sheet;
+  sheet.version = fields.Number("version", 0, 1);
+  sheet.load_id = fields.Text("load_id", true);
+  sheet.author = fields.Text("author");
+  sheet.text = fields.Text("text", true);
+  if (fields.error()) return *fields.error();
+  return sheet;
+}
+
+}  // namespace corianderdock
--- /dev/null
+++ b/src/core/group_monitor.cc
@@ -0,0 +1,447 @@
+#include "corianderdock/group_monitor.h"
+
+#include <algorithm>
+
+namespace corianderdock {
+
+namespace {
+
+constexpr std::size_t kSamplesKept = 64;
+constexpr std::size_t kLeadershipsPerMessage = 4;
+constexpr int kLeadershipTransmissions = 12;
+constexpr Duration kShortestPollInterval = Milliseconds(20);
+constexpr Duration kFailedPollPause = Milliseconds(100);
+constexpr int kPollsPerAge = 4;
+
+}  // namespace
+
+GroupMonitor::GroupMonitor(detail::Context& context, const Directory& directory,
+                           const Configuration& configuration)
+    : context_(context), directory_(directory), configuration_(configuration) {}
+
+void GroupMonitor::OnDirectoryChanged() {
+  for (const auto& [id, servers] : directory_.groups()) {
+    const bool watches = directory_.Watches(id);
+    if (!watches && !groups_.contains(id)) continue;
+    Group& group = groups_[id];
+    const bool started = watches && !group.watched;
+    group.watched = watches;
+    if (started) group.primary_ok = context_.now;
+    std::erase_if(group.servers, [&](const auto& it) {
+      return std::find(servers.begin(), servers.end(), it.first) ==
+             servers.end();
+    });
+    for (const auto& server : servers) {
+      const bool added = group.servers.try_emplace(server).second;
+      if (group.watched && (started || added)) Poll(id, group, server);
+    }
+    if (watches) ConsiderClaim(id, group);
+  }
+}
+
+Duration GroupMonitor::PollInterval(const GroupId& id) const {
+  Duration interval = context_.options.poll_interval;
+  if (const auto age = configuration_.ShortestAge(id)) {
+    interval = std::min(interval, *age / kPollsPerAge);
+  }
+  return std::max(interval, kShortestPollInterval);
+}
+
+std::uint64_t GroupMonitor::Call(const GroupId& id, const ServerId& server,
+                                 GroupOperation operation,
+                                 PendingCall::Type type, Term term) {
+  const Server* listed = directory_.Find(server);
+  if (listed == nullptr) return 0;
+  const std::uint64_t call = context_.NewId();
+  calls_[call] = {id, server, type, term, context_.now};
+  context_.Emit(CallGroup{server, listed->address, call, std::move(operation),
+                          context_.options.poll_timeout});
+  return call;
+}
+
+void GroupMonitor::Poll(const GroupId& id, Group& group,
+                        const ServerId& server) {
+  ServerView& view = group.servers[server];
+  if (view.poll_sent) return;
+  view.poll_sent = context_.now;
+  context_.Count("group_polls");
+  view.poll_call =
+      Call(id, server, StatusCall{}, PendingCall::Type::kStatus, 0);
+}
+
+void GroupMonitor::SchedulePoll(const GroupId& id, const ServerId& server,
+                                Duration delay) {
+  ServerView& view = groups_[id].servers[server];
+  view.next_poll = context_.now + delay;
+  context_.After(delay, {detail::TimerKind::kGroupPoll, server, 0});
+}
+
+void GroupMonitor::OnTimer(const detail::Timer& timer) {
+  if (timer.kind == detail::TimerKind::kGroupPoll) {
+    const Server* server = directory_.Find(timer.key);
+    if (server == nullptr) return;
+    const auto it = groups_.find(server->group);
+    if (it == groups_.end()) return;
+    Group& group = it->second;
+    const auto view = group.servers.find(timer.key);
+    if (view == group.servers.end()) return;
+    if (!group.watched && group.urgent == 0) return;
+    if (context_.now < view->second.next_poll) return;
+    Poll(it->first, group, timer.key);
+    return;
+  }
+  const auto it = groups_.find(timer.key);
+  if (it == groups_.end()) return;
+  Group& group = it->second;
+  if (group.claim && context_.now >= group.claim->deadline) {
+    context_.Count("claims_abandoned");
+    group.claim.reset();
+    group.claim_at.reset();
+  }
+  if (group.claim) return;
+  if (group.claim_at && context_.now >= *group.claim_at) {
+    group.claim_at.reset();
+    if (PrimaryLost(it->first, group) || PrimaryLeaving(group)) {
+      StartClaim(it->first, group);
+    }
+    return;
+  }
+  ConsiderClaim(it->first, group);
+}
+
+void GroupMonitor::BeginUrgency(const GroupId& id) {
+  Group& group = groups_[id];
+  ++group.urgent;
+  if (group.urgent > 1) return;
+  for (const auto& server : directory_.Servers(id)) {
+    ServerView& view = group.servers[server];
+    if (!view.poll_sent) Poll(id, group, server);
+  }
+}
+
+void GroupMonitor::EndUrgency(const GroupId& id) {
+  Group& group = groups_[id];
+  if (group.urgent > 0) --group.urgent;
+}
+
+const Leadership& GroupMonitor::LeadershipOf(const GroupId& id) const {
+  static const Leadership kUnknown;
+  const auto it = groups_.find(id);
+  return it == groups_.end() ? kUnknown : it->second.leadership;
+}
+
+bool GroupMonitor::Learn(const GroupId& id, const Leadership& leadership) {
+  if (leadership.term == 0) return false;
+  Group& group = groups_[id];
+  if (leadership.term <= group.leadership.term) return false;
+  group.leadership = leadership;
+  group.highest_term = std::max(group.highest_term, leadership.term);
+  group.primary_ok = context_.now;
+  group.unconfirmed.clear();
+  group.claim_at.reset();
+  if (group.claim && group.claim->term <= leadership.term) group.claim.reset();
+  context_.Count("leaderships_learned");
+  context_.Log("group " + id + " term " + std::to_string(leadership.term) +
+               " primary " + leadership.primary);
+  Spread(group);
+  spreading_.insert(id);
+  return true;
+}
+
+void GroupMonitor::Spread(Group& group) {
+  group.transmissions_left = kLeadershipTransmissions;
+}
+
+void GroupMonitor::AddUpdates(Gossip& gossip) {
+  if (gossip.full) {
+    for (const auto& [id, group] : groups_) {
+      if (group.leadership.term > 1) {
+        gossip.leaderships.push_back({id, group.leadership});
+      }
+    }
+    return;
+  }
+  for (auto it = spreading_.begin(); it != spreading_.end();) {
+    if (gossip.leaderships.size() >= kLeadershipsPerMessage) return;
+    Group& group = groups_[*it];
+    gossip.leaderships.push_back({*it, group.leadership});
+    it = --group.transmissions_left <= 0 ? spreading_.erase(it) : std::next(it);
+  }
+}
+
+std::optional<GroupId> GroupMonitor::OnResult(const GroupResult& result) {
+  const auto found = calls_.find(result.call);
+  if (found == calls_.end()) return std::nullopt;
+  const PendingCall call = found->second;
+  calls_.erase(found);
+  const auto it = groups_.find(call.group);
+  if (it == groups_.end()) return std::nullopt;
+  Group& group = it->second;
+  if (!group.servers.contains(call.server)) return std::nullopt;
+  if (call.type == PendingCall::Type::kStatus) {
+    OnStatus(call.group, group, call, result.status);
+    return call.group;
+  }
+  if (!result.status) return std::nullopt;
+  if (call.type == PendingCall::Type::kFence) {
+    OnGrant(call.group, group, call, *result.status);
+  } else if (call.type == PendingCall::Type::kPromote) {
+    OnPromoted(call.group, group, call, *result.status);
+  }
+  return call.group;
+}
+
+void GroupMonitor::OnStatus(const GroupId& id, Group& group,
+                            const PendingCall& call,
+                            const std::optional<ServerStatus>& status) {
+  ServerView& view = group.servers[call.server];
+  view.poll_sent.reset();
+  view.failed = !status.has_value();
+  if (!status) {
+    context_.Count("group_poll_failures");
+    SchedulePoll(id, call.server, kFailedPollPause);
+    ConsiderClaim(id, group);
+    return;
+  }
+  SchedulePoll(id, call.server,
+               group.urgent > 0 ? context_.options.urgent_poll_gap
+                                : PollInterval(id));
+  view.status = status;
+  view.status_sent = call.sent;
+  group.highest_term = std::max(group.highest_term, status->term);
+  if (status->role == ServerRole::kPrimary) {
+    Learn(id, {status->term, call.server, status->starts});
+    if (status->term == group.leadership.term &&
+        call.server == group.leadership.primary) {
+      group.primary_ok = context_.now;
+      group.leadership.starts = status->starts;
+      AddSample(group, *status, call.sent);
+    }
+  }
+  ConfirmSamples(group);
+  Repair(id, group, call.server, *status);
+  ConsiderClaim(id, group);
+}
+
+void GroupMonitor::AddSample(Group& group, const ServerStatus& status,
+                             TimePoint sent) {
+  group.unconfirmed.push_back({sent, status.last});
+  if (group.unconfirmed.size() > kSamplesKept) group.unconfirmed.pop_front();
+}
+
+std::size_t GroupMonitor::Confirmations(const Group& group, Term term,
+                                        TimePoint since) const {
+  return static_cast<std::size_t>(std::count_if(
+      group.servers.begin(), group.servers.end(), [&](const auto& it) {
+        const ServerView& view = it.second;
+        return view.status && view.status->term == term &&
+               view.status_sent >= since;
+      }));
+}
+
+void GroupMonitor::ConfirmSamples(Group& group) {
+  const std::size_t majority = Majority(group.servers.size());
+  std::size_t confirmed = group.unconfirmed.size();
+  while (confirmed > 0) {
+    const Sample& sample = group.unconfirmed[confirmed - 1];
+    if (Confirmations(group, group.leadership.term, sample.sent) >= majority) {
+      break;
+    }
+    --confirmed;
+  }
+  for (; confirmed > 0; --confirmed) {
+    group.confirmed.push_back(group.unconfirmed.front());
+    group.unconfirmed.pop_front();
+  }
+  while (group.confirmed.size() > kSamplesKept) group.confirmed.pop_front();
+}
+
+bool GroupMonitor::NoOlderThan(const GroupId& id, Position read,
+                               TimePoint since) const {
+  const auto it = groups_.find(id);
+  if (it == groups_.end()) return false;
+  const auto& samples = it->second.confirmed;
+  return std::any_of(samples.rbegin(), samples.rend(), [&](const Sample& at) {
+    return at.sent >= since && Contains(read, at.position);
+  });
+}
+
+bool GroupMonitor::ConfirmedSince(const GroupId& id, Term term,
+                                  TimePoint since) const {
+  const auto it = groups_.find(id);
+  if (it == groups_.end()) return false;
+  const Group& group = it->second;
+  if (group.leadership.term != term) return false;
+  const auto primary = group.servers.find(group.leadership.primary);
+  if (primary == group.servers.end() || !primary->second.status) return false;
+  const ServerView& view = primary->second;
+  return view.status->role == ServerRole::kPrimary &&
+         view.status->term == term && view.status_sent >= since &&
+         Confirmations(group, term, since) >= Majority(group.servers.size());
+}
+
+std::size_t GroupMonitor::Holders(const GroupId& id, Position position) const {
+  const auto it = groups_.find(id);
+  if (it == groups_.end()) return 0;
+  const Group& group = it->second;
+  std::size_t holders = 0;
+  for (const auto& [server, view] : group.servers) {
+    if (server == group.leadership.primary) {
+      // The primary itself holds what it committed, unless it was replaced.
+      holders += group.leadership.term == position.term ? 1 : 0;
+      continue;
+    }
+    if (!view.status || view.status->term != position.term) continue;
+    const Position last = view.status->last;
+    if (last.term == position.term && last.index >= position.index) ++holders;
+  }
+  return holders;
+}
+
+bool GroupMonitor::EvidencePossible(const GroupId& id) const {
+  const auto it = groups_.find(id);
+  if (it == groups_.end()) return false;
+  const Group& group = it->second;
+  const Duration window =
+      2 * context_.options.poll_interval + context_.options.poll_timeout;
+  return Confirmations(group, group.leadership.term, context_.now - window) >=
+         Majority(group.servers.size());
+}
+
+std::optional<Position> GroupMonitor::LastOf(const ServerId& id) const {
+  const Server* server = directory_.Find(id);
+  if (server == nullptr) return std::nullopt;
+  const auto group = groups_.find(server->group);
+  if (group == groups_.end()) return std::nullopt;
+  const auto view = group->second.servers.find(id);
+  if (view == group->second.servers.end() || !view->second.status) {
+    return std::nullopt;
+  }
+  return view->second.status->last;
+}
+
+void GroupMonitor::Repair(const GroupId& id, Group& group,
+                          const ServerId& server, const ServerStatus& status) {
+  const Leadership& lead = group.leadership;
+  if (lead.term == 0 || group.claim || server == lead.primary) return;
+  if (status.term > lead.term) return;
+  const Server* primary = directory_.Find(lead.primary);
+  if (primary == nullptr) return;
+  const bool follows = status.term == lead.term &&
+                       status.role == ServerRole::kReplica &&
+                       status.primary_address == primary->address;
+  if (follows) return;
+  context_.Count("servers_redirected");
+  Call(id, server, FollowCall{lead.term, primary->address},
+       PendingCall::Type::kFollow, lead.term);
+}
+
+bool GroupMonitor::PrimaryLeaving(const Group& group) const {
+  const Server* primary = directory_.Find(group.leadership.primary);
+  if (primary == nullptr || !primary->leaving) return false;
+  std::size_t staying = 0;
+  for (const auto& [id, view] : group.servers) {
+    const Server* server = directory_.Find(id);
+    if (server != nullptr && !server->leaving && !view.failed) ++staying;
+  }
+  return staying >= Majority(group.servers.size());
+}
+
+bool GroupMonitor::PrimaryLost(const GroupId&, const Group& group) const {
+  const Options& options = context_.options;
+  const Duration window = 2 * options.poll_interval + options.poll_timeout;
+  std::size_t silent = 0;
+  std::size_t long_silent = 0;
+  for (const auto& [id, view] : group.servers) {
+    if (!view.status || context_.now - view.status_sent > window) continue;
+    if (view.status->role == ServerRole::kPrimary) continue;
+    const Duration heard = view.status->primary_heard;
+    if (heard >= options.replica_silence) ++silent;
+    if (heard >= options.replication_silence) ++long_silent;
+  }
+  const std::size_t majority = Majority(group.servers.size());
+  if (long_silent >= majority) return true;
+  return silent >= majority &&
+         context_.now - group.primary_ok >= options.primary_silence;
+}
+
+void GroupMonitor::ConsiderClaim(const GroupId& id, Group& group) {
+  if (!group.watched || group.claim) return;
+  if (!PrimaryLost(id, group) && !PrimaryLeaving(group)) {
+    group.claim_at.reset();
+    return;
+  }
+  if (group.claim_at) return;
+  const std::size_t rank = directory_.ClaimRank(id, group.highest_term);
+  const Duration delay =
+      context_.options.claim_rank_delay * static_cast<int>(rank);
+  group.claim_at = context_.now + delay;
+  context_.After(delay, {detail::TimerKind::kClaim, id, 0});
+}
+
+void GroupMonitor::StartClaim(const GroupId& id, Group& group) {
+  Claim claim;
+  claim.term = std::max(group.highest_term, group.leadership.term) + 1;
+  claim.deadline = context_.now + context_.options.claim_timeout;
+  group.highest_term = claim.term;
+  group.claim = claim;
+  context_.Count("claims_started");
+  context_.Log("group " + id + " claiming term " + std::to_string(claim.term));
+  for (const auto& [server, view] : group.servers) {
+    Call(id, server, FenceCall{claim.term, context_.self.instance},
+         PendingCall::Type::kFence, claim.term);
+  }
+  context_.After(context_.options.claim_timeout,
+                 {detail::TimerKind::kClaim, id, 0});
+}
+
+void GroupMonitor::OnGrant(const GroupId& id, Group& group,
+                           const PendingCall& call,
+                           const ServerStatus& status) {
+  group.highest_term = std::max(group.highest_term, status.term);
+  if (!group.claim || group.claim->term != call.term) return;
+  Claim& claim = *group.claim;
+  const bool granted = status.term == claim.term &&
+                       status.claimant == context_.self.instance;
+  if (!granted || !claim.candidate.empty()) return;
+  claim.grants[call.server] = status.last;
+  const std::size_t majority = Majority(group.servers.size());
+  if (!context_.policy->MayPromote(claim.grants.size(), majority)) return;
+  std::size_t staying = 0;
+  for (const auto& [server, last] : claim.grants) {
+    if (!directory_.Find(server)->leaving) ++staying;
+  }
+  // A leaving server is passed over only when the others alone are a majority:
+  // then the best of them still holds every acknowledged entry.
+  const bool skip_leaving = staying >= majority;
+  if (PrimaryLeaving(group) && !skip_leaving) return;
+  Position best;
+  for (const auto& [server, last] : claim.grants) {
+    if (skip_leaving && directory_.Find(server)->leaving) continue;
+    const bool better = std::pair(last.term, last.index) >=
+                        std::pair(best.term, best.index);
+    if (!better) continue;
+    best = last;
+    claim.candidate = server;
+  }
+  Call(id, claim.candidate, PromoteCall{claim.term, context_.self.instance},
+       PendingCall::Type::kPromote, claim.term);
+}
+
+void GroupMonitor::OnPromoted(const GroupId& id, Group& group,
+                              const PendingCall& call,
+                              const ServerStatus& status) {
+  if (status.role != ServerRole::kPrimary || status.term != call.term) return;
+  group.claim.reset();
+  Learn(id, {status.term, call.server, status.starts});
+  context_.Count("promotions");
+  const Server* primary = directory_.Find(call.server);
+  for (const auto& [server, view] : group.servers) {
+    if (server == call.server || primary == nullptr) continue;
+    Call(id, server, FollowCall{status.term, primary->address},
+         PendingCall::Type::kFollow, status.term);
+  }
+  for (const auto& [server, view] : group.servers) Poll(id, group, server);
+}
+
+}  // namespace corianderdock
--- /dev/null
+++ b/src/core/reducer.cc
@@ -0,0 +1,242 @@
+#include "corianderdock/reducer.h"
+
+#include <utility>
+
+namespace corianderdock {
+
+namespace {
+
+constexpr Duration kDrainCheckInterval = Milliseconds(50);
+
+const Policy& DefaultPolicy() {
+  static const Policy kPolicy;
+  return kPolicy;
+}
+
+}  // namespace
+
+Reducer::Reducer(Identity identity, Options options, std::uint64_t seed,
+                 const Policy* policy)
+    : context_{.self = std::move(identity),
+               .options = std::move(options),
+               .policy = policy == nullptr ? &DefaultPolicy() : policy,
+               .random = std::mt19937_64(seed),
+               .now = {},
+               .timers = {},
+               .effects = {},
+               .counters = {}},
+      membership_(context_),
+      directory_(context_, membership_),
+      configuration_(context_),
+      monitor_(context_, directory_, configuration_),
+      work_(context_, directory_, configuration_, monitor_),
+      calls_(context_, directory_, configuration_, monitor_, work_) {}
+
+Reducer::~Reducer() = default;
+
+Effects Reducer::Start(TimePoint now) {
+  context_.now = now;
+  started_ = now;
+  membership_.Start([this](Gossip& gossip) { DecorateGossip(gossip); });
+  generation_ = membership_.generation();
+  PollPlatformIfChosen();
+  return std::exchange(context_.effects, {});
+}
+
+Effects Reducer::Reduce(TimePoint now, const Event& event) {
+  context_.now = std::max(context_.now, now);
+  FireTimers();
+  std::visit([this](const auto& it) { On(it); }, event);
+  OnMembersMayHaveChanged();
+  UpdateReadiness();
+  return std::exchange(context_.effects, {});
+}
+
+std::optional<TimePoint> Reducer::NextTimer() const {
+  return context_.timers.Next();
+}
+
+bool Reducer::Ready() const {
+  if (draining_ || !configuration_.loaded()) return false;
+  if (directory_.topology().revision == 0) return false;
+  const bool newest = configuration_.accepted().version >= highest_heard_;
+  return startup_wait_over_ || (membership_.heard_from_peer() && newest);
+}
+
+void Reducer::UpdateReadiness() {
+  if (!startup_wait_over_ &&
+      context_.now - started_ >= context_.options.startup_wait) {
+    startup_wait_over_ = true;
+  }
+  // A draining instance still serves what reaches it until it ends.
+  calls_.SetReady(Ready() || (draining_ && configuration_.loaded()));
+}
+
+// Events ---------------------------------------------------------------------
+
+void Reducer::On(const CallerRequest& event) { calls_.OnRequest(event); }
+
+void Reducer::On(const CallerGone& event) { calls_.OnGone(event.call); }
+
+void Reducer::On(const PeerRequest& event) {
+  context_.Count("peer_requests");
+  const CallId call = event.call;
+  work_.Execute(event.routed, [this, call](RoutedAnswer answer) {
+    context_.Emit(ReplyToPeer{call, std::move(answer)});
+  });
+}
+
+void Reducer::On(const ForwardResult& event) { calls_.OnForwardResult(event); }
+
+void Reducer::On(const ConnectResult& event) { work_.OnConnect(event); }
+
+void Reducer::On(const ConnectionClosed& event) {
+  work_.OnConnectionClosed(event);
+}
+
+void Reducer::On(const StatementDone& event) { work_.OnStatementDone(event); }
+
+void Reducer::On(const GroupResult& event) {
+  if (const auto group = monitor_.OnResult(event)) {
+    work_.OnGroupAdvanced(*group);
+  }
+}
+
+void Reducer::On(const GossipRequest& event) {
+  MergeGossip(event.gossip);
+  context_.Emit(
+      ReplyGossip{event.call, membership_.OnGossip(event.gossip)});
+}
+
+void Reducer::On(const GossipResult& event) {
+  membership_.OnProbeResult(event.probe,
+                            event.gossip ? &*event.gossip : nullptr);
+  if (event.gossip) MergeGossip(*event.gossip);
+}
+
+void Reducer::On(const TopologyRead& event) {
+  configuration_.OnFetched();
+  if (!directory_.Install(event.topology)) return;
+  context_.Count("topologies_installed");
+  membership_.OnTopology(event.topology);
+  monitor_.OnDirectoryChanged();
+  work_.OnDirectoryChanged();
+  generation_ = membership_.generation();
+}
+
+void Reducer::On(const SheetRead& event) {
+  configuration_.OnFetched();
+  configuration_.Install(event.sheet);
+}
+
+void Reducer::On(const PlatformPolled& event) {
+  polling_ = false;
+  context_.Count(event.answered ? "platform_polls" : "platform_failures");
+}
+
+void Reducer::On(const TimePassed&) {}
+
+void Reducer::On(const DrainRequested&) {
+  if (draining_) return;
+  draining_ = true;
+  drain_deadline_ = context_.now + context_.options.drain_limit;
+  context_.Log("draining");
+  membership_.Leave();
+  context_.After(kDrainCheckInterval, {detail::TimerKind::kDrainCheck, {}, 0});
+}
+
+// Timers ---------------------------------------------------------------------
+
+void Reducer::FireTimers() {
+  while (const auto timer = context_.timers.TakeDue(context_.now)) {
+    OnTimer(*timer);
+  }
+}
+
+void Reducer::OnTimer(const detail::Timer& timer) {
+  using detail::TimerKind;
+  switch (timer.kind) {
+    case TimerKind::kCallDeadline:
+    case TimerKind::kCallRetry:
+      calls_.OnTimer(timer);
+      return;
+    case TimerKind::kWorkDeadline:
+    case TimerKind::kTransactionIdle:
+    case TimerKind::kConnect:
+    case TimerKind::kPing:
+      work_.OnTimer(timer);
+      return;
+    case TimerKind::kGroupPoll:
+    case TimerKind::kClaim:
+      monitor_.OnTimer(timer);
+      return;
+    case TimerKind::kProbe:
+    case TimerKind::kSuspicion:
+      membership_.OnTimer(timer);
+      return;
+    case TimerKind::kPlatformPoll:
+      PollPlatformIfChosen();
+      return;
+    case TimerKind::kDrainCheck:
+      CheckDrained();
+      return;
+  }
+}
+
+void Reducer::PollPlatformIfChosen() {
+  const auto& options = context_.options;
+  const bool chosen =
+      membership_.IsAmongFirst(context_.self.zone, context_.self.instance,
+                               options.platform_pollers_per_zone);
+  const bool needs_first = directory_.topology().revision == 0 ||
+                           !configuration_.loaded() ||
+                           !options.gossip_membership;
+  if ((chosen || needs_first) && !polling_) {
+    polling_ = true;
+    context_.Emit(PollPlatform{configuration_.accepted().version,
+                               directory_.topology().revision});
+  }
+  context_.After(options.platform_poll_interval,
+                 {detail::TimerKind::kPlatformPoll, {}, 0});
+}
+
+void Reducer::CheckDrained() {
+  if (exited_) return;
+  const bool busy =
+      calls_.size() > 0 || work_.size() > 0 || work_.transactions() > 0;
+  const bool finished = !busy || !context_.policy->FinishBeforeExit();
+  if (finished || context_.now >= drain_deadline_) {
+    exited_ = true;
+    context_.Log(busy ? "drain limit reached" : "drained");
+    context_.Emit(Exit{});
+    return;
+  }
+  context_.After(kDrainCheckInterval, {detail::TimerKind::kDrainCheck, {}, 0});
+}
+
+// Gossip ---------------------------------------------------------------------
+
+void Reducer::DecorateGossip(Gossip& gossip) {
+  gossip.sheet_version = configuration_.accepted().version;
+  gossip.topology_revision = directory_.topology().revision;
+  monitor_.AddUpdates(gossip);
+}
+
+void Reducer::MergeGossip(const Gossip& gossip) {
+  highest_heard_ = std::max(highest_heard_, gossip.sheet_version);
+  for (const auto& it : gossip.leaderships) {
+    if (monitor_.Learn(it.group, it.leadership)) {
+      work_.OnGroupAdvanced(it.group);
+    }
+  }
+  configuration_.OnPeerVersions(gossip, directory_.topology().revision);
+}
+
+void Reducer::OnMembersMayHaveChanged() {
+  if (generation_ == membership_.generation()) return;
+  generation_ = membership_.generation();
+  monitor_.OnDirectoryChanged();
+  work_.OnDirectoryChanged();
+}
+
+}  // namespace corianderdock
--- /dev/null
+++ b/standin/backend_session.cc
@@ -0,0 +1,563 @@
+#include "backend_session.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cctype>
+#include <cstring>
+#include <utility>
+
+#include "replication.h"
+
+namespace standin {
+
+namespace asio = boost::asio;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr std::uint32_t kProtocolVersion = 196608;
+constexpr std::uint32_t kSslRequestCode = 80877103;
+constexpr Milliseconds kLockRetry{1};
+constexpr Milliseconds kLockTimeout{2000};
+constexpr Milliseconds kCutCheck{20};
+constexpr std::size_t kLargestMessage = 4 << 20;
+
+std::string Int32(std::uint32_t n) {
+  std::string out(4, '\0');
+  for (int i = 0; i < 4; ++i) out[i] = static_cast<char>(n >> (24 - 8 * i));
+  return out;
+}
+
+std::string Int16(std::uint16_t n) {
+  return {static_cast<char>(n >> 8), static_cast<char>(n & 0xff)};
+}
+
+std::uint32_t ReadInt32(std::string_view in) {
+  std::uint32_t n = 0;
+  for (int i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(in[i]);
+  return n;
+}
+
+/// Reads fields of one message body in order.
+class Cursor {
+ public:
+  explicit Cursor(std::string_view in) : in_(in) {}
+  std::string Text() {
+    const auto end = in_.find('\0');
+    std::string out(in_.substr(0, end));
+    in_.remove_prefix(std::min(in_.size(), out.size() + 1));
+    return out;
+  }
+  std::uint32_t Word() {
+    const std::uint32_t n = in_.size() < 4 ? 0 : ReadInt32(in_);
+    in_.remove_prefix(std::min<std::size_t>(4, in_.size()));
+    return n;
+  }
+  std::uint16_t Half() {
+    std::uint16_t n = 0;
+    if (in_.size() >= 2) {
+      n = static_cast<unsigned char>(in_[0]) << 8 |
+          static_cast<unsigned char>(in_[1]);
+    }
+    in_.remove_prefix(std::min<std::size_t>(2, in_.size()));
+    return n;
+  }
+  std::string Take(std::size_t n) {
+    std::string out(in_.substr(0, n));
+    in_.remove_prefix(std::min(n, in_.size()));
+    return out;
+  }
+
+ private:
+  std::string_view in_;
+};
+
+std::string FirstWord(std::string_view sql) {
+  std::string word;
+  for (const char c : sql) {
+    if (std::isalpha(static_cast<unsigned char>(c)) != 0) {
+      word += static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    } else if (!word.empty() || (c != ' ' && c != '\n' && c != '\t')) {
+      break;
+    }
+  }
+  return word;
+}
+
+bool IsInteger(const std::string& text) {
+  const std::size_t from = text.starts_with('-') ? 1 : 0;
+  return text.size() > from && text.size() < 19 &&
+         std::all_of(text.begin() + static_cast<std::ptrdiff_t>(from),
+                     text.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
+}
+
+/// Group operations and bookkeeping take neither a slot nor service time.
+bool IsControl(std::string_view sql) {
+  return sql.find("group_") != std::string_view::npos ||
+         sql.find("standin_") != std::string_view::npos ||
+         sql.find("corianderdock_request") != std::string_view::npos;
+}
+
+}  // namespace
+
+BackendSession::BackendSession(asio::ip::tcp::socket socket,
+                               BackendStore& store)
+    : store_(store), socket_(std::move(socket)) {}
+
+BackendSession::~BackendSession() {
+  if (counted_) --store_.connections;
+}
+
+asio::awaitable<void> BackendSession::Run() {
+  if (!co_await Startup()) co_return;
+  PutReady();
+  co_await Flush();
+  for (;;) {
+    const Bytes head = co_await ReadExactly(5);
+    const std::uint32_t length = ReadInt32(std::string_view(head).substr(1));
+    if (length < 4 || length > kLargestMessage) co_return;
+    Bytes body = co_await ReadExactly(length - 4);
+    if (head[0] == 'X') co_return;
+    co_await StayWhileCut();
+    co_await HandleMessage(head[0], std::move(body));
+  }
+}
+
+asio::awaitable<bool> BackendSession::Startup() {
+  for (;;) {
+    const Bytes head = co_await ReadExactly(8);
+    const std::uint32_t length = ReadInt32(head);
+    const std::uint32_t code = ReadInt32(std::string_view(head).substr(4));
+    if (code == kReplicationCode) {
+      co_await ServeReplica(std::move(socket_), store_);
+      co_return false;
+    }
+    if (code == kSslRequestCode) {
+      out_ += 'N';
+      co_await Flush();
+      continue;
+    }
+    if (code != kProtocolVersion || length < 8 || length > 10000) {
+      co_return false;
+    }
+    Cursor cursor(co_await ReadExactly(length - 8));
+    for (std::string key = cursor.Text(); !key.empty(); key = cursor.Text()) {
+      const std::string value = cursor.Text();
+      if (key == "application_name") zone_ = value.substr(0, value.find('/'));
+    }
+    break;
+  }
+  id_ = store_.next_session++;
+  co_await StayWhileCut();
+  if (store_.connections >= store_.options.connection_limit) {
+    ++store_.refused_connections;
+    PutError({"53300", "too many connections"});
+    co_await Flush();
+    co_return false;
+  }
+  counted_ = true;
+  ++store_.connections;
+  store_.most_connections =
+      std::max(store_.most_connections, store_.connections);
+  co_await Pause(store_.options.connect_delay);
+  db_ = store_.OpenHandle();
+  RegisterFunctions(*this);
+  Put('R', Int32(0));
+  using std::string_literals::operator""s;
+  Put('S', "server_version\0"s "15.0\0"s);
+  Put('S', "client_encoding\0"s "UTF8\0"s);
+  Put('S', "standard_conforming_strings\0"s "on\0"s);
+  Put('K', Int32(static_cast<std::uint32_t>(id_)) + Int32(0));
+  co_return true;
+}
+
+asio::awaitable<BackendSession::Bytes> BackendSession::ReadExactly(
+    std::size_t n) {
+  Bytes bytes(n, '\0');
+  co_await asio::async_read(socket_, asio::buffer(bytes), use_awaitable);
+  co_return bytes;
+}
+
+asio::awaitable<void> BackendSession::Flush() {
+  Bytes bytes = std::move(out_);
+  out_.clear();
+  co_await asio::async_write(socket_, asio::buffer(bytes), use_awaitable);
+}
+
+asio::awaitable<void> BackendSession::Pause(
+    std::chrono::microseconds duration) {
+  if (duration.count() <= 0) co_return;
+  asio::steady_timer timer(store_.io, duration);
+  co_await timer.async_wait(use_awaitable);
+}
+
+asio::awaitable<void> BackendSession::StayWhileCut() {
+  while (store_.faults.cut_zones.contains(zone_) ||
+         id_ < store_.faults.silence_before) {
+    co_await Pause(kCutCheck);
+  }
+}
+
+asio::awaitable<void> BackendSession::HandleMessage(char type, Bytes body) {
+  if (type == 'S') {
+    if (!explicit_transaction_ && sqlite3_get_autocommit(db_.get()) == 0) {
+      std::optional<SqlError> error;
+      if (skip_to_sync_) {
+        Rollback();
+      } else {
+        error = co_await CommitTransaction();
+      }
+      if (error) PutError(*error);
+    }
+    skip_to_sync_ = false;
+    PutReady();
+    co_await StayWhileCut();
+    co_await Flush();
+    co_return;
+  }
+  if (type == 'Q') {
+    co_await SimpleQuery(Cursor(body).Text());
+    co_await StayWhileCut();
+    co_await Flush();
+    co_return;
+  }
+  if (type == 'H') co_await Flush();
+  if (skip_to_sync_) co_return;
+  if (type == 'P') Parse(body);
+  if (type == 'B') Bind(body);
+  if (type == 'D') Describe();
+  if (type == 'E') co_await ExecutePortal();
+  if (type == 'C') Put('3', "");
+}
+
+void BackendSession::Parse(std::string_view body) {
+  Cursor cursor(body);
+  const std::string name = cursor.Text();
+  prepared_[name] = cursor.Text();
+  Put('1', "");
+}
+
+void BackendSession::Bind(std::string_view body) {
+  Cursor cursor(body);
+  cursor.Text();
+  portal_sql_ = prepared_[cursor.Text()];
+  const std::uint16_t formats = cursor.Half();
+  for (int n = 0; n < formats; ++n) cursor.Half();
+  portal_params_.assign(cursor.Half(), std::nullopt);
+  for (auto& it : portal_params_) {
+    const std::uint32_t length = cursor.Word();
+    if (length != 0xffffffff) it = cursor.Take(length);
+  }
+  std::string tail;
+  std::optional<SqlError> error = Prepare(portal_sql_, &tail);
+  if (!error && FirstWord(tail) != "") {
+    error = SqlError{"42601", "multiple commands in a prepared statement"};
+  }
+  if (error) {
+    PutError(*error);
+    skip_to_sync_ = true;
+    return;
+  }
+  Put('2', "");
+}
+
+std::optional<SqlError> BackendSession::Prepare(std::string sql,
+                                                std::string* tail) {
+  // SQLite has no read-only transactions; a comment carries the wish.
+  constexpr std::string_view kReadOnly = "BEGIN READ ONLY";
+  if (sql.starts_with(kReadOnly)) {
+    sql.replace(0, kReadOnly.size(), "BEGIN /* READ ONLY */");
+  }
+  sqlite3_stmt* statement = nullptr;
+  const char* rest = nullptr;
+  portal_.reset();
+  const int code =
+      sqlite3_prepare_v2(db_.get(), sql.c_str(), -1, &statement, &rest);
+  portal_.reset(statement);
+  if (rest != nullptr) *tail = rest;
+  if (code != SQLITE_OK) return SqliteError(code);
+  for (std::size_t n = 0; statement != nullptr && n < portal_params_.size();
+       ++n) {
+    const std::string name = "$" + std::to_string(n + 1);
+    const int slot = sqlite3_bind_parameter_index(statement, name.c_str());
+    const auto& value = portal_params_[n];
+    if (slot == 0 || !value) continue;
+    if (IsInteger(*value)) {
+      sqlite3_bind_int64(statement, slot, std::stoll(*value));
+    } else {
+      sqlite3_bind_text(statement, slot, value->data(),
+                        static_cast<int>(value->size()), SQLITE_TRANSIENT);
+    }
+  }
+  return std::nullopt;
+}
+
+void BackendSession::Describe() {
+  if (portal_ && sqlite3_column_count(portal_.get()) > 0) {
+    PutRowDescription(portal_.get());
+  } else {
+    Put('n', "");
+  }
+}
+
+asio::awaitable<void> BackendSession::ExecutePortal() {
+  if (!portal_) {
+    Put('I', "");
+    co_return;
+  }
+  auto error = co_await RunStatement(portal_.get(), false);
+  if (error) {
+    PutError(*error);
+    skip_to_sync_ = true;
+    if (explicit_transaction_) failed_ = true;
+  }
+  portal_.reset();
+}
+
+asio::awaitable<void> BackendSession::SimpleQuery(const std::string& sql) {
+  std::string rest = sql;
+  portal_params_.clear();
+  bool any = false;
+  while (FirstWord(rest) != "") {
+    std::string tail;
+    auto error = Prepare(rest, &tail);
+    if (!error && portal_) error = co_await RunStatement(portal_.get(), true);
+    portal_.reset();
+    any = true;
+    if (error) {
+      PutError(*error);
+      if (explicit_transaction_) failed_ = true;
+      break;
+    }
+    rest = tail;
+  }
+  if (!any) Put('I', "");
+  if (!explicit_transaction_ && sqlite3_get_autocommit(db_.get()) == 0) {
+    if (auto error = co_await CommitTransaction()) PutError(*error);
+  }
+  PutReady();
+}
+
+asio::awaitable<std::optional<SqlError>> BackendSession::RunStatement(
+    sqlite3_stmt* statement, bool describe) {
+  const std::string sql = sqlite3_sql(statement);
+  const std::string word = FirstWord(sql);
+  if (word == "ROLLBACK") {
+    Rollback();
+    Put('C', std::string("ROLLBACK") + '\0');
+    co_return std::nullopt;
+  }
+  if (failed_) {
+    if (word == "COMMIT" || word == "END") {
+      Rollback();
+      Put('C', std::string("ROLLBACK") + '\0');
+      co_return std::nullopt;
+    }
+    co_return SqlError{"25P02", "current transaction is aborted"};
+  }
+  if (word == "BEGIN") {
+    explicit_transaction_ = true;
+    read_only_ = sql.find("READ ONLY") != std::string::npos;
+    Put('C', std::string("BEGIN") + '\0');
+    co_return std::nullopt;
+  }
+  if (word == "COMMIT" || word == "END") {
+    auto error = co_await CommitTransaction();
+    if (!error) Put('C', std::string("COMMIT") + '\0');
+    co_return error;
+  }
+  const bool is_write = sqlite3_stmt_readonly(statement) == 0;
+  if (is_write && (read_only_ || store_.log.role() != Role::kPrimary)) {
+    co_return SqlError{"25006", "cannot write in a read-only transaction"};
+  }
+  const bool takes_slot = !IsControl(sql);
+  if (takes_slot) {
+    co_await store_.AcquireSlot();
+    co_await Pause(store_.options.statement_time);
+  }
+  const auto give_up = std::chrono::steady_clock::now() + kLockTimeout;
+  std::optional<SqlError> error;
+  const std::size_t mark = out_.size();
+  for (;;) {
+    error = BeginIfNeeded(is_write);
+    if (!error) error = StepRows(statement, describe);
+    if (!error || error->code != "55P03" ||
+        std::chrono::steady_clock::now() > give_up) {
+      break;
+    }
+    out_.resize(mark);
+    sqlite3_reset(statement);
+    co_await Pause(kLockRetry);
+  }
+  if (!error && is_write) {
+    char* text = sqlite3_expanded_sql(statement);
+    writes_.emplace_back(text);
+    sqlite3_free(text);
+  }
+  if (takes_slot) {
+    ++store_.statements_run;
+    co_await Pause(std::exchange(sleep_, Milliseconds(0)));
+    store_.ReleaseSlot();
+  }
+  co_return error;
+}
+
+std::optional<SqlError> BackendSession::BeginIfNeeded(bool is_write) {
+  if (sqlite3_get_autocommit(db_.get()) != 0) {
+    // A deferred transaction opens its read snapshot with the first statement.
+    const int code =
+        sqlite3_exec(db_.get(), is_write ? "BEGIN IMMEDIATE" : "BEGIN",
+                     nullptr, nullptr, nullptr);
+    if (code != SQLITE_OK) return SqliteError(code);
+  }
+  if (is_write && write_term_ == 0) write_term_ = store_.log.term();
+  return std::nullopt;
+}
+
+std::optional<SqlError> BackendSession::StepRows(sqlite3_stmt* statement,
+                                                 bool describe) {
+  std::uint64_t rows = 0;
+  const bool has_rows = sqlite3_column_count(statement) > 0;
+  if (describe && has_rows) PutRowDescription(statement);
+  int code = sqlite3_step(statement);
+  for (; code == SQLITE_ROW; code = sqlite3_step(statement)) {
+    PutDataRow(statement);
+    ++rows;
+  }
+  if (code != SQLITE_DONE) return SqliteError(code);
+  PutComplete(statement, rows);
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<SqlError>> BackendSession::CommitTransaction() {
+  if (!writes_.empty() && (store_.log.role() != Role::kPrimary ||
+                           store_.log.term() != write_term_)) {
+    Rollback();
+    co_return SqlError{"CD001", "this server was replaced as primary"};
+  }
+  const auto give_up = std::chrono::steady_clock::now() + kLockTimeout;
+  while (sqlite3_get_autocommit(db_.get()) == 0) {
+    const int code =
+        sqlite3_exec(db_.get(), "COMMIT", nullptr, nullptr, nullptr);
+    if (code == SQLITE_OK) break;
+    if (std::chrono::steady_clock::now() > give_up) {
+      auto error = SqliteError(code);
+      Rollback();
+      co_return error;
+    }
+    co_await Pause(kLockRetry);
+    if (!writes_.empty() && store_.log.term() != write_term_) {
+      Rollback();
+      co_return SqlError{"CD001", "this server was replaced as primary"};
+    }
+  }
+  if (!writes_.empty()) {
+    last_commit_ = store_.log.Append(std::move(writes_));
+    store_.applied = last_commit_.index;
+    store_.NotifyAppended();
+  }
+  Rollback();
+  co_return std::nullopt;
+}
+
+void BackendSession::Rollback() {
+  if (sqlite3_get_autocommit(db_.get()) == 0) {
+    sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
+  }
+  writes_.clear();
+  write_term_ = 0;
+  explicit_transaction_ = false;
+  read_only_ = false;
+  failed_ = false;
+}
+
+std::optional<SqlError> BackendSession::SqliteError(int code) const {
+  const std::string message = sqlite3_errmsg(db_.get());
+  const int extended = sqlite3_extended_errcode(db_.get());
+  if (code == SQLITE_BUSY || code == SQLITE_LOCKED) {
+    return SqlError{"55P03", message};
+  }
+  if (extended == SQLITE_CONSTRAINT_UNIQUE ||
+      extended == SQLITE_CONSTRAINT_PRIMARYKEY) {
+    return SqlError{"23505", message};
+  }
+  if (code == SQLITE_CONSTRAINT) return SqlError{"23000", message};
+  if (message.starts_with("CD001")) return SqlError{"CD001", message};
+  return SqlError{"42601", message};
+}
+
+void BackendSession::Put(char type, const Bytes& body) {
+  out_ += type;
+  out_ += Int32(static_cast<std::uint32_t>(body.size() + 4));
+  out_ += body;
+}
+
+void BackendSession::PutError(const SqlError& error) {
+  Bytes body;
+  body += "SERROR";
+  body += '\0';
+  body += "C" + error.code;
+  body += '\0';
+  body += "M" + error.message;
+  body += '\0';
+  body += '\0';
+  Put('E', body);
+}
+
+void BackendSession::PutRowDescription(sqlite3_stmt* statement) {
+  constexpr std::uint32_t kInt8Oid = 20;
+  constexpr std::uint32_t kTextOid = 25;
+  const int columns = sqlite3_column_count(statement);
+  Bytes body = Int16(static_cast<std::uint16_t>(columns));
+  for (int n = 0; n < columns; ++n) {
+    const char* type = sqlite3_column_decltype(statement, n);
+    const bool integer = type != nullptr && std::strncmp(type, "INT", 3) == 0;
+    body += sqlite3_column_name(statement, n);
+    body += '\0';
+    body += Int32(0) + Int16(0) + Int32(integer ? kInt8Oid : kTextOid) +
+            Int16(static_cast<std::uint16_t>(integer ? 8 : -1)) + Int32(-1) +
+            Int16(0);
+  }
+  Put('T', body);
+}
+
+void BackendSession::PutDataRow(sqlite3_stmt* statement) {
+  const int columns = sqlite3_column_count(statement);
+  Bytes body = Int16(static_cast<std::uint16_t>(columns));
+  for (int n = 0; n < columns; ++n) {
+    const auto* text =
+        reinterpret_cast<const char*>(sqlite3_column_text(statement, n));
+    if (text == nullptr) {
+      body += Int32(-1);
+      continue;
+    }
+    const int size = sqlite3_column_bytes(statement, n);
+    body += Int32(static_cast<std::uint32_t>(size));
+    body.append(text, static_cast<std::size_t>(size));
+  }
+  Put('D', body);
+}
+
+void BackendSession::PutComplete(sqlite3_stmt* statement, std::uint64_t rows) {
+  const std::string word = FirstWord(sqlite3_sql(statement));
+  std::string tag = word;
+  const auto changed = std::to_string(sqlite3_changes(db_.get()));
+  if (word == "SELECT" || word == "VALUES") {
+    tag = "SELECT " + std::to_string(rows);
+  } else if (word == "INSERT") {
+    tag = "INSERT 0 " + changed;
+  } else if (word == "UPDATE" || word == "DELETE") {
+    tag += " " + changed;
+  }
+  Put('C', tag + '\0');
+}
+
+void BackendSession::PutReady() {
+  char state = 'I';
+  if (explicit_transaction_) state = failed_ ? 'E' : 'T';
+  Put('Z', Bytes(1, state));
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standin/backend_store.h
@@ -0,0 +1,100 @@
+/// \file
+/// Database, log, execution slots and fault switches of one stand-in server.
+#pragma once
+
+#include <sqlite3.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "group_log.h"
+
+namespace standin {
+
+using Milliseconds = std::chrono::milliseconds;
+
+struct StoreOptions {
+  std::string server;
+  std::string zone;
+  std::string address;
+  int slots = 2;
+  int connection_limit = 16;
+  Milliseconds connect_delay{12};
+  std::chrono::microseconds statement_time{1000};
+  Milliseconds lag{3};
+};
+
+struct Faults {
+  std::set<std::string> cut_zones;
+  std::uint64_t silence_before = 0;  ///< sessions below this id stay silent
+};
+
+/// A replication message that takes effect at `due`.
+struct DelayedMessage {
+  std::chrono::steady_clock::time_point due;
+  std::uint64_t stream = 0;
+  std::uint64_t term = 0;
+  std::vector<LogEntry> entries;
+};
+
+struct SqliteCloser {
+  void operator()(sqlite3* db) const { sqlite3_close_v2(db); }
+};
+using SqliteHandle = std::unique_ptr<sqlite3, SqliteCloser>;
+
+/// State shared by all sessions of a server. Confined to one thread.
+class BackendStore {
+ public:
+  BackendStore(boost::asio::io_context& io, StoreOptions options);
+
+  /// Opens another handle to the in-memory database.
+  [[nodiscard]] SqliteHandle OpenHandle() const;
+
+  /// Waits for an execution slot; every call is paired with `ReleaseSlot`.
+  boost::asio::awaitable<void> AcquireSlot();
+  void ReleaseSlot();
+
+  /// Applies one replicated entry. Returns false while the database is locked.
+  bool ApplyNext();
+
+  /// Drops entries above `index` and rebuilds the database from the log.
+  void TruncateTo(std::uint64_t index);
+
+  [[nodiscard]] std::string StatusJson() const;
+  [[nodiscard]] Milliseconds SincePrimaryHeard() const;
+  void NotePrimaryHeard();
+
+  /// Wakes whoever streams the log.
+  void NotifyAppended();
+
+  boost::asio::io_context& io;
+  StoreOptions options;
+  GroupLog log;
+  Faults faults;
+  int connections = 0;
+  int most_connections = 0;
+  std::uint64_t refused_connections = 0;
+  std::uint64_t next_session = 1;
+  std::uint64_t applied = 0;
+  std::uint64_t statements_run = 0;
+  std::uint64_t stream = 0;
+  std::deque<DelayedMessage> delayed;
+  boost::asio::steady_timer appended;
+  boost::asio::steady_timer message_arrived;
+
+ private:
+  SqliteHandle applier_;
+  int slots_in_use_ = 0;
+  boost::asio::steady_timer slot_free_;
+  std::chrono::steady_clock::time_point primary_heard_;
+};
+
+}  // namespace standin
--- /dev/null
+++ b/standin/platform_main.cc
@@ -0,0 +1,404 @@
+/// \file
+/// standin_platform: the platform's key-value service, spoken as the etcd v3
+/// JSON gateway, with fault switches, for tests and the demo.
+#include <json/json.h>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast.hpp>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace po = boost::program_options;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using namespace asio::experimental::awaitable_operators;  // NOLINT
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr std::size_t kLargestValue = 1 << 20;
+
+std::string Decode64(std::string text) {
+  using namespace boost::archive::iterators;  // NOLINT
+  using Binary = transform_width<binary_from_base64<std::string::const_iterator>,
+                                 8, 6>;
+  while (!text.empty() && text.back() == '=') text.pop_back();
+  std::string out(Binary(text.cbegin()), Binary(text.cend()));
+  out.resize(text.size() * 6 / 8);
+  return out;
+}
+
+std::string Encode64(const std::string& bytes) {
+  using namespace boost::archive::iterators;  // NOLINT
+  using Text = base64_from_binary<
+      transform_width<std::string::const_iterator, 6, 8>>;
+  std::string out(Text(bytes.cbegin()), Text(bytes.cend()));
+  out.append((3 - bytes.size() % 3) % 3, '=');
+  return out;
+}
+
+std::uint64_t NumberOf(const Json::Value& value) {
+  if (value.isString()) return std::stoull(value.asString());
+  return value.asUInt64();
+}
+
+struct Version {
+  steady_clock::time_point at;
+  std::optional<std::string> value;
+  std::uint64_t create_revision = 0;
+  std::uint64_t mod_revision = 0;
+};
+
+struct Lease {
+  steady_clock::time_point expires;
+  std::chrono::seconds ttl{0};
+  std::vector<std::string> keys;
+};
+
+/// Keys with their whole history, leases and fault switches.
+struct Platform {
+  explicit Platform(asio::io_context& io) : io(io), changed(io) {
+    changed.expires_at(steady_clock::time_point::max());
+  }
+  asio::io_context& io;
+  std::map<std::string, std::vector<Version>> keys;
+  std::map<std::uint64_t, Lease> leases;
+  std::uint64_t revision = 1;
+  std::uint64_t next_lease = 100;
+  std::uint64_t calls = 0;
+  std::string fault = "none";
+  milliseconds delay{0};
+  milliseconds list_lag{0};
+  steady_clock::time_point fault_since;
+  std::uint64_t fault_revision = 0;
+  asio::steady_timer changed;
+
+  void Write(const std::string& key, std::optional<std::string> value) {
+    ++revision;
+    auto& history = keys[key];
+    const bool exists = !history.empty() && history.back().value;
+    const auto created = exists ? history.back().create_revision : revision;
+    history.push_back({steady_clock::now(), std::move(value), created, revision});
+    changed.cancel();
+  }
+
+  void ExpireLeases() {
+    for (auto it = leases.begin(); it != leases.end();) {
+      if (it->second.expires > steady_clock::now()) {
+        ++it;
+        continue;
+      }
+      for (const auto& key : it->second.keys) Write(key, std::nullopt);
+      it = leases.erase(it);
+    }
+  }
+
+  /// The version readers see now, given the faults.
+  const Version* Visible(const std::string& key) const {
+    const auto found = keys.find(key);
+    if (found == keys.end()) return nullptr;
+    auto at = steady_clock::now();
+    if (key.starts_with("/platform/")) at -= list_lag;
+    if (fault == "stale") at = fault_since;
+    const Version* visible = nullptr;
+    for (const auto& it : found->second) {
+      if (it.at <= at) visible = &it;
+    }
+    return visible != nullptr && visible->value ? visible : nullptr;
+  }
+
+  const Version* Latest(const std::string& key) const {
+    const auto found = keys.find(key);
+    if (found == keys.end() || !found->second.back().value) return nullptr;
+    return &found->second.back();
+  }
+};
+
+Json::Value Header(const Platform& platform) {
+  Json::Value header;
+  const bool stale = platform.fault == "stale";
+  header["revision"] =
+      std::to_string(stale ? platform.fault_revision : platform.revision);
+  return header;
+}
+
+Json::Value ToJson(const std::string& key, const Version& version) {
+  Json::Value kv;
+  kv["key"] = Encode64(key);
+  kv["value"] = Encode64(version.value.value_or(""));
+  kv["create_revision"] = std::to_string(version.create_revision);
+  kv["mod_revision"] = std::to_string(version.mod_revision);
+  return kv;
+}
+
+Json::Value Range(const Platform& platform, const Json::Value& in) {
+  const std::string key = Decode64(in["key"].asString());
+  const std::string end = Decode64(in["range_end"].asString());
+  const std::uint64_t from =
+      in.isMember("min_mod_revision") ? NumberOf(in["min_mod_revision"]) : 0;
+  Json::Value out;
+  out["header"] = Header(platform);
+  int count = 0;
+  for (auto it = platform.keys.lower_bound(key); it != platform.keys.end();
+       ++it) {
+    if (end.empty() ? it->first != key : it->first >= end) break;
+    const Version* version = platform.Visible(it->first);
+    if (version == nullptr) continue;
+    ++count;
+    if (version->mod_revision < from) continue;
+    out["kvs"].append(ToJson(it->first, *version));
+  }
+  out["count"] = std::to_string(count);
+  return out;
+}
+
+Json::Value Put(Platform& platform, const Json::Value& in) {
+  const std::string key = Decode64(in["key"].asString());
+  const std::string value = Decode64(in["value"].asString());
+  if (value.size() > kLargestValue) throw std::runtime_error("value too large");
+  platform.Write(key, value);
+  if (in.isMember("lease")) {
+    const auto lease = platform.leases.find(NumberOf(in["lease"]));
+    if (lease == platform.leases.end()) throw std::runtime_error("no lease");
+    lease->second.keys.push_back(key);
+  }
+  Json::Value out;
+  out["header"] = Header(platform);
+  return out;
+}
+
+bool Holds(const Platform& platform, const Json::Value& compare) {
+  const Version* version =
+      platform.Latest(Decode64(compare["key"].asString()));
+  const std::string target = compare["target"].asString();
+  std::uint64_t have = 0;
+  std::uint64_t want = 0;
+  if (target == "VALUE") {
+    const std::string expected = Decode64(compare["value"].asString());
+    return version != nullptr && version->value == expected;
+  }
+  if (target == "MOD") {
+    have = version == nullptr ? 0 : version->mod_revision;
+    want = NumberOf(compare["mod_revision"]);
+  } else if (target == "CREATE") {
+    have = version == nullptr ? 0 : version->create_revision;
+    want = NumberOf(compare["create_revision"]);
+  }
+  return have == want;
+}
+
+Json::Value Txn(Platform& platform, const Json::Value& in) {
+  bool succeeded = true;
+  for (const auto& it : in["compare"]) succeeded &= Holds(platform, it);
+  Json::Value out;
+  out["succeeded"] = succeeded;
+  out["responses"] = Json::arrayValue;
+  for (const auto& it : in[succeeded ? "success" : "failure"]) {
+    Json::Value response;
+    if (it.isMember("requestPut")) {
+      response["response_put"] = Put(platform, it["requestPut"]);
+    } else if (it.isMember("requestRange")) {
+      response["response_range"] = Range(platform, it["requestRange"]);
+    }
+    out["responses"].append(response);
+  }
+  out["header"] = Header(platform);
+  return out;
+}
+
+Json::Value LeaseGrant(Platform& platform, const Json::Value& in) {
+  const std::chrono::seconds ttl(NumberOf(in["TTL"]));
+  const std::uint64_t id = platform.next_lease++;
+  platform.leases[id] = {steady_clock::now() + ttl, ttl, {}};
+  Json::Value out;
+  out["ID"] = std::to_string(id);
+  out["TTL"] = std::to_string(ttl.count());
+  return out;
+}
+
+Json::Value LeaseKeepAlive(Platform& platform, const Json::Value& in) {
+  Json::Value out;
+  const auto lease = platform.leases.find(NumberOf(in["ID"]));
+  out["result"]["ID"] = in["ID"];
+  out["result"]["TTL"] = "0";
+  if (lease == platform.leases.end()) return out;
+  lease->second.expires = steady_clock::now() + lease->second.ttl;
+  out["result"]["TTL"] = std::to_string(lease->second.ttl.count());
+  return out;
+}
+
+Json::Value SetFault(Platform& platform, const Json::Value& in) {
+  platform.fault = in.get("mode", "none").asString();
+  platform.delay = milliseconds(in.get("delay_ms", 0).asInt());
+  if (in.isMember("list_lag_ms")) {
+    platform.list_lag = milliseconds(in["list_lag_ms"].asInt());
+  }
+  platform.fault_since = steady_clock::now();
+  platform.fault_revision = platform.revision;
+  Json::Value out;
+  out["calls"] = Json::UInt64(platform.calls);
+  return out;
+}
+
+using Handler = Json::Value (*)(Platform&, const Json::Value&);
+const std::map<std::string, Handler, std::less<>> kHandlers = {
+    {"/v3/kv/range",
+     [](Platform& platform, const Json::Value& in) {
+       return Range(platform, in);
+     }},
+    {"/v3/kv/put", Put},
+    {"/v3/kv/txn", Txn},
+    {"/v3/lease/grant", LeaseGrant},
+    {"/v3/lease/keepalive", LeaseKeepAlive},
+    {"/standin/fault", SetFault},
+};
+
+std::string ToText(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+/// Streams the changes of one key range as newline-delimited JSON.
+asio::awaitable<void> Watch(tcp::socket& socket, Platform& platform,
+                            const Json::Value& in) {
+  const Json::Value& create = in["create_request"];
+  const std::string key = Decode64(create["key"].asString());
+  std::string end = Decode64(create["range_end"].asString());
+  if (end.empty()) end = key + '\0';
+  std::uint64_t next = create.isMember("start_revision")
+                           ? NumberOf(create["start_revision"])
+                           : platform.revision + 1;
+  http::response<http::empty_body> head{http::status::ok, 11};
+  head.chunked(true);
+  http::response_serializer<http::empty_body> serializer{head};
+  co_await http::async_write_header(socket, serializer, use_awaitable);
+  Json::Value created;
+  created["result"]["created"] = true;
+  std::string out = ToText(created) + "\n";
+  for (;;) {
+    if (!out.empty()) {
+      co_await asio::async_write(
+          socket, http::make_chunk(asio::buffer(out)), use_awaitable);
+      out.clear();
+    }
+    Json::Value message;
+    for (auto it = platform.keys.lower_bound(key);
+         it != platform.keys.end() && it->first < end; ++it) {
+      for (const auto& version : it->second) {
+        if (version.mod_revision < next) continue;
+        Json::Value event;
+        event["kv"] = ToJson(it->first, version);
+        if (!version.value) event["type"] = "DELETE";
+        message["result"]["events"].append(event);
+      }
+    }
+    next = platform.revision + 1;
+    if (!message.isNull()) {
+      out = ToText(message) + "\n";
+      continue;
+    }
+    boost::system::error_code ec;
+    co_await platform.changed.async_wait(
+        asio::redirect_error(use_awaitable, ec));
+  }
+}
+
+asio::awaitable<void> Serve(tcp::socket socket, Platform& platform) {
+  boost::beast::flat_buffer buf;
+  for (;;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(4 * kLargestValue);
+    co_await http::async_read(socket, buf, parser, use_awaitable);
+    const Request request = parser.release();
+    const std::string target(request.target());
+    const bool control = target.starts_with("/standin/");
+    if (!control) ++platform.calls;
+    if (!control && platform.fault == "down") co_return;
+    if (!control && platform.fault == "slow") {
+      asio::steady_timer timer(platform.io, platform.delay);
+      co_await timer.async_wait(use_awaitable);
+    }
+    platform.ExpireLeases();
+    Response response{http::status::ok, request.version()};
+    response.keep_alive(request.keep_alive());
+    Json::Value in;
+    std::istringstream(request.body()) >> in;
+    if (target == "/v3/watch") {
+      co_await Watch(socket, platform, in);
+      co_return;
+    }
+    const auto handler = kHandlers.find(target);
+    if (handler == kHandlers.end()) {
+      response.result(http::status::not_found);
+    } else {
+      response.body() = ToText(handler->second(platform, in));
+    }
+    if (!control && platform.fault == "lose" &&
+        (target == "/v3/kv/txn" || target == "/v3/kv/put")) {
+      co_return;
+    }
+    response.prepare_payload();
+    co_await http::async_write(socket, response, use_awaitable);
+  }
+}
+
+asio::awaitable<void> ServeQuietly(tcp::socket socket, Platform& platform) {
+  try {
+    co_await Serve(std::move(socket), platform);
+  } catch (const std::exception&) {  // NOLINT(bugprone-empty-catch)
+  }
+}
+
+asio::awaitable<void> Accept(tcp::acceptor& acceptor, Platform& platform) {
+  for (;;) {
+    tcp::socket socket = co_await acceptor.async_accept(use_awaitable);
+    socket.set_option(tcp::no_delay(true));
+    asio::co_spawn(platform.io, ServeQuietly(std::move(socket), platform),
+                   asio::detached);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::string address;
+  po::options_description flags("standin_platform");
+  flags.add_options()("help", "show this text")(
+      "address", po::value(&address)->required(), "IP:PORT to listen on");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, flags), values);
+    if (values.count("help") != 0) {
+      std::cout << flags;
+      return 0;
+    }
+    po::notify(values);
+    asio::io_context io(1);
+    Platform platform(io);
+    const auto colon = address.rfind(':');
+    tcp::acceptor acceptor(
+        io, {asio::ip::make_address(address.substr(0, colon)),
+             static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&](auto, int) { io.stop(); });
+    asio::co_spawn(io, Accept(acceptor, platform), asio::detached);
+    io.run();
+    std::_Exit(0);
+  } catch (const std::exception& error) {
+    std::cerr << "standin_platform: " << error.what() << "\n";
+    return 2;
+  }
+}
