--- a/include/corianderdock/metrics.h
+++ b/include/corianderdock/metrics.h
@@ -19,6 +19,9 @@
 
   void Record(Duration latency);
 
+  /// Adds another histogram's observations.
+  void Add(const LatencyHistogram& other);
+
   /// Upper bound of the bucket that holds the given share, 0 to 1.
   [[nodiscard]] Duration Quantile(double share) const;
   [[nodiscard]] std::uint64_t count() const noexcept { return count_; }
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -31,6 +31,12 @@
   sum_seconds_ += seconds;
 }
 
+void LatencyHistogram::Add(const LatencyHistogram& other) {
+  buckets_ += other.buckets_;
+  count_ += other.count_;
+  sum_seconds_ += other.sum_seconds_;
+}
+
 Duration LatencyHistogram::Quantile(double share) const {
   const auto wanted = static_cast<double>(count_) * share;
   double seen = buckets_.at(-1);
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -62,6 +62,7 @@
   int connect_ms = 0;
   int statement_us = 0;
   int lag_ms = 0;
+  int zone_delay_us = 0;
   po::options_description flags("standin_backend");
   flags.add_options()("help", "show this text")(
       "server", po::value(&options.server)->required(), "server name")(
@@ -75,7 +76,9 @@
                           po::value(&connect_ms)->default_value(12),
                           "time to open a connection")(
       "statement-us", po::value(&statement_us)->default_value(1000),
-      "time of a statement")("lag-ms", po::value(&lag_ms)->default_value(3),
+      "time of a statement")(
+      "zone-delay-us", po::value(&zone_delay_us)->default_value(0),
+      "one-way delay between zones")("lag-ms", po::value(&lag_ms)->default_value(3),
                              "replication lag");
   try {
     po::variables_map values;
@@ -87,6 +90,7 @@
     po::notify(values);
     options.connect_delay = standin::Milliseconds(connect_ms);
     options.statement_time = std::chrono::microseconds(statement_us);
+    options.zone_delay = std::chrono::microseconds(zone_delay_us);
     options.lag = standin::Milliseconds(lag_ms);
     asio::io_context io(1);
     standin::BackendStore store(io, options);
--- a/standin/backend_session.cc
+++ b/standin/backend_session.cc
@@ -213,6 +213,9 @@
     }
     skip_to_sync_ = false;
     PutReady();
+    if (zone_ != store_.options.zone) {
+      co_await Pause(2 * store_.options.zone_delay);
+    }
     co_await StayWhileCut();
     co_await Flush();
     co_return;
@@ -396,6 +399,11 @@
     writes_.emplace_back(text);
     sqlite3_free(text);
   }
+  if (!error && read_only_) {
+    // Readers of a multi-version store do not hold up replication.
+    sqlite3_reset(statement);
+    sqlite3_exec(db_.get(), "COMMIT", nullptr, nullptr, nullptr);
+  }
   if (takes_slot) {
     ++store_.statements_run;
     co_await Pause(std::exchange(sleep_, Milliseconds(0)));
--- a/standin/backend_store.h
+++ b/standin/backend_store.h
@@ -29,6 +29,7 @@
   int connection_limit = 16;
   Milliseconds connect_delay{12};
   std::chrono::microseconds statement_time{1000};
+  std::chrono::microseconds zone_delay{0};  ///< one way, between zones
   Milliseconds lag{3};
 };
 
