--- a/include/corianderdock/client_calls.h
+++ b/include/corianderdock/client_calls.h
@@ -43,6 +43,7 @@
     Duration max_age{0};
     TimePoint arrived;
     TimePoint deadline;
+    TimePoint sent;  ///< start of the current attempt
     std::uint64_t attempt = 0;  ///< counts attempts; 0 before the first
     bool waiting = false;       ///< no attempt in flight
     bool in_doubt = false;      ///< an earlier attempt may have run
@@ -68,6 +69,8 @@
   void Send(CallId id, Call& call, const ServerId& server,
             const InstanceId& instance);
   void OnAnswer(CallId id, std::uint64_t attempt, RoutedAnswer answer);
+  [[nodiscard]] bool AgedInTransit(const Call& call,
+                                   const RoutedAnswer& answer) const;
   void OnLost(CallId id, Call& call, bool maybe_ran);
   void RetryLater(CallId id, Call& call, Duration pause);
   bool SpendRetry();
--- a/include/corianderdock/group_monitor.h
+++ b/include/corianderdock/group_monitor.h
@@ -58,10 +58,10 @@
   /// can gather evidence.
   [[nodiscard]] bool EvidencePossible(const GroupId& group) const;
 
-  /// Whether the group's primary was confirmed by a majority at a time not
-  /// before `since` while holding no more than `read`.
-  [[nodiscard]] bool NoOlderThan(const GroupId& group, Position read,
-                                 TimePoint since) const;
+  /// Latest time at which the group's primary is confirmed by a majority to
+  /// have held no more than `read`: data at `read` is no older than that.
+  [[nodiscard]] std::optional<TimePoint> KnownCurrentAt(const GroupId& group,
+                                                        Position read) const;
 
   /// Whether `term` was confirmed by a majority, primary included, at a time
   /// not before `since`.
--- a/include/corianderdock/options.h
+++ b/include/corianderdock/options.h
@@ -58,6 +58,7 @@
   Duration forget_dead_after = std::chrono::minutes(10);
   std::size_t updates_per_message = 8;
   Duration startup_wait = std::chrono::seconds(2);
+  Duration drain_quiet = Milliseconds(500);  ///< without requests before exit
   Duration drain_limit = std::chrono::seconds(30);
   std::vector<std::string> seeds;  ///< peer addresses known at start
 
--- a/include/corianderdock/reducer.h
+++ b/include/corianderdock/reducer.h
@@ -100,6 +100,8 @@
   ClientCalls calls_;
   TimePoint started_;
   TimePoint drain_deadline_;
+  TimePoint last_request_;
+  TimePoint last_drain_check_;
   std::uint64_t generation_ = 0;
   SheetVersion highest_heard_ = 0;
   bool draining_ = false;
--- a/include/corianderdock/request.h
+++ b/include/corianderdock/request.h
@@ -32,6 +32,7 @@
   RequestId request_id;
   TransactionId transaction;
   Duration timeout{0};
+  bool repeat = false;  ///< an earlier attempt under this id is in doubt
 };
 
 /// Rows of an answer; values in text form.
--- a/include/corianderdock/work.h
+++ b/include/corianderdock/work.h
@@ -79,6 +79,7 @@
     TimePoint accepted;
     TimePoint started;
     TimePoint deadline;
+    TimePoint current_at;  ///< a verified read's data was current then
     Position position;
     StatementSuccess success;
   };
@@ -119,6 +120,7 @@
   [[nodiscard]] StatementType TypeOf(const Request& request, Mode mode) const;
   [[nodiscard]] std::optional<RoutedAnswer> Refusal(const Item& item,
                                                     const Server& server) const;
+  [[nodiscard]] std::optional<TimePoint> CurrentAt(const Item& item) const;
   [[nodiscard]] bool ReadMayServe(const Item& item) const;
   void Enqueue(WorkId id, Item& item, const Server& server);
   void ExecuteInTransaction(WorkId id, Item& item);
--- a/src/core/client_calls.cc
+++ b/src/core/client_calls.cc
@@ -19,6 +19,12 @@
          request.method != Method::kBegin;
 }
 
+/// Whether the id may have run before this request arrived: its refusal then
+/// says nothing about that.
+bool IsInDoubtAlready(const Request& request) {
+  return request.repeat || request.method == Method::kResolve;
+}
+
 }  // namespace
 
 const char* Name(Outcome outcome) noexcept {
@@ -66,7 +72,8 @@
 
 std::optional<Answer> ClientCalls::Check(const Request& request) {
   Answer answer;
-  answer.outcome = Outcome::kNotRun;
+  answer.outcome =
+      IsInDoubtAlready(request) ? Outcome::kUnknown : Outcome::kNotRun;
   answer.token = request.token;
   answer.request_id = request.request_id;
   if (!ready_) {
@@ -124,6 +131,7 @@
   const Service& service = *configuration_.Find(call.request.service);
   call.group = service.group;
   call.arrived = context_.now;
+  call.in_doubt = IsInDoubtAlready(call.request);
   call.mode = Mode::kWrite;
   if (call.request.method == Method::kExecute &&
       call.request.transaction.empty()) {
@@ -238,11 +246,15 @@
     best_wait = wait;
   }
   if (best != nullptr) return best->id;
+  if (!lead.primary.empty() && !call.tried.contains(lead.primary)) {
+    return lead.primary;
+  }
   if (lead.primary.empty()) {
-    const auto& servers = directory_.Servers(call.group);
-    return servers[call.attempt % servers.size()];
+    // Any scheduler of the group can tell who leads it.
+    for (const auto& id : directory_.Servers(call.group)) {
+      if (!call.tried.contains(id)) return id;
+    }
   }
-  if (!call.tried.contains(lead.primary)) return lead.primary;
   call.tried.clear();
   return {};
 }
@@ -251,6 +263,7 @@
                        const InstanceId& instance) {
   ++call.attempt;
   call.target = server;
+  call.sent = context_.now;
   RoutedRequest routed;
   routed.server = server;
   routed.mode = call.mode;
@@ -320,6 +333,10 @@
     call.last_reason = answer.answer.reason;
     call.retry_after = answer.answer.retry_after;
   }
+  if (AgedInTransit(call, answer)) {
+    context_.Count("reads_aged_in_transit");
+    answer.status = RoutedStatus::kStale;
+  }
   switch (answer.status) {
     case RoutedStatus::kFinal:
       ReplyFinal(id, call, std::move(answer.answer));
@@ -327,10 +344,10 @@
     case RoutedStatus::kStale: {
       context_.Count("stale_reads");
       hints_[call.target].stale_until = context_.now + kStalePenalty;
-      call.tried.insert(call.target);
+      const bool first_time = call.tried.insert(call.target).second;
       const bool was_primary =
           call.target == monitor_.LeadershipOf(call.group).primary;
-      if (!was_primary) {
+      if (!was_primary && first_time) {
         Route(id, call);
         return;
       }
@@ -372,6 +389,16 @@
   }
 }
 
+bool ClientCalls::AgedInTransit(const Call& call,
+                                const RoutedAnswer& answer) const {
+  // A pause between the check at the scheduler and now ages the data.
+  if (call.mode != Mode::kRead || call.max_age.count() == 0) return false;
+  if (!context_.policy->VerifyAge()) return false;
+  if (answer.status != RoutedStatus::kFinal) return false;
+  const Duration transit = context_.now - call.sent - answer.handling;
+  return answer.data_age + transit > call.max_age;
+}
+
 void ClientCalls::RetryLater(CallId id, Call& call, Duration pause) {
   const bool waits_for_primary = call.last_reason == Reason::kNoPrimary ||
                                  call.last_reason == Reason::kReplicationBehind;
--- a/src/core/codec.cc
+++ b/src/core/codec.cc
@@ -237,6 +237,7 @@
   request.token = ParseToken(fields);
   request.request_id =
       fields.Text("request_id", method == Method::kResolve);
+  request.repeat = fields.Flag("repeat", false);
   if (request.request_id.size() > kLongestRequestId) {
     fields.Fail(fields.Path("request_id"), "is longer than 128 characters");
   }
@@ -248,10 +249,12 @@
     request.sql = fields.Text("statement", true);
     request.params = ParseParams(fields, "parameters");
     fields.RejectUnknown({"service", "kind", "statement", "parameters",
-                          "token", "request_id", "transaction", "timeout_ms"});
+                          "token", "request_id", "transaction", "timeout_ms",
+                          "repeat"});
   } else {
     fields.RejectUnknown(
-        {"service", "token", "request_id", "transaction", "timeout_ms"});
+        {"service", "token", "request_id", "transaction", "timeout_ms",
+                          "repeat"});
   }
   if (fields.error()) return *fields.error();
   return request;
@@ -308,6 +311,8 @@
   out["answer"] = ToJson(answer.answer);
   out["leadership"] = ToJson(answer.leadership);
   out["wait_us"] = Json::UInt64(ToMicroseconds(answer.expected_wait));
+  out["handling_us"] = Json::UInt64(ToMicroseconds(answer.handling));
+  out["data_age_us"] = Json::UInt64(ToMicroseconds(answer.data_age));
   return out;
 }
 
@@ -318,6 +323,8 @@
                                          fields, "status");
   routed.leadership = ParseLeadership(fields.Object("leadership"));
   routed.expected_wait = FromMicroseconds(fields.Number("wait_us", 0));
+  routed.handling = FromMicroseconds(fields.Number("handling_us", 0));
+  routed.data_age = FromMicroseconds(fields.Number("data_age_us", 0));
   Fields answer(fields.Object("answer"), "result.answer");
   Answer& out = routed.answer;
   out.outcome = FindName<Outcome>(kOutcomes, answer.Text("outcome"), answer,
--- a/src/core/group_monitor.cc
+++ b/src/core/group_monitor.cc
@@ -256,14 +256,17 @@
   while (group.confirmed.size() > kSamplesKept) group.confirmed.pop_front();
 }
 
-bool GroupMonitor::NoOlderThan(const GroupId& id, Position read,
-                               TimePoint since) const {
+std::optional<TimePoint> GroupMonitor::KnownCurrentAt(const GroupId& id,
+                                                      Position read) const {
   const auto it = groups_.find(id);
-  if (it == groups_.end()) return false;
+  if (it == groups_.end()) return std::nullopt;
   const auto& samples = it->second.confirmed;
-  return std::any_of(samples.rbegin(), samples.rend(), [&](const Sample& at) {
-    return at.sent >= since && Contains(read, at.position);
-  });
+  const auto found =
+      std::find_if(samples.rbegin(), samples.rend(), [&](const Sample& at) {
+        return Contains(read, at.position);
+      });
+  if (found == samples.rend()) return std::nullopt;
+  return found->sent;
 }
 
 bool GroupMonitor::ConfirmedSince(const GroupId& id, Term term,
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -74,12 +74,16 @@
 
 // Events ---------------------------------------------------------------------
 
-void Reducer::On(const CallerRequest& event) { calls_.OnRequest(event); }
+void Reducer::On(const CallerRequest& event) {
+  last_request_ = context_.now;
+  calls_.OnRequest(event);
+}
 
 void Reducer::On(const CallerGone& event) { calls_.OnGone(event.call); }
 
 void Reducer::On(const PeerRequest& event) {
   context_.Count("peer_requests");
+  last_request_ = context_.now;
   const CallId call = event.call;
   work_.Execute(event.routed, [this, call](RoutedAnswer answer) {
     context_.Emit(ReplyToPeer{call, std::move(answer)});
@@ -139,6 +143,8 @@
 void Reducer::On(const DrainRequested&) {
   if (draining_) return;
   draining_ = true;
+  last_request_ = context_.now;
+  last_drain_check_ = context_.now;
   drain_deadline_ = context_.now + context_.options.drain_limit;
   context_.Log("draining");
   membership_.Leave();
@@ -202,9 +208,18 @@
 
 void Reducer::CheckDrained() {
   if (exited_) return;
+  // After a pause of the process requests may wait unread before this timer.
+  if (context_.now - last_drain_check_ > 2 * kDrainCheckInterval) {
+    last_request_ = context_.now;
+  }
+  last_drain_check_ = context_.now;
   const bool busy =
       calls_.size() > 0 || work_.size() > 0 || work_.transactions() > 0;
-  const bool finished = !busy || !context_.policy->FinishBeforeExit();
+  // Balancers and peers need a moment to learn that they must not come here.
+  const bool quiet =
+      context_.now - last_request_ >= context_.options.drain_quiet;
+  const bool finished =
+      (!busy && quiet) || !context_.policy->FinishBeforeExit();
   if (finished || context_.now >= drain_deadline_) {
     exited_ = true;
     context_.Log(busy ? "drain limit reached" : "drained");
--- a/src/core/work.cc
+++ b/src/core/work.cc
@@ -159,8 +159,8 @@
       ClampToHistory(item.routed.request.token.At(item.group), lead.starts);
   if (last->term < token.term) return false;
   if (item.routed.max_age.count() == 0) return false;
-  const TimePoint since = context_.now - item.routed.max_age;
-  return monitor_.NoOlderThan(item.group, *last, since);
+  const auto current_at = monitor_.KnownCurrentAt(item.group, *last);
+  return current_at && context_.now - *current_at <= item.routed.max_age;
 }
 
 Work::Lane& Work::LaneOf(const Server& server) {
@@ -483,17 +483,13 @@
 
 bool Work::TryFinishWaiting(WorkId id, Item& item) {
   if (item.phase == Phase::kConfirm) {
+    const auto current_at = CurrentAt(item);
+    if (!current_at && context_.policy->VerifyAge()) return false;
     const bool strict = item.routed.max_age.count() == 0;
     const TimePoint since =
         strict ? item.accepted : context_.now - item.routed.max_age;
-    const bool on_primary =
-        item.routed.server == monitor_.LeadershipOf(item.group).primary;
-    const bool fresh =
-        !context_.policy->VerifyAge() ||
-        monitor_.NoOlderThan(item.group, item.position, since) ||
-        (on_primary && monitor_.ConfirmedSince(item.group, item.position.term,
-                                               item.started));
-    if (!fresh) return false;
+    if (context_.policy->VerifyAge() && *current_at < since) return false;
+    item.current_at = current_at.value_or(context_.now);
     Complete(id, RoutedStatus::kFinal, Outcome::kDone, Reason::kNone);
     return true;
   }
@@ -517,6 +513,17 @@
   return false;
 }
 
+std::optional<TimePoint> Work::CurrentAt(const Item& item) const {
+  const bool on_primary =
+      item.routed.server == monitor_.LeadershipOf(item.group).primary;
+  // Still the primary after the read began: it held everything until then.
+  if (on_primary && monitor_.ConfirmedSince(item.group, item.position.term,
+                                            item.started)) {
+    return item.started;
+  }
+  return monitor_.KnownCurrentAt(item.group, item.position);
+}
+
 void Work::OnGroupAdvanced(const GroupId& group) {
   const Leadership& lead = monitor_.LeadershipOf(group);
   if (lead.term > bounced_term_[group]) {
@@ -756,6 +763,10 @@
   answer.expected_wait = ExpectedWait(item.routed.server);
   answer.answer.token = item.routed.request.token;
   answer.answer.server = item.routed.server;
+  answer.handling = context_.now - item.accepted;
+  if (item.type == StatementType::kRead && item.phase == Phase::kConfirm) {
+    answer.data_age = context_.now - item.current_at;
+  }
   return answer;
 }
 
