--- a/apps/corianderctl.cc
+++ b/apps/corianderctl.cc
@@ -41,7 +41,8 @@
     "corianderctl COMMAND [ARGUMENT] [options]\n\n"
     "  check SHEET.csv     check a sheet, also against the platform's lists\n"
     "                      when --platform is given\n"
-    "  load SHEET.csv      check a sheet, have it accepted and wait until every\n"
+    "  load SHEET.csv      check a sheet, have it accepted and wait until "
+    "every\n"
     "                      live instance runs it\n"
     "  show                sheet in force, instances and their versions\n"
     "  dump INSTANCE       whole state of an instance as JSON\n"
@@ -141,8 +142,7 @@
   Result<std::string> Post(const std::string& address,
                            const std::string& target, std::string body) {
     Result<std::string> result = Error{address, "does not answer"};
-    http_.Post(address, target, std::move(body),
-               std::chrono::seconds(10),
+    http_.Post(address, target, std::move(body), std::chrono::seconds(10),
                [&](corianderdock::net::HttpResult it) {
                  if (it.ok) result = std::move(it.body);
                });
@@ -175,13 +175,17 @@
     for (const auto& [id, it] : topology.instances) zones.insert(it.zone);
     for (const auto& [id, service] : sheet.services) {
       if (!groups.contains(service.group)) {
-        return Fail(kExitBadInput, "service " + id + ": the platform lists no "
-                                   "group " + service.group);
+        return Fail(kExitBadInput, "service " + id +
+                                       ": the platform lists no "
+                                       "group " +
+                                       service.group);
       }
       for (const auto& zone : service.zones) {
         if (zones.contains(zone)) continue;
-        return Fail(kExitBadInput, "service " + id + ": the platform lists no "
-                                   "instance in zone " + zone);
+        return Fail(kExitBadInput, "service " + id +
+                                       ": the platform lists no "
+                                       "instance in zone " +
+                                       zone);
       }
     }
     return kExitOk;
@@ -220,8 +224,7 @@
     std::random_device random;
     const std::string load_id = corianderdock::detail::ContentAddress(
         text + std::to_string(random()) + std::to_string(random()));
-    const auto loaded =
-        Await(platform_.Load(text, arguments_.author, load_id));
+    const auto loaded = Await(platform_.Load(text, arguments_.author, load_id));
     if (!loaded) return Unreachable(loaded.error());
     if (!loaded->accepted) {
       return Fail(kExitFailed, "another load won: version " +
@@ -245,22 +248,22 @@
       std::erase_if(behind, [&](const auto& it) {
         return VersionOf(it.second) >= version;
       });
-      if (!behind.empty()) usleep(static_cast<useconds_t>(
-          std::chrono::microseconds(kCheckPause).count()));
+      if (!behind.empty())
+        usleep(static_cast<useconds_t>(
+            std::chrono::microseconds(kCheckPause).count()));
     }
-    const auto took = std::chrono::duration_cast<Milliseconds>(
-        Clock::now() - start);
+    const auto took =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
     Json::Value out;
     out["version"] = Json::UInt64(version);
     out["in_force_at"] = Json::UInt64(all - behind.size());
     out["instances"] = Json::UInt64(all);
     out["took_ms"] = Json::Int64(took.count());
     for (const auto& [id, address] : behind) out["behind"].append(id);
-    std::string text = "version " + std::to_string(version) +
-                       " accepted, in force at " +
-                       std::to_string(all - behind.size()) + " of " +
-                       std::to_string(all) + " instances after " +
-                       std::to_string(took.count()) + " ms";
+    std::string text =
+        "version " + std::to_string(version) + " accepted, in force at " +
+        std::to_string(all - behind.size()) + " of " + std::to_string(all) +
+        " instances after " + std::to_string(took.count()) + " ms";
     for (const auto& [id, address] : behind) text += "\nnot yet: " + id;
     Print(out, text);
     return behind.empty() ? kExitOk : kExitFailed;
@@ -284,8 +287,8 @@
     std::string text;
     if (*sheet) {
       out["sheet"] = corianderdock::ToJson(**sheet);
-      text = "sheet version " + std::to_string((*sheet)->version) +
-             " by " + (*sheet)->author + "\n" + (*sheet)->text;
+      text = "sheet version " + std::to_string((*sheet)->version) + " by " +
+             (*sheet)->author + "\n" + (*sheet)->text;
     } else {
       text = "no sheet is accepted\n";
     }
@@ -373,7 +376,8 @@
       Print(error["data"], "not_run");
       return kExitOk;
     }
-    return Fail(kExitFailed, outcome + " " + error["data"]["reason"].asString());
+    return Fail(kExitFailed,
+                outcome + " " + error["data"]["reason"].asString());
   }
 
   Arguments arguments_;
--- a/apps/corianderdockd.cc
+++ b/apps/corianderdockd.cc
@@ -68,8 +68,8 @@
 int main(int argc, char** argv) {
   std::string path;
   po::options_description flags("corianderdockd: database proxy instance");
-  flags.add_options()("help", "show this text")(
-      "settings", po::value(&path), "settings file (JSON)")(
+  flags.add_options()("help", "show this text")("settings", po::value(&path),
+                                                "settings file (JSON)")(
       "check", "check the settings and exit");
   try {
     po::variables_map values;
--- a/apps/corianderload.cc
+++ b/apps/corianderload.cc
@@ -25,8 +25,8 @@
   bench::ExperimentRun run;
   po::options_description flags("options");
   flags.add_options()("help", "show this text")(
-      "command", po::value(&command), "command")(
-      "name", po::value(&run.name), "experiment")(
+      "command", po::value(&command), "command")("name", po::value(&run.name),
+                                                 "experiment")(
       "deployment", po::value(&run.deployment)->default_value("both"),
       "adinkra, dzintarkrasts or both")(
       "seconds", po::value(&run.seconds)->default_value(8), "length of a load")(
--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -118,8 +118,7 @@
 
 std::optional<std::string> HttpPost(const std::string& address,
                                     const std::string& target,
-                                    const std::string& body,
-                                    Duration timeout) {
+                                    const std::string& body, Duration timeout) {
   boost::asio::io_context io(1);
   corianderdock::net::HttpClient http(io);
   std::optional<std::string> answer;
@@ -135,14 +134,15 @@
 
 Cluster::Cluster(Deployment deployment) : deployment_(std::move(deployment)) {
   std::string pattern =
-      (std::filesystem::temp_directory_path() / "corianderdock-XXXXXX").string();
+      (std::filesystem::temp_directory_path() / "corianderdock-XXXXXX")
+          .string();
   if (mkdtemp(pattern.data()) == nullptr) {
     throw std::runtime_error("no temporary folder");
   }
   folder_ = pattern;
   platform_ = Address(FreePort());
-  platform_process_ = Spawn({"standin_platform", "--address", platform_},
-                            "platform.log");
+  platform_process_ =
+      Spawn({"standin_platform", "--address", platform_}, "platform.log");
   AwaitPort(platform_);
   StartServers();
   StartInstances();
@@ -171,16 +171,26 @@
       const std::string address = Address(FreePort());
       std::vector<std::string> arguments = {
           "standin_backend",
-          "--server", server,
-          "--zone", deployment_.zones[n],
-          "--address", address,
-          "--slots", std::to_string(deployment_.slots),
-          "--limit", std::to_string(deployment_.connection_limit),
-          "--connect-ms", std::to_string(deployment_.connect_delay.count()),
-          "--statement-us", std::to_string(deployment_.statement_time.count()),
-          "--zone-delay-us", std::to_string(deployment_.zone_delay.count()),
-          "--lag-ms", std::to_string(deployment_.lag.count()),
-          "--init", schema};
+          "--server",
+          server,
+          "--zone",
+          deployment_.zones[n],
+          "--address",
+          address,
+          "--slots",
+          std::to_string(deployment_.slots),
+          "--limit",
+          std::to_string(deployment_.connection_limit),
+          "--connect-ms",
+          std::to_string(deployment_.connect_delay.count()),
+          "--statement-us",
+          std::to_string(deployment_.statement_time.count()),
+          "--zone-delay-us",
+          std::to_string(deployment_.zone_delay.count()),
+          "--lag-ms",
+          std::to_string(deployment_.lag.count()),
+          "--init",
+          schema};
       if (!first.empty()) {
         arguments.insert(arguments.end(), {"--follow", first});
       }
@@ -203,8 +213,8 @@
   for (int n = 0; n < deployment_.instances; ++n) {
     const std::string name = "entry-" + std::to_string(n);
     const std::string zone =
-        deployment_.zones[static_cast<std::size_t>(n) %
-                          deployment_.zones.size()];
+        deployment_
+            .zones[static_cast<std::size_t>(n) % deployment_.zones.size()];
     Json::Value listed;
     listed["zone"] = zone;
     listed["address"] = PeerAddress(n);
@@ -228,9 +238,9 @@
 
 void Cluster::StartInstance(int n) {
   const std::string name = "entry-" + std::to_string(n);
-  instance_processes_[static_cast<std::size_t>(n)] = Spawn(
-      {"corianderdockd", "--settings", folder_ + "/" + name + ".json"},
-      name + ".log");
+  instance_processes_[static_cast<std::size_t>(n)] =
+      Spawn({"corianderdockd", "--settings", folder_ + "/" + name + ".json"},
+            name + ".log");
   AwaitPort(CallerAddress(n));
 }
 
@@ -403,8 +413,7 @@
 }
 
 void Cluster::SignalInstance(int instance, int signal) {
-  Process& process =
-      instance_processes_.at(static_cast<std::size_t>(instance));
+  Process& process = instance_processes_.at(static_cast<std::size_t>(instance));
   if (process.pid == 0) return;
   if (signal == SIGKILL) return End(process);
   kill(process.pid, signal);
@@ -416,8 +425,7 @@
 }
 
 bool Cluster::InstanceEnded(int instance) {
-  Process& process =
-      instance_processes_.at(static_cast<std::size_t>(instance));
+  Process& process = instance_processes_.at(static_cast<std::size_t>(instance));
   if (process.pid == 0) return true;
   if (waitpid(process.pid, nullptr, WNOHANG) != process.pid) return false;
   process.pid = 0;
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -30,9 +30,9 @@
   std::chrono::microseconds statement_time{5000};
   Milliseconds lag{3};
   int instances = 5;
-  std::string sheet;        ///< CSV text
-  Json::Value alternatives; ///< passed to each instance's settings
-  Json::Value times;        ///< passed to each instance's settings
+  std::string sheet;         ///< CSV text
+  Json::Value alternatives;  ///< passed to each instance's settings
+  Json::Value times;         ///< passed to each instance's settings
 };
 
 /// Saddlery: three ledgers in Accra.
--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -57,8 +57,9 @@
       1, "execute",
       Statement("stock", "SELECT count(*) FROM claim WHERE request = 'demo-1'",
                 token));
-  Require(IsDone(read) && read["result"]["result"]["rows"][0][0].asString() == "1",
-          "entry-1 reads the claim back exactly once", read);
+  Require(
+      IsDone(read) && read["result"]["result"]["rows"][0][0].asString() == "1",
+      "entry-1 reads the claim back exactly once", read);
 }
 
 void Failover(Cluster& cluster, const std::string& token) {
@@ -76,16 +77,17 @@
   const auto gap =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - killed);
   Require(IsDone(next), "the next claim is acknowledged", next);
-  Require(gap < kFailoverBound,
-          "after " + std::to_string(gap.count()) + " ms", next);
-  const Json::Value read = cluster.Call(
-      1, "execute",
-      Statement("stock", "SELECT count(*) FROM claim",
-                next["result"]["token"].asString()));
-  Require(IsDone(read) && read["result"]["result"]["rows"][0][0].asString() == "2",
-          "both claims are on the new primary " +
-              next["result"]["server"].asString(),
-          read);
+  Require(gap < kFailoverBound, "after " + std::to_string(gap.count()) + " ms",
+          next);
+  const Json::Value read =
+      cluster.Call(1, "execute",
+                   Statement("stock", "SELECT count(*) FROM claim",
+                             next["result"]["token"].asString()));
+  Require(
+      IsDone(read) && read["result"]["result"]["rows"][0][0].asString() == "2",
+      "both claims are on the new primary " +
+          next["result"]["server"].asString(),
+      read);
 }
 
 LoadReport Load(Cluster& cluster, bool reports, std::vector<Phase> phases,
@@ -115,24 +117,26 @@
   const LoadReport swing = RunLoad(spec);
   Require(calm.kinds.at("claims/claim").done > 0, "claims were served",
           calm.ToJson());
-  const double with =
-      std::chrono::duration<double, std::milli>(
-          mixed.kinds.at("claims/claim").latency.Quantile(0.99)).count();
+  const double with = std::chrono::duration<double, std::milli>(
+                          mixed.kinds.at("claims/claim").latency.Quantile(0.99))
+                          .count();
   const double without =
       std::chrono::duration<double, std::milli>(
-          calm.kinds.at("claims/claim").latency.Quantile(0.99)).count();
+          calm.kinds.at("claims/claim").latency.Quantile(0.99))
+          .count();
   const Json::Value crest = swing.ToJson();
   std::printf("  reads of stated age served by replicas: %.1f%%\n",
               100 * calm.ReplicaShare());
-  std::printf("  longest time without a consignment while its primary was "
-              "killed: %s ms\n",
-              crest["longest_gap_ms"]["dispatch"].asString().c_str());
-  std::printf("  at doubled demand: %.0f done/s, %u refused, catalogue p99 "
-              "%.1f ms\n",
-              crest["phases"][1]["goodput"].asDouble(),
-              static_cast<unsigned>(
-                  swing.kinds.at("catalogue/browse").not_run),
-              crest["kinds"]["catalogue/browse"]["p99_ms"].asDouble());
+  std::printf(
+      "  longest time without a consignment while its primary was "
+      "killed: %s ms\n",
+      crest["longest_gap_ms"]["dispatch"].asString().c_str());
+  std::printf(
+      "  at doubled demand: %.0f done/s, %u refused, catalogue p99 "
+      "%.1f ms\n",
+      crest["phases"][1]["goodput"].asDouble(),
+      static_cast<unsigned>(swing.kinds.at("catalogue/browse").not_run),
+      crest["kinds"]["catalogue/browse"]["p99_ms"].asDouble());
   std::printf("  claims p99 with long reports %.1f ms, without %.1f ms\n", with,
               without);
   std::fflush(stdout);
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -104,8 +104,8 @@
   void Send(const Arrival& arrival) {
     const Stream& stream = spec_.streams[arrival.stream];
     const std::size_t session = arrival.number % kSessions;
-    const std::string id = "r" + std::to_string(spec_.seed) + "-" +
-                           std::to_string(arrival.number);
+    const std::string id =
+        "r" + std::to_string(spec_.seed) + "-" + std::to_string(arrival.number);
     Json::Value params;
     params["service"] = stream.service;
     params["kind"] = stream.kind;
@@ -284,7 +284,8 @@
     done += it.done;
     replica += it.from_replica;
   }
-  return done == 0 ? 0 : static_cast<double>(replica) / static_cast<double>(done);
+  return done == 0 ? 0
+                   : static_cast<double>(replica) / static_cast<double>(done);
 }
 
 Json::Value LoadReport::ToJson() const {
--- a/bench/load.h
+++ b/bench/load.h
@@ -24,8 +24,8 @@
   std::string kind;
   bool is_write = false;
   bool is_long = false;
-  std::string sql;       ///< `$1` is the request id for writes
-  double rate = 0;       ///< per second at multiplier 1
+  std::string sql;  ///< `$1` is the request id for writes
+  double rate = 0;  ///< per second at multiplier 1
 };
 
 /// Demand over a stretch of time.
@@ -57,10 +57,10 @@
 };
 
 struct LoadReport {
-  std::map<std::string, KindReport> kinds;  ///< by SERVICE/KIND
+  std::map<std::string, KindReport> kinds;      ///< by SERVICE/KIND
   std::map<std::string, Duration> longest_gap;  ///< between done writes
-  std::vector<std::string> done_ids;     ///< request ids of done writes
-  std::vector<std::string> not_run_ids;  ///< request ids refused as not run
+  std::vector<std::string> done_ids;            ///< request ids of done writes
+  std::vector<std::string> not_run_ids;   ///< request ids refused as not run
   std::vector<std::uint64_t> phase_done;  ///< done requests by phase of start
   std::map<std::string, std::uint64_t> reasons;
   std::vector<Phase> phases;
--- a/include/corianderdock/client_calls.h
+++ b/include/corianderdock/client_calls.h
@@ -43,7 +43,7 @@
     Duration max_age{0};
     TimePoint arrived;
     TimePoint deadline;
-    TimePoint sent;  ///< start of the current attempt
+    TimePoint sent;             ///< start of the current attempt
     std::uint64_t attempt = 0;  ///< counts attempts; 0 before the first
     bool waiting = false;       ///< no attempt in flight
     bool in_doubt = false;      ///< an earlier attempt may have run
--- a/include/corianderdock/forwarding.h
+++ b/include/corianderdock/forwarding.h
@@ -35,10 +35,10 @@
 struct RoutedAnswer {
   RoutedStatus status = RoutedStatus::kRetry;
   Answer answer;
-  Leadership leadership;       ///< as the scheduler knows it
-  Duration expected_wait{0};   ///< queueing delay at the server
-  Duration handling{0};        ///< from acceptance to this answer
-  Duration data_age{0};        ///< verified age of a read's data at this answer
+  Leadership leadership;      ///< as the scheduler knows it
+  Duration expected_wait{0};  ///< queueing delay at the server
+  Duration handling{0};       ///< from acceptance to this answer
+  Duration data_age{0};       ///< verified age of a read's data at this answer
 };
 
 }  // namespace corianderdock
--- a/include/corianderdock/leadership.h
+++ b/include/corianderdock/leadership.h
@@ -23,10 +23,10 @@
 struct ServerStatus {
   Term term = 0;  ///< highest term the server knows
   ServerRole role = ServerRole::kReplica;
-  Position last;                   ///< last entry of its log
-  Duration primary_heard{0};       ///< since it last heard the primary
-  std::string primary_address;     ///< whom it follows
-  InstanceId claimant;             ///< to whom the term was granted
+  Position last;                ///< last entry of its log
+  Duration primary_heard{0};    ///< since it last heard the primary
+  std::string primary_address;  ///< whom it follows
+  InstanceId claimant;          ///< to whom the term was granted
   TermStarts starts;
   int connections = 0;
 };
--- a/include/corianderdock/membership.h
+++ b/include/corianderdock/membership.h
@@ -17,8 +17,8 @@
 /// One known instance.
 struct Member {
   MemberUpdate update;
-  TimePoint changed;            ///< when its state last changed here
-  int transmissions_left = 0;   ///< how often its update still spreads
+  TimePoint changed;           ///< when its state last changed here
+  int transmissions_left = 0;  ///< how often its update still spreads
 };
 
 /// Failure detection and dissemination among instances.
--- a/include/corianderdock/metrics.h
+++ b/include/corianderdock/metrics.h
@@ -31,8 +31,9 @@
               std::string_view labels) const;
 
  private:
-  using Axis = boost::histogram::axis::regular<
-      double, boost::histogram::axis::transform::log>;
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
   boost::histogram::histogram<std::tuple<Axis>> buckets_;
   std::uint64_t count_ = 0;
   double sum_seconds_ = 0;
@@ -42,8 +43,7 @@
 class Metrics {
  public:
   /// Histogram of one series, made on first use.
-  LatencyHistogram& Latency(const std::string& name,
-                            const std::string& labels);
+  LatencyHistogram& Latency(const std::string& name, const std::string& labels);
 
   /// All histograms and the given counters as Prometheus text.
   [[nodiscard]] std::string Render(
--- a/include/corianderdock/net/http_server.h
+++ b/include/corianderdock/net/http_server.h
@@ -33,8 +33,8 @@
 
 /// Handles a request on a connection's thread. `on_gone` may be set to learn
 /// that the client went away before the response.
-using HttpHandler = std::function<void(
-    HttpRequest, HttpRespond, std::function<void()>& on_gone)>;
+using HttpHandler = std::function<void(HttpRequest, HttpRespond,
+                                       std::function<void()>& on_gone)>;
 
 struct HttpLimits {
   std::size_t largest_body = 1 << 20;
--- a/include/corianderdock/options.h
+++ b/include/corianderdock/options.h
@@ -27,8 +27,8 @@
   Duration retry_pause = Milliseconds(10);
   Duration transaction_idle = std::chrono::seconds(10);
   std::size_t largest_waiting = 4000;
-  double retry_share = 0.2;         ///< retries per request
-  double retry_burst = 100;         ///< retries available after a pause
+  double retry_share = 0.2;  ///< retries per request
+  double retry_burst = 100;  ///< retries available after a pause
 
   // Group monitoring and failover.
   Duration poll_interval = Milliseconds(400);
--- a/include/corianderdock/request.h
+++ b/include/corianderdock/request.h
@@ -76,8 +76,8 @@
   SessionToken token;
   RequestId request_id;
   TransactionId transaction;
-  ServerId server;             ///< backend server that ran it
-  bool from_replica = false;   ///< read served by a replica
+  ServerId server;            ///< backend server that ran it
+  bool from_replica = false;  ///< read served by a replica
 };
 
 [[nodiscard]] const char* Name(Outcome outcome) noexcept;
--- a/include/corianderdock/statement.h
+++ b/include/corianderdock/statement.h
@@ -13,11 +13,11 @@
 namespace corianderdock {
 
 enum class StatementType {
-  kRead,     ///< read-only transaction that first notes the log position
-  kWrite,    ///< transaction that checks the term and records the request id
-  kBegin,    ///< opens a pinned transaction, checking the term
-  kInside,   ///< statement of a pinned transaction
-  kCommit,   ///< records the request id and commits a pinned transaction
+  kRead,    ///< read-only transaction that first notes the log position
+  kWrite,   ///< transaction that checks the term and records the request id
+  kBegin,   ///< opens a pinned transaction, checking the term
+  kInside,  ///< statement of a pinned transaction
+  kCommit,  ///< records the request id and commits a pinned transaction
   kRollback,
   kResolve,  ///< reads the recorded outcome or plants a tombstone
   kPing,
@@ -41,10 +41,10 @@
 };
 
 enum class StatementFault {
-  kSqlError,    ///< rejected by the database, rolled back
-  kWrongTerm,   ///< the server is not primary of the term; nothing ran
-  kLost,        ///< connection failed before a commit was sent; nothing ran
-  kInDoubt,     ///< connection failed after a commit was sent
+  kSqlError,   ///< rejected by the database, rolled back
+  kWrongTerm,  ///< the server is not primary of the term; nothing ran
+  kLost,       ///< connection failed before a commit was sent; nothing ran
+  kInDoubt,    ///< connection failed after a commit was sent
 };
 
 struct StatementFailure {
--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -93,9 +93,9 @@
     detail::StatementRunner runner(it->pq, std::move(effect.statement));
     StatementResult result = co_await runner.Run();
     const auto* failure = std::get_if<StatementFailure>(&result);
-    const bool broken = failure != nullptr &&
-                        (failure->fault == StatementFault::kLost ||
-                         failure->fault == StatementFault::kInDoubt);
+    const bool broken =
+        failure != nullptr && (failure->fault == StatementFault::kLost ||
+                               failure->fault == StatementFault::kInDoubt);
     if (broken) connections.erase(effect.connection);
     sink(StatementDone{effect.work, effect.connection, std::move(result)});
   }
@@ -140,8 +140,7 @@
     if (reply.status != PqReply::Status::kOk || reply.result.rows.empty()) {
       return std::nullopt;
     }
-    auto status =
-        ParseServerStatus(reply.result.rows[0].at(0).value_or(""));
+    auto status = ParseServerStatus(reply.result.rows[0].at(0).value_or(""));
     if (!status) return std::nullopt;
     return *status;
   }
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -87,14 +87,14 @@
     } catch (const std::invalid_argument&) {
       return asio::post(io_, [self = shared_from_this()] { self->Fail(); });
     }
-    stream_->async_connect(
-        endpoint, [self = shared_from_this()](beast::error_code ec) {
-          if (ec) return self->Fail();
-          beast::error_code ignored;
-          self->stream_->socket().set_option(asio::ip::tcp::no_delay(true),
-                                             ignored);
-          self->Write();
-        });
+    stream_->async_connect(endpoint,
+                           [self = shared_from_this()](beast::error_code ec) {
+                             if (ec) return self->Fail();
+                             beast::error_code ignored;
+                             self->stream_->socket().set_option(
+                                 asio::ip::tcp::no_delay(true), ignored);
+                             self->Write();
+                           });
   }
 
   void Write() {
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -165,24 +165,25 @@
 }
 
 void HttpServer::Accept(const std::shared_ptr<State>& state) {
-  asio::io_context& io = *state->contexts[state->next++ % state->contexts.size()];
-  state->acceptor.async_accept(
-      io, [state, &io](beast::error_code ec, tcp::socket socket) {
-        if (ec == asio::error::operation_aborted) return;
-        if (ec) {
-          // Out of descriptors: wait for connections to end.
-          constexpr Milliseconds kPause{50};
-          state->retry.expires_after(kPause);
-          state->retry.async_wait([state](beast::error_code) { Accept(state); });
-          return;
-        }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto session = std::make_shared<Session>(
-            std::move(socket), state->limits, state->handler);
-        asio::post(io, [state, session] { session->Read(); });
-        Accept(state);
-      });
+  asio::io_context& io =
+      *state->contexts[state->next++ % state->contexts.size()];
+  state->acceptor.async_accept(io, [state, &io](beast::error_code ec,
+                                                tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (ec) {
+      // Out of descriptors: wait for connections to end.
+      constexpr Milliseconds kPause{50};
+      state->retry.expires_after(kPause);
+      state->retry.async_wait([state](beast::error_code) { Accept(state); });
+      return;
+    }
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto session = std::make_shared<Session>(std::move(socket), state->limits,
+                                             state->handler);
+    asio::post(io, [state, session] { session->Read(); });
+    Accept(state);
+  });
 }
 
 tcp::endpoint ParseEndpoint(const std::string& address) {
@@ -194,8 +195,7 @@
   const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
-  const auto parsed =
-      std::from_chars(address.data() + colon + 1, end, port);
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
   if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
     throw std::invalid_argument("expected IP:PORT, found " + address);
   }
--- a/src/adapters/json_rpc.cc
+++ b/src/adapters/json_rpc.cc
@@ -63,8 +63,7 @@
   error["code"] = code;
   error["message"] = message;
   error["data"] = data;
-  const std::string hole =
-      "\"result\":\"" + std::string(kPlaceholder) + "\"";
+  const std::string hole = "\"result\":\"" + std::string(kPlaceholder) + "\"";
   std::string text = envelope;
   const auto at = text.rfind(hole);
   return text.replace(at, hole.size(), "\"error\":" + ToText(error));
--- a/src/adapters/platform_client.cc
+++ b/src/adapters/platform_client.cc
@@ -76,9 +76,9 @@
                 std::move (*shared)(std::move(result));
               });
   };
-  co_return co_await asio::async_initiate<
-      decltype(asio::use_awaitable), void(HttpResult)>(std::move(start),
-                                                       asio::use_awaitable);
+  co_return co_await asio::async_initiate<decltype(asio::use_awaitable),
+                                          void(HttpResult)>(
+      std::move(start), asio::use_awaitable);
 }
 
 std::vector<std::string> Split(const std::string& text) {
@@ -240,8 +240,8 @@
   co_return text;
 }
 
-asio::awaitable<Result<std::optional<AcceptedSheet>>>
-PlatformClient::ReadSheet(SheetVersion known) {
+asio::awaitable<Result<std::optional<AcceptedSheet>>> PlatformClient::ReadSheet(
+    SheetVersion known) {
   using Answer = Result<std::optional<AcceptedSheet>>;
   auto manifest = co_await ReadManifest();
   if (!manifest) co_return Answer(manifest.error());
@@ -282,8 +282,7 @@
   const auto answer = co_await Call("/v3/kv/txn", body);
   if (!answer) co_return answer.error();
   // The gateway leaves out false values.
-  co_return (*answer)["succeeded"].isBool() &&
-      (*answer)["succeeded"].asBool();
+  co_return (*answer)["succeeded"].isBool() && (*answer)["succeeded"].asBool();
 }
 
 asio::awaitable<Result<LoadResult>> PlatformClient::Load(std::string text,
--- a/src/adapters/pq_connection.cc
+++ b/src/adapters/pq_connection.cc
@@ -38,9 +38,9 @@
       if (PQgetisnull(in, row, n) != 0) {
         values.emplace_back(std::nullopt);
       } else {
-        values.emplace_back(std::string(
-            PQgetvalue(in, row, n),
-            static_cast<std::size_t>(PQgetlength(in, row, n))));
+        values.emplace_back(
+            std::string(PQgetvalue(in, row, n),
+                        static_cast<std::size_t>(PQgetlength(in, row, n))));
       }
     }
   }
--- a/src/adapters/statement_runner.cc
+++ b/src/adapters/statement_runner.cc
@@ -58,9 +58,9 @@
 
 asio::awaitable<StatementResult> StatementRunner::Run() {
   static constexpr std::array<Step, 8> kSteps = {
-      &StatementRunner::Read,   &StatementRunner::Write,
-      &StatementRunner::Begin,  &StatementRunner::Inside,
-      &StatementRunner::Commit, &StatementRunner::Rollback,
+      &StatementRunner::Read,    &StatementRunner::Write,
+      &StatementRunner::Begin,   &StatementRunner::Inside,
+      &StatementRunner::Commit,  &StatementRunner::Rollback,
       &StatementRunner::Resolve, &StatementRunner::Ping};
   const Step step = kSteps[static_cast<std::size_t>(statement_.type)];
   try {
--- a/src/core/client_calls.cc
+++ b/src/core/client_calls.cc
@@ -42,13 +42,24 @@
 }
 
 const char* Name(Reason reason) noexcept {
-  constexpr const char* kNames[] = {
-      "none",          "unknown_service",    "unknown_kind",
-      "zone_not_served", "bad_statement",    "not_ready",
-      "overloaded",    "deadline",           "no_primary",
-      "replication_behind", "token_not_reached", "transaction_lost",
-      "no_evidence",   "connection_lost",    "retry_budget",
-      "sql_error",     "tombstoned",         "draining"};
+  constexpr const char* kNames[] = {"none",
+                                    "unknown_service",
+                                    "unknown_kind",
+                                    "zone_not_served",
+                                    "bad_statement",
+                                    "not_ready",
+                                    "overloaded",
+                                    "deadline",
+                                    "no_primary",
+                                    "replication_behind",
+                                    "token_not_reached",
+                                    "transaction_lost",
+                                    "no_evidence",
+                                    "connection_lost",
+                                    "retry_budget",
+                                    "sql_error",
+                                    "tombstoned",
+                                    "draining"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
@@ -90,8 +101,8 @@
   }
   if (!service->zones.contains(context_.self.zone)) {
     answer.reason = Reason::kZoneNotServed;
-    answer.detail = "the sheet does not serve this service in zone " +
-                    context_.self.zone;
+    answer.detail =
+        "the sheet does not serve this service in zone " + context_.self.zone;
     return answer;
   }
   if (request.method == Method::kExecute) {
@@ -151,9 +162,8 @@
                               std::to_string(context_.self.incarnation) + "-" +
                               std::to_string(context_.NewId());
   }
-  context_.timers.Schedule(call.deadline, {detail::TimerKind::kCallDeadline,
-                                           {},
-                                           event.call});
+  context_.timers.Schedule(call.deadline,
+                           {detail::TimerKind::kCallDeadline, {}, event.call});
   Route(event.call, call);
 }
 
@@ -187,7 +197,8 @@
   }
   if (IsTransactional(call.request)) {
     const InstanceId owner = OwnerOfTransaction(call.request.transaction);
-    if (owner != context_.self.instance && directory_.AddressOf(owner).empty()) {
+    if (owner != context_.self.instance &&
+        directory_.AddressOf(owner).empty()) {
       OnLost(id, call, call.request.method == Method::kCommit);
       return;
     }
@@ -372,7 +383,8 @@
       return;
     }
     case RoutedStatus::kNotPrimary:
-      RetryLater(id, call, learned ? Duration(0) : context_.options.retry_pause);
+      RetryLater(id, call,
+                 learned ? Duration(0) : context_.options.retry_pause);
       return;
     case RoutedStatus::kInDoubt:
       if (context_.policy->LostAnswerInDoubt()) call.in_doubt = true;
@@ -437,8 +449,8 @@
       context_.policy->LostAnswerInDoubt()) {
     call.in_doubt = true;
   }
-  const Reason reason = call.last_reason == Reason::kNone ? Reason::kDeadline
-                                                          : call.last_reason;
+  const Reason reason =
+      call.last_reason == Reason::kNone ? Reason::kDeadline : call.last_reason;
   if (in_flight && call.mode == Mode::kRead) {
     Answer answer;
     answer.outcome = Outcome::kFailed;
--- a/src/core/codec.cc
+++ b/src/core/codec.cc
@@ -151,8 +151,8 @@
 
 Request ParseForwardedRequest(Fields& fields) {
   Request request;
-  request.method = FindName<Method>(kMethods, fields.Text("method"), fields,
-                                    "method");
+  request.method =
+      FindName<Method>(kMethods, fields.Text("method"), fields, "method");
   request.service = fields.Text("service");
   request.kind = fields.Text("kind");
   request.sql = fields.Text("statement");
@@ -235,8 +235,7 @@
   request.timeout =
       Milliseconds(fields.Number("timeout_ms", 0, 0, kLargestTimeoutMs));
   request.token = ParseToken(fields);
-  request.request_id =
-      fields.Text("request_id", method == Method::kResolve);
+  request.request_id = fields.Text("request_id", method == Method::kResolve);
   request.repeat = fields.Flag("repeat", false);
   if (request.request_id.size() > kLongestRequestId) {
     fields.Fail(fields.Path("request_id"), "is longer than 128 characters");
@@ -248,13 +247,11 @@
     request.kind = fields.Text("kind", true);
     request.sql = fields.Text("statement", true);
     request.params = ParseParams(fields, "parameters");
-    fields.RejectUnknown({"service", "kind", "statement", "parameters",
-                          "token", "request_id", "transaction", "timeout_ms",
-                          "repeat"});
+    fields.RejectUnknown({"service", "kind", "statement", "parameters", "token",
+                          "request_id", "transaction", "timeout_ms", "repeat"});
   } else {
-    fields.RejectUnknown(
-        {"service", "token", "request_id", "transaction", "timeout_ms",
-                          "repeat"});
+    fields.RejectUnknown({"service", "token", "request_id", "transaction",
+                          "timeout_ms", "repeat"});
   }
   if (fields.error()) return *fields.error();
   return request;
@@ -327,8 +324,8 @@
   routed.data_age = FromMicroseconds(fields.Number("data_age_us", 0));
   Fields answer(fields.Object("answer"), "result.answer");
   Answer& out = routed.answer;
-  out.outcome = FindName<Outcome>(kOutcomes, answer.Text("outcome"), answer,
-                                  "outcome");
+  out.outcome =
+      FindName<Outcome>(kOutcomes, answer.Text("outcome"), answer, "outcome");
   out.reason = FindReason(answer.Text("reason"));
   out.detail = answer.Text("detail");
   out.sqlstate = answer.Text("sqlstate");
@@ -379,8 +376,8 @@
   Fields fields(*value, "status");
   ServerStatus status;
   status.term = fields.Number("term", 0);
-  status.role = FindName<ServerRole>(kRoles, fields.Text("role"), fields,
-                                     "role");
+  status.role =
+      FindName<ServerRole>(kRoles, fields.Text("role"), fields, "role");
   status.last.term = fields.Number("last_term", 0);
   status.last.index = fields.Number("last_index", 0);
   status.primary_heard = Milliseconds(fields.Number("primary_heard_ms", 0));
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -47,8 +47,8 @@
   for (const MemberUpdate* it : membership_.Eligible()) {
     const bool local = it->zone == server.zone;
     const std::uint64_t hash = detail::HashPair(server.id, it->id);
-    if (best == nullptr || std::pair(local, hash) >
-                               std::pair(best_local, best_hash)) {
+    if (best == nullptr ||
+        std::pair(local, hash) > std::pair(best_local, best_hash)) {
       best = it;
       best_hash = hash;
       best_local = local;
--- a/src/core/group_monitor.cc
+++ b/src/core/group_monitor.cc
@@ -203,9 +203,9 @@
     ConsiderClaim(id, group);
     return;
   }
-  SchedulePoll(id, call.server,
-               group.urgent > 0 ? context_.options.urgent_poll_gap
-                                : PollInterval(id));
+  SchedulePoll(
+      id, call.server,
+      group.urgent > 0 ? context_.options.urgent_poll_gap : PollInterval(id));
   view.status = status;
   view.status_sent = call.sent;
   group.highest_term = std::max(group.highest_term, status->term);
@@ -261,10 +261,9 @@
   const auto it = groups_.find(id);
   if (it == groups_.end()) return std::nullopt;
   const auto& samples = it->second.confirmed;
-  const auto found =
-      std::find_if(samples.rbegin(), samples.rend(), [&](const Sample& at) {
-        return Contains(read, at.position);
-      });
+  const auto found = std::find_if(
+      samples.rbegin(), samples.rend(),
+      [&](const Sample& at) { return Contains(read, at.position); });
   if (found == samples.rend()) return std::nullopt;
   return found->sent;
 }
@@ -404,8 +403,8 @@
   group.highest_term = std::max(group.highest_term, status.term);
   if (!group.claim || group.claim->term != call.term) return;
   Claim& claim = *group.claim;
-  const bool granted = status.term == claim.term &&
-                       status.claimant == context_.self.instance;
+  const bool granted =
+      status.term == claim.term && status.claimant == context_.self.instance;
   if (!granted || !claim.candidate.empty()) return;
   claim.grants[call.server] = status.last;
   const std::size_t majority = Majority(group.servers.size());
@@ -421,8 +420,8 @@
   Position best;
   for (const auto& [server, last] : claim.grants) {
     if (skip_leaving && directory_.Find(server)->leaving) continue;
-    const bool better = std::pair(last.term, last.index) >=
-                        std::pair(best.term, best.index);
+    const bool better =
+        std::pair(last.term, last.index) >= std::pair(best.term, best.index);
     if (!better) continue;
     best = last;
     claim.candidate = server;
--- a/src/core/hash.cc
+++ b/src/core/hash.cc
@@ -8,7 +8,8 @@
 namespace corianderdock::detail {
 
 std::uint64_t HashPair(std::string_view a, std::string_view b) {
-  return XXH3_64bits_withSeed(b.data(), b.size(), XXH3_64bits(a.data(), a.size()));
+  return XXH3_64bits_withSeed(b.data(), b.size(),
+                              XXH3_64bits(a.data(), a.size()));
 }
 
 std::string ContentAddress(std::string_view content) {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -166,8 +166,7 @@
 
 void Membership::Apply(Member& member, const MemberUpdate& update) {
   const bool was_known = !member.update.id.empty();
-  const bool state_changed =
-      !was_known || member.update.state != update.state;
+  const bool state_changed = !was_known || member.update.state != update.state;
   member.update = update;
   member.changed = context_.now;
   member.transmissions_left = TransmissionLimit();
@@ -254,8 +253,7 @@
     InstanceId id = probe_order_.back();
     probe_order_.pop_back();
     const auto it = members_.find(id);
-    if (it != members_.end() &&
-        it->second.update.state != MemberState::kDead) {
+    if (it != members_.end() && it->second.update.state != MemberState::kDead) {
       return id;
     }
   }
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -108,8 +108,7 @@
 
 void Reducer::On(const GossipRequest& event) {
   MergeGossip(event.gossip);
-  context_.Emit(
-      ReplyGossip{event.call, membership_.OnGossip(event.gossip)});
+  context_.Emit(ReplyGossip{event.call, membership_.OnGossip(event.gossip)});
 }
 
 void Reducer::On(const GossipResult& event) {
--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -24,10 +24,9 @@
 }
 
 int ServerPool::pinned() const {
-  return static_cast<int>(
-      std::count_if(entries_.begin(), entries_.end(), [](const auto& it) {
-        return it.second.state == State::kPinned;
-      }));
+  return static_cast<int>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [](const auto& it) { return it.second.state == State::kPinned; }));
 }
 
 void ServerPool::Keep(int wanted) {
--- a/src/core/server_queue.cc
+++ b/src/core/server_queue.cc
@@ -84,12 +84,10 @@
   return works;
 }
 
-Duration ServerQueue::ExpectedWait(const SlotState& state,
-                                   bool is_long) const {
+Duration ServerQueue::ExpectedWait(const SlotState& state, bool is_long) const {
   const int slots = std::max(state.slots, 1);
   if (!is_long) return queued_cost_[kShort] / slots;
-  const int long_slots =
-      state.cap_long ? std::max(slots - 1, 1) : slots;
+  const int long_slots = state.cap_long ? std::max(slots - 1, 1) : slots;
   return queued_cost_[kShort] / slots + queued_cost_[kLong] / long_slots;
 }
 
--- a/src/core/sheet.cc
+++ b/src/core/sheet.cc
@@ -159,14 +159,13 @@
     text.remove_prefix(line.size());
     if (csv_parse(&parser, line.data(), line.size(), OnField, OnRow,
                   &collector) != line.size()) {
-      errors.push_back({collector.line, 1, "quotes",
-                        csv_strerror(csv_error(&parser))});
+      errors.push_back(
+          {collector.line, 1, "quotes", csv_strerror(csv_error(&parser))});
       break;
     }
     ++collector.line;
   }
-  if (errors.empty() &&
-      csv_fini(&parser, OnField, OnRow, &collector) != 0) {
+  if (errors.empty() && csv_fini(&parser, OnField, OnRow, &collector) != 0) {
     errors.push_back({collector.line, 1, "quotes", "unterminated quote"});
   }
   csv_free(&parser);
@@ -181,8 +180,8 @@
   }
   for (std::size_t n = 0; n < kColumns.size(); ++n) {
     if (n < rows[0].fields.size() && rows[0].fields[n] == kColumns[n]) continue;
-    errors.push_back({1, n + 1, "header",
-                      "expected column " + std::string(kColumns[n])});
+    errors.push_back(
+        {1, n + 1, "header", "expected column " + std::string(kColumns[n])});
   }
   if (rows[0].fields.size() > kColumns.size()) {
     errors.push_back({1, kColumns.size() + 1, "header", "unknown column"});
--- a/src/core/statement_check.cc
+++ b/src/core/statement_check.cc
@@ -1,7 +1,7 @@
 #include "corianderdock/statement_check.h"
 
-#include <array>
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <string>
 #include <vector>
@@ -13,7 +13,7 @@
 constexpr std::array<std::string_view, 3> kReadVerbs = {"SELECT", "VALUES",
                                                         "WITH"};
 constexpr std::array<std::string_view, 10> kWriteVerbs = {
-    "INSERT", "UPDATE", "DELETE", "WITH", "SELECT",
+    "INSERT", "UPDATE", "DELETE", "WITH",  "SELECT",
     "VALUES", "CREATE", "DROP",   "ALTER", "TRUNCATE"};
 
 bool IsWordChar(char c) {
--- a/src/core/work.cc
+++ b/src/core/work.cc
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr double kCostWeight = 0.2;        // weight of a new cost observation
+constexpr double kCostWeight = 0.2;  // weight of a new cost observation
 constexpr double kMedianStep = 1.05;
-constexpr double kLongFactor = 8;          // long work, times the short average
-constexpr double kLongFloorMs = 40;        // never long below this
-constexpr int kSilenceFactor = 20;         // times the learned cost
+constexpr double kLongFactor = 8;    // long work, times the short average
+constexpr double kLongFloorMs = 40;  // never long below this
+constexpr int kSilenceFactor = 20;   // times the learned cost
 constexpr Duration kShortestSilence = std::chrono::seconds(1);
 constexpr Duration kBehindRetry = Milliseconds(500);
 constexpr Duration kShortestRetry = Milliseconds(20);
@@ -124,8 +124,7 @@
   const auto lane = lanes_.find(server.id);
   if (lane == lanes_.end()) return std::nullopt;
   if (item.type == StatementType::kBegin) {
-    const int most =
-        std::max(lane->second->pool.Budget() - server.slots, 1);
+    const int most = std::max(lane->second->pool.Budget() - server.slots, 1);
     if (lane->second->pool.pinned() >= most) {
       answer.status = RoutedStatus::kBusy;
       answer.answer.reason = Reason::kOverloaded;
@@ -136,9 +135,8 @@
   }
   if (!context_.options.early_refusal) return std::nullopt;
   const auto cost = costs_.find(CostKey(item.routed.request));
-  const double own_ms =
-      cost == costs_.end() ? lane->second->short_cost_ms
-                           : cost->second.milliseconds;
+  const double own_ms = cost == costs_.end() ? lane->second->short_cost_ms
+                                             : cost->second.milliseconds;
   const Duration wait = ExpectedWait(server.id);
   const Duration needed = wait + FromMs(own_ms);
   if (needed <= item.routed.remaining) return std::nullopt;
@@ -203,8 +201,7 @@
   Lane& lane = LaneOf(server);
   const auto cost = costs_.find(CostKey(item.routed.request));
   const bool known = cost != costs_.end() && cost->second.known;
-  const double cost_ms =
-      known ? cost->second.milliseconds : lane.short_cost_ms;
+  const double cost_ms = known ? cost->second.milliseconds : lane.short_cost_ms;
   item.is_long = known && cost_ms > kLongFloorMs &&
                  cost_ms > kLongFactor * lane.short_cost_ms;
   QueueItem entry;
@@ -354,7 +351,8 @@
     lane.short_cost_ms = ms;
     lane.short_cost_known = true;
   } else {
-    lane.short_cost_ms *= ms > lane.short_cost_ms ? kMedianStep : 1 / kMedianStep;
+    lane.short_cost_ms *=
+        ms > lane.short_cost_ms ? kMedianStep : 1 / kMedianStep;
   }
 }
 
@@ -366,8 +364,8 @@
     lane.pool.Close(item.connection);
     return;
   }
-  const bool pinned = IsInTransaction(item.type) &&
-                      context_.policy->PinTransactions();
+  const bool pinned =
+      IsInTransaction(item.type) && context_.policy->PinTransactions();
   if (!pinned) lane.pool.Release(item.connection);
 }
 
@@ -393,13 +391,16 @@
                          std::to_string(context_.self.incarnation) + "." +
                          std::to_string(id) + "." +
                          std::to_string(context_.random() & 0xffffffff);
-      transactions_[item.transaction] = {
-          item.routed.server,         item.group, item.routed.request.service,
-          item.connection,            item.term,  context_.now,
-          false};
-      context_.After(context_.options.transaction_idle,
-                     {detail::TimerKind::kTransactionIdle, item.transaction,
-                      0});
+      transactions_[item.transaction] = {item.routed.server,
+                                         item.group,
+                                         item.routed.request.service,
+                                         item.connection,
+                                         item.term,
+                                         context_.now,
+                                         false};
+      context_.After(
+          context_.options.transaction_idle,
+          {detail::TimerKind::kTransactionIdle, item.transaction, 0});
       break;
     }
     case StatementType::kInside: {
@@ -493,8 +494,7 @@
     Complete(id, RoutedStatus::kFinal, Outcome::kDone, Reason::kNone);
     return true;
   }
-  const std::size_t majority =
-      Majority(directory_.Servers(item.group).size());
+  const std::size_t majority = Majority(directory_.Servers(item.group).size());
   const std::size_t holders = monitor_.Holders(item.group, item.position);
   if (context_.policy->Acknowledge(holders, majority)) {
     if (item.success.tombstone) {
@@ -506,8 +506,8 @@
     return true;
   }
   if (monitor_.LeadershipOf(item.group).term > item.term) {
-    Complete(id, RoutedStatus::kInDoubt, Outcome::kUnknown,
-             Reason::kNoEvidence, "the primary was replaced");
+    Complete(id, RoutedStatus::kInDoubt, Outcome::kUnknown, Reason::kNoEvidence,
+             "the primary was replaced");
     return true;
   }
   return false;
@@ -517,8 +517,8 @@
   const bool on_primary =
       item.routed.server == monitor_.LeadershipOf(item.group).primary;
   // Still the primary after the read began: it held everything until then.
-  if (on_primary && monitor_.ConfirmedSince(item.group, item.position.term,
-                                            item.started)) {
+  if (on_primary &&
+      monitor_.ConfirmedSince(item.group, item.position.term, item.started)) {
     return item.started;
   }
   return monitor_.KnownCurrentAt(item.group, item.position);
@@ -782,9 +782,9 @@
     answer.answer.result = std::move(item.success.result);
     answer.answer.transaction = item.transaction;
     answer.answer.token.Merge(item.group, item.position);
-    answer.answer.from_replica = item.type == StatementType::kRead &&
-                                 item.routed.server !=
-                                     answer.leadership.primary;
+    answer.answer.from_replica =
+        item.type == StatementType::kRead &&
+        item.routed.server != answer.leadership.primary;
   }
   Deliver(id, std::move(answer));
 }
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -54,7 +54,7 @@
 
 const std::vector<net::RpcMethod>& PeerMethods() {
   static const std::vector<net::RpcMethod> kMethods = {
-      {"peer.execute", {}}, {"peer.gossip", {}}, {"peer.sheet", {}},
+      {"peer.execute", {}},  {"peer.gossip", {}}, {"peer.sheet", {}},
       {"peer.topology", {}}, {"admin.drain", {}},
   };
   return kMethods;
@@ -101,8 +101,7 @@
   /// What one traffic thread owns.
   struct Traffic {
     asio::io_context io{1};
-    std::unique_ptr<asio::executor_work_guard<
-        asio::io_context::executor_type>>
+    std::unique_ptr<asio::executor_work_guard<asio::io_context::executor_type>>
         guard;
     std::unique_ptr<net::HttpClient> http;
     std::unique_ptr<net::BackendClient> backend;
@@ -152,7 +151,9 @@
   [[nodiscard]] std::string RenderMetrics();
   [[nodiscard]] HttpResponse Health() const;
 
-  Traffic& TrafficOf(std::uint64_t id) { return *traffic_[id % traffic_.size()]; }
+  Traffic& TrafficOf(std::uint64_t id) {
+    return *traffic_[id % traffic_.size()];
+  }
 
   Settings settings_;
   log4cplus::Logger logger_;
@@ -209,8 +210,7 @@
   limits.largest_body = kLargestPeerBody;
   peers_ = std::make_unique<net::HttpServer>(
       contexts, net::ParseEndpoint(settings_.peer_listen), limits,
-      [this](HttpRequest request, HttpRespond respond,
-             std::function<void()>&) {
+      [this](HttpRequest request, HttpRespond respond, std::function<void()>&) {
         OnPeerHttp(std::move(request), std::move(respond));
       });
 }
@@ -271,21 +271,22 @@
     Json::Value data;
     data["outcome"] = Name(Outcome::kNotRun);
     data["place"] = parsed.error().place;
-    return respond(Text(
-        200, "application/json",
-        rpc->Failure(net::kRpcInvalidParams,
-                     parsed.error().place + ": " + parsed.error().reason,
-                     data)));
+    return respond(
+        Text(200, "application/json",
+             rpc->Failure(net::kRpcInvalidParams,
+                          parsed.error().place + ": " + parsed.error().reason,
+                          data)));
   }
   const CallId call = next_call_++;
   on_gone = [this, call] { Post(CallerGone{call}); };
   rpc->params = Json::Value();
-  asio::post(control_, [this, call,
-                        pending = Pending{std::move(*rpc), std::move(respond),
-                                          arrived, method},
-                        event = CallerRequest{call, std::move(*parsed)}]() mutable {
-    Accept(call, std::move(pending), std::move(event));
-  });
+  asio::post(
+      control_,
+      [this, call,
+       pending = Pending{std::move(*rpc), std::move(respond), arrived, method},
+       event = CallerRequest{call, std::move(*parsed)}]() mutable {
+        Accept(call, std::move(pending), std::move(event));
+      });
 }
 
 void Node::Impl::OnPeerHttp(HttpRequest request, HttpRespond respond) {
@@ -333,18 +334,18 @@
                });
     return;
   }
-  asio::post(control_, [this, rpc = std::move(rpc),
-                        respond = std::move(respond)] {
-    Json::Value result(Json::objectValue);
-    if (rpc.method == "peer.sheet") {
-      result = ToJson(reducer_->configuration().accepted());
-    } else if (rpc.method == "peer.topology") {
-      result = ToJson(reducer_->directory().topology());
-    } else {
-      BeginDrain();
-    }
-    respond(Text(200, "application/json", rpc.Success(result)));
-  });
+  asio::post(control_,
+             [this, rpc = std::move(rpc), respond = std::move(respond)] {
+               Json::Value result(Json::objectValue);
+               if (rpc.method == "peer.sheet") {
+                 result = ToJson(reducer_->configuration().accepted());
+               } else if (rpc.method == "peer.topology") {
+                 result = ToJson(reducer_->directory().topology());
+               } else {
+                 BeginDrain();
+               }
+               respond(Text(200, "application/json", rpc.Success(result)));
+             });
 }
 
 // Control thread -------------------------------------------------------------
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -106,7 +106,8 @@
     if (value == nullptr) return;
     if (!value->isArray()) return Fail(name, "expected an array of IP:PORT");
     for (Json::ArrayIndex n = 0; n < value->size(); ++n) {
-      const std::string place = std::string(name) + "[" + std::to_string(n) + "]";
+      const std::string place =
+          std::string(name) + "[" + std::to_string(n) + "]";
       if (!(*value)[n].isString()) {
         Fail(place, "expected IP:PORT");
         continue;
@@ -180,8 +181,8 @@
   section.Number("largest_body", settings.largest_body, 1024, 64 << 20);
   section.Number("largest_waiting", settings.options.largest_waiting, 1,
                  kLargestCount);
-  section.Number("control_connections", settings.options.control_connections,
-                 1, 1000);
+  section.Number("control_connections", settings.options.control_connections, 1,
+                 1000);
   section.Number("platform_pollers_per_zone",
                  settings.options.platform_pollers_per_zone, 1, 100);
   section.Number("updates_per_message", settings.options.updates_per_message, 1,
@@ -194,7 +195,8 @@
   const Json::Value* object = top.Find("alternatives");
   if (object == nullptr) return;
   Section section(*object, "alternatives", errors);
-  for (const auto& it : kAlternatives) section.Flag(it.name, options.*it.member);
+  for (const auto& it : kAlternatives)
+    section.Flag(it.name, options.*it.member);
 }
 
 void ReadLog(Section& top, Settings& settings, std::vector<Error>& errors) {
--- a/standin/backend_functions.cc
+++ b/standin/backend_functions.cc
@@ -30,9 +30,7 @@
 
 /// Friend access of the SQL functions to their session.
 struct SessionAccess {
-  static BackendStore& Store(BackendSession& session) {
-    return session.store_;
-  }
+  static BackendStore& Store(BackendSession& session) { return session.store_; }
   static LogPosition LastCommit(BackendSession& session) {
     return session.last_commit_;
   }
@@ -95,12 +93,13 @@
 
 void CurrentPosition(sqlite3_context* context, int, sqlite3_value**) {
   const BackendStore& store = StoreOf(context);
-  ReturnText(context, PositionText({store.log.TermAt(store.applied),
-                                    store.applied}));
+  ReturnText(context,
+             PositionText({store.log.TermAt(store.applied), store.applied}));
 }
 
 void CommitPosition(sqlite3_context* context, int, sqlite3_value**) {
-  ReturnText(context, PositionText(SessionAccess::LastCommit(SessionOf(context))));
+  ReturnText(context,
+             PositionText(SessionAccess::LastCommit(SessionOf(context))));
 }
 
 void Sleep(sqlite3_context* context, int, sqlite3_value** args) {
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -67,19 +67,21 @@
   flags.add_options()("help", "show this text")(
       "server", po::value(&options.server)->required(), "server name")(
       "zone", po::value(&options.zone)->required(), "availability zone")(
-      "address", po::value(&options.address)->required(), "IP:PORT to listen on")(
-      "follow", po::value(&follow), "IP:PORT of the first primary")(
+      "address", po::value(&options.address)->required(),
+      "IP:PORT to listen on")("follow", po::value(&follow),
+                              "IP:PORT of the first primary")(
       "init", po::value(&init), "SQL file of a first primary")(
-      "slots", po::value(&options.slots)->default_value(2), "statements at once")(
+      "slots", po::value(&options.slots)->default_value(2),
+      "statements at once")(
       "limit", po::value(&options.connection_limit)->default_value(16),
       "connection limit")("connect-ms",
                           po::value(&connect_ms)->default_value(12),
                           "time to open a connection")(
       "statement-us", po::value(&statement_us)->default_value(1000),
-      "time of a statement")(
-      "zone-delay-us", po::value(&zone_delay_us)->default_value(0),
-      "one-way delay between zones")("lag-ms", po::value(&lag_ms)->default_value(3),
-                             "replication lag");
+      "time of a statement")("zone-delay-us",
+                             po::value(&zone_delay_us)->default_value(0),
+                             "one-way delay between zones")(
+      "lag-ms", po::value(&lag_ms)->default_value(3), "replication lag");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, flags), values);
--- a/standin/backend_session.cc
+++ b/standin/backend_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <cctype>
 #include <cstring>
+#include <stdexcept>
 #include <utility>
 
 #include "replication.h"
@@ -22,6 +23,7 @@
 constexpr Milliseconds kLockRetry{1};
 constexpr Milliseconds kLockTimeout{2000};
 constexpr Milliseconds kCutCheck{20};
+constexpr Milliseconds kKeepalive{2000};  // a server drops a dead peer
 constexpr std::size_t kLargestMessage = 4 << 20;
 
 std::string Int32(std::uint32_t n) {
@@ -90,7 +92,8 @@
   const std::size_t from = text.starts_with('-') ? 1 : 0;
   return text.size() > from && text.size() < 19 &&
          std::all_of(text.begin() + static_cast<std::ptrdiff_t>(from),
-                     text.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
+                     text.end(),
+                     [](unsigned char c) { return c >= '0' && c <= '9'; });
 }
 
 /// Group operations and bookkeeping take neither a slot nor service time.
@@ -166,9 +169,15 @@
   RegisterFunctions(*this);
   Put('R', Int32(0));
   using std::string_literals::operator""s;
-  Put('S', "server_version\0"s "15.0\0"s);
-  Put('S', "client_encoding\0"s "UTF8\0"s);
-  Put('S', "standard_conforming_strings\0"s "on\0"s);
+  Put('S',
+      "server_version\0"s
+      "15.0\0"s);
+  Put('S',
+      "client_encoding\0"s
+      "UTF8\0"s);
+  Put('S',
+      "standard_conforming_strings\0"s
+      "on\0"s);
   Put('K', Int32(static_cast<std::uint32_t>(id_)) + Int32(0));
   co_return true;
 }
@@ -194,9 +203,13 @@
 }
 
 asio::awaitable<void> BackendSession::StayWhileCut() {
+  const auto give_up = std::chrono::steady_clock::now() + kKeepalive;
   while (store_.faults.cut_zones.contains(zone_) ||
          id_ < store_.faults.silence_before) {
     co_await Pause(kCutCheck);
+    if (std::chrono::steady_clock::now() > give_up) {
+      throw std::runtime_error("keepalive failed");
+    }
   }
 }
 
@@ -416,8 +429,8 @@
   if (sqlite3_get_autocommit(db_.get()) != 0) {
     // A deferred transaction opens its read snapshot with the first statement.
     const int code =
-        sqlite3_exec(db_.get(), is_write ? "BEGIN IMMEDIATE" : "BEGIN",
-                     nullptr, nullptr, nullptr);
+        sqlite3_exec(db_.get(), is_write ? "BEGIN IMMEDIATE" : "BEGIN", nullptr,
+                     nullptr, nullptr);
     if (code != SQLITE_OK) return SqliteError(code);
   }
   if (is_write && write_term_ == 0) write_term_ = store_.log.term();
--- a/standin/backend_session.h
+++ b/standin/backend_session.h
@@ -79,8 +79,8 @@
   bool counted_ = false;
   bool explicit_transaction_ = false;
   bool read_only_ = false;
-  bool failed_ = false;          ///< transaction block failed
-  bool skip_to_sync_ = false;    ///< extended query failed
+  bool failed_ = false;        ///< transaction block failed
+  bool skip_to_sync_ = false;  ///< extended query failed
   std::uint64_t write_term_ = 0;
   std::vector<std::string> writes_;
   LogPosition last_commit_;
--- a/standin/backend_store.cc
+++ b/standin/backend_store.cc
@@ -96,12 +96,12 @@
   out["server"] = options.server;
   out["term"] = Json::UInt64(log.term());
   out["role"] = RoleName(log.role());
-  const std::uint64_t index = std::min<std::uint64_t>(applied, log.Last().index);
+  const std::uint64_t index =
+      std::min<std::uint64_t>(applied, log.Last().index);
   out["last_term"] = Json::UInt64(log.TermAt(index));
   out["last_index"] = Json::UInt64(index);
-  out["primary_heard_ms"] =
-      Json::Int64(log.role() == Role::kPrimary ? 0
-                                               : SincePrimaryHeard().count());
+  out["primary_heard_ms"] = Json::Int64(
+      log.role() == Role::kPrimary ? 0 : SincePrimaryHeard().count());
   out["primary"] = log.primary();
   out["claimant"] = log.claimant();
   out["connections"] = connections;
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -32,8 +32,8 @@
 
 std::string Decode64(std::string text) {
   using namespace boost::archive::iterators;  // NOLINT
-  using Binary = transform_width<binary_from_base64<std::string::const_iterator>,
-                                 8, 6>;
+  using Binary =
+      transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
   while (!text.empty() && text.back() == '=') text.pop_back();
   std::string out(Binary(text.cbegin()), Binary(text.cend()));
   out.resize(text.size() * 6 / 8);
@@ -42,8 +42,8 @@
 
 std::string Encode64(const std::string& bytes) {
   using namespace boost::archive::iterators;  // NOLINT
-  using Text = base64_from_binary<
-      transform_width<std::string::const_iterator, 6, 8>>;
+  using Text =
+      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
   std::string out(Text(bytes.cbegin()), Text(bytes.cend()));
   out.append((3 - bytes.size() % 3) % 3, '=');
   return out;
@@ -90,7 +90,8 @@
     auto& history = keys[key];
     const bool exists = !history.empty() && history.back().value;
     const auto created = exists ? history.back().create_revision : revision;
-    history.push_back({steady_clock::now(), std::move(value), created, revision});
+    history.push_back(
+        {steady_clock::now(), std::move(value), created, revision});
     changed.cancel();
   }
 
@@ -180,8 +181,7 @@
 }
 
 bool Holds(const Platform& platform, const Json::Value& compare) {
-  const Version* version =
-      platform.Latest(Decode64(compare["key"].asString()));
+  const Version* version = platform.Latest(Decode64(compare["key"].asString()));
   const std::string target = compare["target"].asString();
   std::uint64_t have = 0;
   std::uint64_t want = 0;
@@ -254,10 +254,8 @@
 
 using Handler = Json::Value (*)(Platform&, const Json::Value&);
 const std::map<std::string, Handler, std::less<>> kHandlers = {
-    {"/v3/kv/range",
-     [](Platform& platform, const Json::Value& in) {
-       return Range(platform, in);
-     }},
+    {"/v3/kv/range", [](Platform& platform,
+                        const Json::Value& in) { return Range(platform, in); }},
     {"/v3/kv/put", Put},
     {"/v3/kv/txn", Txn},
     {"/v3/lease/grant", LeaseGrant},
@@ -290,8 +288,8 @@
   std::string out = ToText(created) + "\n";
   for (;;) {
     if (!out.empty()) {
-      co_await asio::async_write(
-          socket, http::make_chunk(asio::buffer(out)), use_awaitable);
+      co_await asio::async_write(socket, http::make_chunk(asio::buffer(out)),
+                                 use_awaitable);
       out.clear();
     }
     Json::Value message;
--- a/standin/replication.cc
+++ b/standin/replication.cc
@@ -16,8 +16,8 @@
 namespace standin {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using asio::use_awaitable;
+using asio::ip::tcp;
 using namespace asio::experimental::awaitable_operators;  // NOLINT
 
 namespace {
@@ -87,7 +87,8 @@
 }
 
 /// Appends and applies the entries of one message, in order.
-asio::awaitable<void> ApplyMessage(BackendStore& store, DelayedMessage message) {
+asio::awaitable<void> ApplyMessage(BackendStore& store,
+                                   DelayedMessage message) {
   auto current = [&] {
     return store.stream == message.stream && store.log.term() == message.term &&
            store.log.role() == Role::kReplica;
@@ -110,7 +111,8 @@
   for (const auto& it : message["entries"]) {
     LogEntry entry;
     entry.term = it["term"].asUInt64();
-    for (const auto& sql : it["sql"]) entry.statements.push_back(sql.asString());
+    for (const auto& sql : it["sql"])
+      entry.statements.push_back(sql.asString());
     delayed.entries.push_back(std::move(entry));
   }
   return delayed;
@@ -188,9 +190,9 @@
     if (next <= store.log.Last().index) continue;
     asio::steady_timer timer(store.io, kHeartbeat);
     boost::system::error_code ec;
-    co_await (timer.async_wait(use_awaitable) ||
-              store.appended.async_wait(
-                  asio::redirect_error(use_awaitable, ec)));
+    co_await (
+        timer.async_wait(use_awaitable) ||
+        store.appended.async_wait(asio::redirect_error(use_awaitable, ec)));
   }
 }
 
--- a/tests/ablation_test.cc
+++ b/tests/ablation_test.cc
@@ -93,8 +93,10 @@
         if (n % 2 == 1) world.Read(n % 4, n % 3, "now");
       });
     }
-    world.After(Milliseconds(1000), [&] { world.FreezeServer("primary", true); });
-    world.After(Milliseconds(2600), [&] { world.FreezeServer("primary", false); });
+    world.After(Milliseconds(1000),
+                [&] { world.FreezeServer("primary", true); });
+    world.After(Milliseconds(2600),
+                [&] { world.FreezeServer("primary", false); });
     world.RunFor(std::chrono::seconds(8));
     world.Settle();
     return world.history().Violations().size();
--- /dev/null
+++ b/tests/process_test.cc
@@ -0,0 +1,227 @@
+/// \file
+/// The path through real processes, bad input and the operators' commands.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <thread>
+
+#include "cluster.h"
+#include "corianderdock/codec.h"
+#include "corianderdock/settings.h"
+#include "load.h"
+
+namespace bench {
+namespace {
+
+using corianderdock::Clock;
+
+Deployment SmallDeployment() {
+  Deployment it = Adinkra();
+  it.groups = {"saddle-1", "saddle-2", "saddle-3"};
+  it.instances = 3;
+  it.statement_time = std::chrono::microseconds(1000);
+  return it;
+}
+
+/// Sends raw bytes and returns what comes back until the other end closes or
+/// a second passes.
+std::string SendRaw(const std::string& address, const std::string& bytes) {
+  const auto port = static_cast<std::uint16_t>(
+      std::stoi(address.substr(address.rfind(':') + 1)));
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in in{};
+  in.sin_family = AF_INET;
+  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  in.sin_port = htons(port);
+  std::string answer;
+  if (connect(fd, reinterpret_cast<sockaddr*>(&in), sizeof(in)) == 0) {
+    (void)send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    timeval timeout{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    char buf[4096];
+    const ssize_t n = recv(fd, buf, sizeof(buf), 0);
+    if (n > 0) answer.assign(buf, static_cast<std::size_t>(n));
+  }
+  close(fd);
+  return answer;
+}
+
+std::string Rpc(const std::string& body) {
+  return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Json::Value Claim(const std::string& id) {
+  Json::Value params;
+  params["service"] = "claims";
+  params["kind"] = "claim";
+  params["statement"] = "INSERT INTO claim (request, stock) VALUES ($1, 1)";
+  params["parameters"].append(id);
+  params["request_id"] = id;
+  return params;
+}
+
+TEST_CASE("requests pass through separate processes", "[processes]") {
+  Cluster cluster(SmallDeployment());
+  const Json::Value done = cluster.Call(0, "execute", Claim("p1"));
+  REQUIRE(done["result"]["outcome"] == "done");
+  Json::Value read;
+  read["service"] = "claims";
+  read["kind"] = "stock";
+  read["statement"] = "SELECT count(*) FROM claim WHERE request = 'p1'";
+  read["token"] = done["result"]["token"];
+  const Json::Value seen = cluster.Call(1, "execute", read);
+  CHECK(seen["result"]["result"]["rows"][0][0].asString() == "1");
+
+  SECTION("bad input is refused and harms nothing") {
+    const std::string address = cluster.CallerAddress(0);
+    const std::vector<std::string> bodies = {
+        "",
+        "{",
+        "[]",
+        "nonsense",
+        "{\"jsonrpc\":\"2.0\"}",
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"fly\",\"params\":{}}",
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"execute\",\"params\":{}}",
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"execute\",\"params\":"
+        "{\"service\":1,\"kind\":\"x\",\"statement\":\"y\"}}",
+        std::string(2000, '['),
+        std::string(5000, '{')};
+    for (const auto& it : bodies) {
+      INFO(it.substr(0, 60));
+      CHECK(SendRaw(address, Rpc(it)).find("\"error\"") != std::string::npos);
+    }
+    Json::Value forged = read;
+    forged["token"] = "cd1.saddle-1~9~9.0000000000000000";
+    CHECK(cluster.Call(0, "execute", forged)["error"]["code"] == -32602);
+    Json::Value unknown = read;
+    unknown["service"] = "nobody";
+    CHECK(cluster.Call(0, "execute", unknown)["error"]["data"]["reason"] ==
+          "unknown_service");
+    CHECK(SendRaw(address,
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                  "99999999\r\n\r\n")
+              .find("413") != std::string::npos);
+    CHECK(SendRaw(address, "GARBAGE\r\n\r\n").find("400") != std::string::npos);
+    SendRaw(address, "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf");
+    CHECK(SendRaw(cluster.PeerAddress(0), Rpc("{\"jsonrpc\":\"2.0\",\"id\":1,"
+                                              "\"method\":\"peer.gossip\","
+                                              "\"params\":{\"sender\":3}}"))
+              .find("\"error\"") != std::string::npos);
+    CHECK(cluster.Call(0, "execute", Claim("p2"))["result"]["outcome"] ==
+          "done");
+  }
+
+  SECTION("operators see and steer it") {
+    const std::string platform = cluster.platform();
+    CHECK(cluster.Ctl({"show", "--platform", platform}).code == 0);
+    const auto dump = cluster.Ctl({"dump", "entry-0", "--platform", platform});
+    CHECK(dump.code == 0);
+    CHECK(dump.output.find("\"members\"") != std::string::npos);
+    const auto bad = cluster.WriteFile("bad.csv", "service,group\nx,y\n");
+    CHECK(cluster.Ctl({"check", bad}).code == 2);
+    CHECK(cluster.Ctl({"load", bad, "--platform", platform}).code == 2);
+    CHECK(cluster.Ctl({"fly"}).code == 2);
+    CHECK(cluster.Ctl({"show", "--platform", "127.0.0.1:1"}).code == 3);
+    CHECK(cluster
+              .Ctl({"resolve", "p1", "--service", "claims", "--address",
+                    cluster.CallerAddress(2)})
+              .code == 0);
+    const auto metrics = cluster.Get(0, "/metrics");
+    REQUIRE(metrics);
+    CHECK(metrics->find("corianderdock_request_seconds_bucket") !=
+          std::string::npos);
+    CHECK(cluster.Ctl({"drain", "entry-2", "--platform", platform}).code == 0);
+    const auto deadline = Clock::now() + std::chrono::seconds(10);
+    while (!cluster.InstanceEnded(2) && Clock::now() < deadline) {
+      std::this_thread::sleep_for(Milliseconds(50));
+    }
+    CHECK(cluster.InstanceEnded(2));
+  }
+
+  SECTION("of two operators one wins and the other is told by whom") {
+    const std::string sheet = cluster.WriteFile("again.csv", Adinkra().sheet);
+    std::vector<Cluster::CtlResult> results(2);
+    std::vector<std::thread> operators;
+    for (int n = 0; n < 2; ++n) {
+      operators.emplace_back([&, n] {
+        results[static_cast<std::size_t>(n)] =
+            cluster.Ctl({"load", sheet, "--platform", cluster.platform(),
+                         "--author", "operator-" + std::to_string(n)});
+      });
+    }
+    for (auto& it : operators) it.join();
+    int accepted = 0;
+    for (const auto& it : results) {
+      INFO(it.output);
+      if (it.code == 0) ++accepted;
+      if (it.code != 0) CHECK(it.output.find("operator-") != std::string::npos);
+    }
+    CHECK(accepted >= 1);
+  }
+
+  SECTION("a load whose answer is lost is found again") {
+    // Every answer to a write is lost for a while, although it takes effect.
+    cluster.PlatformFault("lose");
+    std::thread later([&] {
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      cluster.PlatformFault("none");
+    });
+    const std::string sheet = cluster.WriteFile("lost.csv", Adinkra().sheet);
+    const auto loaded =
+        cluster.Ctl({"load", sheet, "--platform", cluster.platform()});
+    later.join();
+    INFO(loaded.output);
+    CHECK(loaded.code == 0);
+    CHECK(loaded.output.find("version 2") != std::string::npos);
+  }
+}
+
+TEST_CASE("connections stay within each server's limit", "[processes]") {
+  Deployment deployment = SmallDeployment();
+  deployment.instances = 5;
+  Cluster cluster(deployment);
+  LoadSpec spec;
+  spec.addresses = cluster.CallerAddresses();
+  spec.streams = TypicalStreams(400, true);
+  spec.phases = {{std::chrono::seconds(4), 1}};
+  spec.actions.emplace_back(std::chrono::seconds(2),
+                            [&] { cluster.SignalInstance(1, SIGKILL); });
+  const LoadReport report = RunLoad(spec);
+  CHECK(report.kinds.at("claims/claim").done > 0);
+  for (const auto& server : cluster.servers()) {
+    const auto status =
+        corianderdock::ParseJson(cluster.Sql(server, "SELECT group_status()"));
+    REQUIRE(status);
+    INFO(server);
+    CHECK((*status)["most_connections"].asInt() <= 16);
+    CHECK((*status)["refused_connections"].asInt() == 0);
+  }
+}
+
+TEST_CASE("settings are checked whole", "[settings]") {
+  using corianderdock::ParseSettings;
+  const std::string good =
+      R"({"instance":"i","zone":"z","listen":"127.0.0.1:1",)"
+      R"("peer_listen":"127.0.0.1:2","platform":["127.0.0.1:3"]})";
+  CHECK(ParseSettings(good));
+  const auto bad = ParseSettings(
+      R"({"instance":7,"zone":"z","listen":"nowhere","peer_listen":)"
+      R"("127.0.0.1:2","times":{"poll_interval_ms":0,"tea_ms":4},"extra":1})");
+  REQUIRE_FALSE(bad);
+  std::set<std::string> places;
+  for (const auto& it : bad.error()) places.insert(it.place);
+  CHECK(places == std::set<std::string>{"instance", "listen",
+                                        "times.poll_interval_ms",
+                                        "times.tea_ms", "extra"});
+  CHECK_FALSE(ParseSettings("{"));
+  CHECK_FALSE(ParseSettings("3"));
+}
+
+}  // namespace
+}  // namespace bench
--- a/tests/scenarios_test.cc
+++ b/tests/scenarios_test.cc
@@ -22,7 +22,8 @@
 
 TEST_CASE("the scenario language names faulty lines", "[scenarios]") {
   CHECK(ParseScenario("run until 3s\n"));
-  CHECK(ParseScenario("at soon kill\nrun until 1s\n").error().place == "line 1");
+  CHECK(ParseScenario("at soon kill\nrun until 1s\n").error().place ==
+        "line 1");
   CHECK(ParseScenario("run until 1s\n\njump\n").error().place == "line 3");
   CHECK_FALSE(ParseScenario("expect promises hold\n"));
 }
--- a/tests/support/fake_target.cc
+++ b/tests/support/fake_target.cc
@@ -41,10 +41,10 @@
   const std::string what = words.empty() ? "" : words[0];
   if (what == "promises") {
     const auto violations = history.Violations();
-    return violations.empty() ? ""
-                              : violations.front() + " and " +
-                                    std::to_string(violations.size() - 1) +
-                                    " more";
+    return violations.empty()
+               ? ""
+               : violations.front() + " and " +
+                     std::to_string(violations.size() - 1) + " more";
   }
   if (what == "gap" && words.size() == 3) {
     const Duration gap = history.LongestGap(start, end);
@@ -53,11 +53,10 @@
     return "gap of " + std::to_string(ms) + " ms";
   }
   if (what == "done" && words.size() == 3) {
-    const auto type =
-        words[1] == "writes"
-            ? OperationType::kWrite
-            : (words[1] == "reads" ? OperationType::kRead
-                                   : OperationType::kTransaction);
+    const auto type = words[1] == "writes"
+                          ? OperationType::kWrite
+                          : (words[1] == "reads" ? OperationType::kRead
+                                                 : OperationType::kTransaction);
     const auto n = history.Count(type, Outcome::kDone);
     if (n >= static_cast<std::size_t>(Number(words[2]))) return "";
     return "only " + std::to_string(n) + " done";
@@ -103,9 +102,8 @@
       const int session = static_cast<int>(random_() % kSessions);
       const int n = static_cast<int>(random_() % 3);
       const int other = static_cast<int>(random_() % 3);
-      world_.After(at, [kind = kind, session, n, other] {
-        kind(session, n, other);
-      });
+      world_.After(
+          at, [kind = kind, session, n, other] { kind(session, n, other); });
     }
   }
   return true;
@@ -120,7 +118,8 @@
   const bool on_server = object == "server";
   const bool on_instance = object == "instance";
   const int n = Number(name);
-  if (verb == "kill" && on_server) return [=, this] { world_.KillServer(name); };
+  if (verb == "kill" && on_server)
+    return [=, this] { world_.KillServer(name); };
   if (verb == "restart" && on_server) {
     return [=, this] { world_.RestartServer(name); };
   }
@@ -140,7 +139,8 @@
       world_.After(TimeOf(last), [=, this] { world_.FreezeServer(id, false); });
     };
   }
-  if (verb == "kill" && on_instance) return [=, this] { world_.KillInstance(n); };
+  if (verb == "kill" && on_instance)
+    return [=, this] { world_.KillInstance(n); };
   if (verb == "restart" && on_instance) {
     return [=, this] { world_.RestartInstance(n); };
   }
@@ -150,7 +150,8 @@
   if (verb == "freeze" && on_instance) {
     return [=, this] {
       world_.FreezeInstance(n, true);
-      world_.After(TimeOf(last), [=, this] { world_.FreezeInstance(n, false); });
+      world_.After(TimeOf(last),
+                   [=, this] { world_.FreezeInstance(n, false); });
     };
   }
   if (verb == "cut" && words.size() == 4) {
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -41,7 +41,9 @@
 std::string FakeSheet(int version) {
   const std::string demand = std::to_string(10 + version);
   return "service,group,zones,kind,mode,max_age,demand\n"
-         "s,g,a;b;c,add,write,," + demand + "\n"
+         "s,g,a;b;c,add,write,," +
+         demand +
+         "\n"
          "s,g,a;b;c,now,read,0,10\n"
          "s,g,a;b;c,soon,read,500ms,10\n";
 }
@@ -132,8 +134,9 @@
   if (!next) return;
   const auto wait = std::chrono::duration<double>(*next - LocalTime(it));
   const TimePoint at =
-      now_ + std::max(Duration(0), std::chrono::duration_cast<Duration>(
-                                       wait / it.drift)) +
+      now_ +
+      std::max(Duration(0),
+               std::chrono::duration_cast<Duration>(wait / it.drift)) +
       std::chrono::microseconds(1);
   if (at >= it.next_tick) return;
   it.next_tick = at;
@@ -222,9 +225,8 @@
   if (found == callers_.end()) return;
   const auto on_answer = std::move(found->second);
   callers_.erase(found);
-  After(Latency(), [on_answer, answer = std::move(effect.answer)] {
-    on_answer(answer);
-  });
+  After(Latency(),
+        [on_answer, answer = std::move(effect.answer)] { on_answer(answer); });
 }
 
 void FakeWorld::Handle(int n, ForwardRequest effect) {
@@ -269,9 +271,9 @@
   if (!Linked(zone, to)) return;
   peer_calls_.erase(found);
   const Duration latency = Latency();
-  ForwardResult result{peer.call, peer.attempt, true,
-                       std::move(effect.answer)};
-  After(latency, [this, peer, result] { Deliver(peer.from, result, peer.life); });
+  ForwardResult result{peer.call, peer.attempt, true, std::move(effect.answer)};
+  After(latency,
+        [this, peer, result] { Deliver(peer.from, result, peer.life); });
   if (options_.lossy && random_() % 50 == 0) {
     After(3 * latency,
           [this, peer, result] { Deliver(peer.from, result, peer.life); });
@@ -295,10 +297,10 @@
   if (!target.alive || !Linked(from.identity.zone, target.identity.zone)) {
     return;
   }
-  After(Latency(), [this, to, id, life = target.life,
-                    gossip = std::move(effect.gossip)] {
-    Deliver(to, GossipRequest{id, gossip}, life);
-  });
+  After(Latency(),
+        [this, to, id, life = target.life, gossip = std::move(effect.gossip)] {
+          Deliver(to, GossipRequest{id, gossip}, life);
+        });
 }
 
 void FakeWorld::Handle(int n, ReplyGossip effect) {
@@ -396,8 +398,8 @@
   const Instance& it = instances_[static_cast<std::size_t>(n)];
   const std::uint64_t life = it.life;
   const ZoneId zone = it.identity.zone;
-  connections_[{n, effect.connection}] = {effect.server, n, 0, false, false, 0,
-                                          {},            {}, false};
+  connections_[{n, effect.connection}] = {
+      effect.server, n, 0, false, false, 0, {}, {}, false};
   After(Latency(), [this, n, life, zone, effect] {
     const FakeServer& server = servers_.at(effect.server);
     if (!Linked(zone, server.listed.zone)) return;
@@ -514,9 +516,8 @@
 StatementResult FakeWorld::Append(FakeServer& server,
                                   const Statement& statement,
                                   std::vector<std::string> statements) {
-  const std::string key = statement.request_id.empty()
-                              ? ""
-                              : "key:" + statement.request_id;
+  const std::string key =
+      statement.request_id.empty() ? "" : "key:" + statement.request_id;
   StatementSuccess success;
   if (!key.empty()) {
     for (const auto& it : server.log.entries()) {
@@ -598,9 +599,8 @@
   status.term = server.log.term();
   status.role = RoleOf(server.log.role());
   status.last = {server.log.Last().term, server.log.Last().index};
-  status.primary_heard = status.role == ServerRole::kPrimary
-                             ? Duration(0)
-                             : now_ - server.heard;
+  status.primary_heard =
+      status.role == ServerRole::kPrimary ? Duration(0) : now_ - server.heard;
   status.primary_address = server.log.primary();
   status.claimant = server.log.claimant();
   for (const auto& it : server.log.TermStarts()) {
@@ -667,9 +667,8 @@
     follower.heard = now_;
     const Term term = primary.log.term();
     const std::uint64_t upto = primary.log.Last().index;
-    After(follower.lag, [this, name, id = id, term, upto] {
-      Sync(name, id, term, upto);
-    });
+    After(follower.lag,
+          [this, name, id = id, term, upto] { Sync(name, id, term, upto); });
   }
 }
 
@@ -686,9 +685,8 @@
   const std::uint64_t common = primary.log.CommonIndex(
       follower.log.TermStarts(), follower.log.Last().index);
   follower.log.Truncate(common);
-  for (std::uint64_t n = common; n < std::min<std::uint64_t>(
-                                        upto, primary.log.entries().size());
-       ++n) {
+  for (std::uint64_t n = common;
+       n < std::min<std::uint64_t>(upto, primary.log.entries().size()); ++n) {
     follower.log.AppendReceived(primary.log.entries()[n]);
   }
 }
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -76,9 +76,7 @@
   [[nodiscard]] const Reducer* reducer(int n) const;
   [[nodiscard]] std::string PrimaryName() const;
   [[nodiscard]] bool Exited(int n) const;
-  [[nodiscard]] SheetVersion accepted_version() const {
-    return sheets_.size();
-  }
+  [[nodiscard]] SheetVersion accepted_version() const { return sheets_.size(); }
   /// Faults of the world's own kind, beside the history's.
   [[nodiscard]] const std::vector<std::string>& violations() const {
     return violations_;
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -24,7 +24,7 @@
   std::string id;  ///< request id of a write
   int session = 0;
   std::string group;
-  bool strict = false;     ///< read of age zero
+  bool strict = false;  ///< read of age zero
   Duration max_age{0};
   TimePoint invoked;
   TimePoint answered;
--- /dev/null
+++ b/tests/support/process_target.cc
@@ -0,0 +1,313 @@
+#include "process_target.h"
+
+#include <signal.h>
+
+#include <random>
+#include <sstream>
+
+#include "corianderdock/codec.h"
+
+namespace testing_support {
+
+namespace {
+
+constexpr char kGroup[] = "g";
+constexpr int kSessions = 8;
+constexpr Duration kSettleTime = std::chrono::seconds(3);
+constexpr Duration kCallerTimeout = std::chrono::seconds(3);
+constexpr Duration kTransit = Milliseconds(150);  // of an answer to its caller
+constexpr Duration kSoon = Milliseconds(500);
+
+Outcome OutcomeOf(const std::string& name) {
+  for (const Outcome it : {Outcome::kDone, Outcome::kNotRun, Outcome::kUnknown,
+                           Outcome::kFailed}) {
+    if (name == Name(it)) return it;
+  }
+  return Outcome::kUnknown;
+}
+
+Json::Value Params(const std::string& token) {
+  Json::Value params;
+  params["service"] = "s";
+  params["token"] = token;
+  params["timeout_ms"] = Json::UInt64(
+      std::chrono::duration_cast<Milliseconds>(kCallerTimeout).count());
+  return params;
+}
+
+std::string FieldOf(const Json::Value& response, const char* name) {
+  if (!response.isObject()) return "";
+  if (response.isMember("result")) return response["result"][name].asString();
+  return response["error"]["data"][name].asString();
+}
+
+}  // namespace
+
+bench::Deployment ScenarioDeployment() {
+  bench::Deployment it;
+  it.name = "scenario";
+  it.zones = {"a", "b", "c"};
+  it.groups = {kGroup};
+  it.instances = 3;
+  it.statement_time = std::chrono::microseconds(1000);
+  it.zone_delay = std::chrono::microseconds(500);
+  it.sheet = FakeSheet(1);
+  return it;
+}
+
+ProcessTarget::ProcessTarget(std::uint64_t seed)
+    : cluster_(std::make_unique<bench::Cluster>(ScenarioDeployment())),
+      seed_(seed),
+      first_primary_(cluster_->PrimaryOf(kGroup)) {}
+
+ProcessTarget::~ProcessTarget() {
+  for (auto& it : delayed_) {
+    if (it.joinable()) it.join();
+  }
+}
+
+bool ProcessTarget::Schedule(const Step& step) {
+  if (step.words[0] == "load") {
+    loads_.push_back(ParseLoad(step.words));
+    return loads_.back().valid;
+  }
+  actions_.push_back(step);
+  return true;
+}
+
+void ProcessTarget::Run(Duration end) {
+  start_ = corianderdock::Clock::now();
+  load_end_ = start_;
+  std::vector<std::thread> callers;
+  for (const auto& rates : loads_) {
+    load_end_ = std::max(load_end_, start_ + rates.until);
+    for (int n = 0; n < kSessions; ++n) {
+      callers.emplace_back([this, n, rates] { RunCaller(n, rates); });
+    }
+  }
+  for (const auto& it : actions_) {
+    std::this_thread::sleep_until(start_ + it.at);
+    Act(it.words);
+  }
+  std::this_thread::sleep_until(start_ + end);
+  for (auto& it : callers) it.join();
+  for (auto& it : delayed_) it.join();
+  delayed_.clear();
+  Heal();
+  std::this_thread::sleep_for(kSettleTime);
+  RecordSurvivors();
+}
+
+void ProcessTarget::RunCaller(int session, LoadRates rates) {
+  std::mt19937_64 random(seed_ * 1000 + static_cast<std::uint64_t>(session));
+  const double total =
+      rates.writes + rates.reads + rates.aged + rates.transactions;
+  std::exponential_distribution<double> gap(total / kSessions);
+  std::uniform_real_distribution<double> choice(0, total);
+  std::string token;
+  const TimePoint end = start_ + rates.until;
+  TimePoint next = start_;
+  for (std::uint64_t number = 0;; ++number) {
+    next += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(gap(random)));
+    if (next >= end) return;
+    std::this_thread::sleep_until(next);
+    const int n = static_cast<int>(random() % 3);
+    const int other = static_cast<int>(random() % 3);
+    const double pick = choice(random);
+    if (pick < rates.writes) {
+      Write(session, n, token, number);
+    } else if (pick < rates.writes + rates.reads) {
+      Read(session, n, token, true);
+    } else if (pick < rates.writes + rates.reads + rates.aged) {
+      Read(session, n, token, false);
+    } else {
+      Transact(session, n, other, token, number);
+    }
+    // A caller that waited does not hurry to make up for it.
+    next = std::max(next, corianderdock::Clock::now());
+  }
+}
+
+void ProcessTarget::Record(Operation operation, const Json::Value& response,
+                           std::string& token) {
+  operation.answered = corianderdock::Clock::now();
+  operation.group = kGroup;
+  if (response.isObject()) {
+    operation.has_answer = true;
+    operation.outcome = OutcomeOf(FieldOf(response, "outcome"));
+    if (operation.outcome == Outcome::kDone) {
+      const Json::Value& result = response["result"];
+      token = result["token"].asString();
+      operation.from_replica = result["from_replica"].asBool();
+      for (const auto& row : result["result"]["rows"]) {
+        operation.seen.insert(row[0].asString());
+      }
+    }
+  }
+  const std::lock_guard lock(mutex_);
+  history_.operations.push_back(std::move(operation));
+}
+
+void ProcessTarget::Write(int session, int n, std::string& token,
+                          std::uint64_t number) {
+  Operation operation;
+  operation.type = OperationType::kWrite;
+  operation.id = "w" + std::to_string(session) + "-" + std::to_string(number);
+  operation.session = session;
+  operation.invoked = corianderdock::Clock::now();
+  Json::Value params = Params(token);
+  params["kind"] = "add";
+  params["statement"] = "INSERT INTO claim (request, stock) VALUES ($1, 1)";
+  params["parameters"].append(operation.id);
+  params["request_id"] = operation.id;
+  const Json::Value response = cluster_->Call(n, "execute", params);
+  Record(std::move(operation), response, token);
+}
+
+void ProcessTarget::Read(int session, int n, std::string& token, bool strict) {
+  Operation operation;
+  operation.type = OperationType::kRead;
+  operation.session = session;
+  operation.strict = strict;
+  operation.max_age = strict ? Duration(0) : kSoon + kTransit;
+  operation.invoked = corianderdock::Clock::now();
+  Json::Value params = Params(token);
+  params["kind"] = strict ? "now" : "soon";
+  params["statement"] = "SELECT request FROM claim";
+  const Json::Value response = cluster_->Call(n, "execute", params);
+  Record(std::move(operation), response, token);
+}
+
+void ProcessTarget::Transact(int session, int n, int other, std::string& token,
+                             std::uint64_t number) {
+  Operation operation;
+  operation.type = OperationType::kTransaction;
+  operation.id = "t" + std::to_string(session) + "-" + std::to_string(number);
+  operation.session = session;
+  const Json::Value begun = cluster_->Call(n, "begin", Params(token));
+  const std::string transaction = FieldOf(begun, "transaction");
+  if (FieldOf(begun, "outcome") != "done") return;
+  Json::Value insert = Params(token);
+  insert["kind"] = "add";
+  insert["statement"] = "INSERT INTO claim (request, stock) VALUES ($1, 1)";
+  insert["parameters"].append(operation.id);
+  insert["transaction"] = transaction;
+  const Json::Value inserted = cluster_->Call(other, "execute", insert);
+  if (FieldOf(inserted, "outcome") != "done") return;
+  Json::Value commit = Params(token);
+  commit["transaction"] = transaction;
+  commit["request_id"] = operation.id;
+  operation.invoked = corianderdock::Clock::now();
+  const Json::Value committed = cluster_->Call(n, "commit", commit);
+  Record(std::move(operation), committed, token);
+}
+
+void ProcessTarget::Act(const std::vector<std::string>& words) {
+  const std::string& verb = words[0];
+  const std::string object = words.size() > 1 ? words[1] : "";
+  std::string name = words.size() > 2 ? words[2] : "";
+  if (name == "primary") name = cluster_->PrimaryOf(kGroup);
+  const std::string last = words.back();
+  const int n = std::atoi(name.c_str());
+  auto later = [this](Duration delay, std::function<void()> action) {
+    delayed_.emplace_back([delay, action = std::move(action)] {
+      std::this_thread::sleep_for(delay);
+      action();
+    });
+  };
+  if (object == "server" && name.empty()) return;
+  if (object == "server") {
+    if (verb == "kill") cluster_->SignalServer(name, SIGKILL);
+    if (verb == "silence") {
+      cluster_->Sql(name, "SELECT standin_fault('silence', '1')");
+    }
+    if (verb == "lag") {
+      const auto ms =
+          std::chrono::duration_cast<Milliseconds>(TimeOf(last)).count();
+      cluster_->Sql(name,
+                    "SELECT standin_fault('lag', " + std::to_string(ms) + ")");
+    }
+    if (verb == "leave") cluster_->ListServer(name, true);
+    if (verb == "freeze") {
+      cluster_->SignalServer(name, SIGSTOP);
+      later(TimeOf(last),
+            [this, name] { cluster_->SignalServer(name, SIGCONT); });
+    }
+  } else if (object == "instance") {
+    if (verb == "kill") cluster_->SignalInstance(n, SIGKILL);
+    if (verb == "restart") cluster_->RestartInstance(n);
+    if (verb == "drain") cluster_->SignalInstance(n, SIGTERM);
+    if (verb == "freeze") {
+      cluster_->SignalInstance(n, SIGSTOP);
+      later(TimeOf(last), [this, n] { cluster_->SignalInstance(n, SIGCONT); });
+    }
+  } else if (verb == "cut") {
+    const std::vector<std::pair<std::string, std::string>> sides = {
+        {words[1], words[3]}, {words[3], words[1]}};
+    for (const auto& [server_zone, caller_zone] : sides) {
+      const std::string server =
+          "g-" + std::to_string(server_zone[0] - 'a' + 1);
+      cluster_->Sql(server,
+                    "SELECT standin_fault('cut', '" + caller_zone + "')");
+    }
+  } else if (verb == "heal") {
+    Heal();
+  } else if (verb == "platform") {
+    cluster_->PlatformFault(object == "up" ? "none" : object);
+  } else if (verb == "sheet") {
+    const std::string path = cluster_->WriteFile("second.csv", FakeSheet(2));
+    cluster_->Ctl({"load", path, "--platform", cluster_->platform()});
+  }
+}
+
+void ProcessTarget::Heal() {
+  cluster_->PlatformFault("none");
+  for (const auto& server : cluster_->servers()) {
+    for (const auto* zone : {"a", "b", "c"}) {
+      cluster_->Sql(
+          server, std::string("SELECT standin_fault('heal', '") + zone + "')");
+    }
+    cluster_->Sql(server, "SELECT standin_fault('lag', 3)");
+  }
+}
+
+void ProcessTarget::RecordSurvivors() {
+  const std::string primary = cluster_->PrimaryOf(kGroup);
+  std::istringstream ids(
+      cluster_->Sql(primary, "SELECT group_concat(request, ' ') FROM claim"));
+  std::vector<History::Entry> survived;
+  for (std::string id; ids >> id;) survived.push_back({id, {}});
+  history_.survived[kGroup] = std::move(survived);
+}
+
+std::string ProcessTarget::Check(const Step& step) {
+  bool handled = false;
+  const std::string reason =
+      CheckHistory(step.words, history_, start_, load_end_, handled);
+  if (handled) return reason;
+  const std::string what = step.words[0];
+  const std::string last = step.words.back();
+  if (what == "primary") {
+    const std::string primary = cluster_->PrimaryOf(kGroup);
+    const bool changed = primary != first_primary_;
+    return changed == (last == "changed") ? "" : "primary is " + primary;
+  }
+  if (what == "ended") {
+    return cluster_->InstanceEnded(std::atoi(last.c_str())) ? ""
+                                                            : "has not ended";
+  }
+  if (what == "version") {
+    for (int n = 0; n < cluster_->instances(); ++n) {
+      const auto health = cluster_->Get(n, "/health");
+      const std::string wanted = "\"sheet_version\":" + last;
+      if (!health || health->find(wanted) == std::string::npos) {
+        return "instance " + std::to_string(n) + ": " + health.value_or("");
+      }
+    }
+    return "";
+  }
+  return "expectation is not understood";
+}
+
+}  // namespace testing_support
--- /dev/null
+++ b/tests/support/process_target.h
@@ -0,0 +1,58 @@
+/// \file
+/// Runs scenarios against real processes.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "cluster.h"
+#include "fake_target.h"
+#include "history.h"
+#include "scenario.h"
+
+namespace testing_support {
+
+/// One group g in zones a, b and c with three instances, on loopback.
+[[nodiscard]] bench::Deployment ScenarioDeployment();
+
+/// A scenario on separate processes in real time.
+class ProcessTarget : public ScenarioTarget {
+ public:
+  explicit ProcessTarget(std::uint64_t seed);
+  ~ProcessTarget() override;
+
+  bool Schedule(const Step& step) override;
+  void Run(Duration end) override;
+  std::string Check(const Step& step) override;
+
+  [[nodiscard]] bench::Cluster& cluster() { return *cluster_; }
+  [[nodiscard]] const History& history() const { return history_; }
+
+ private:
+  void RunCaller(int session, LoadRates rates);
+  void Write(int session, int n, std::string& token, std::uint64_t number);
+  void Read(int session, int n, std::string& token, bool strict);
+  void Transact(int session, int n, int other, std::string& token,
+                std::uint64_t number);
+  void Record(Operation operation, const Json::Value& response,
+              std::string& token);
+  void Act(const std::vector<std::string>& words);
+  void Heal();
+  void RecordSurvivors();
+
+  std::unique_ptr<bench::Cluster> cluster_;
+  std::uint64_t seed_;
+  std::vector<Step> actions_;
+  std::vector<LoadRates> loads_;
+  std::vector<std::thread> delayed_;
+  std::mutex mutex_;
+  History history_;
+  TimePoint start_;
+  TimePoint load_end_;
+  std::string first_primary_;
+};
+
+}  // namespace testing_support
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -64,9 +64,8 @@
     }
   }
   if (scenario.end.count() == 0) return Fault(1, "no run until TIME");
-  std::stable_sort(
-      scenario.actions.begin(), scenario.actions.end(),
-      [](const Step& a, const Step& b) { return a.at < b.at; });
+  std::stable_sort(scenario.actions.begin(), scenario.actions.end(),
+                   [](const Step& a, const Step& b) { return a.at < b.at; });
   return scenario;
 }
 
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -53,8 +53,7 @@
                                                    ScenarioTarget& target);
 
 /// All scenario files below a folder, in order of their names.
-[[nodiscard]] std::vector<std::string> ScenarioFiles(
-    const std::string& folder);
+[[nodiscard]] std::vector<std::string> ScenarioFiles(const std::string& folder);
 
 /// `50/s` as a number.
 [[nodiscard]] double ParseRate(const std::string& text);
--- a/tests/support/schedule.cc
+++ b/tests/support/schedule.cc
@@ -26,7 +26,8 @@
       break;
     case 2:
       world.FreezeServer(server, true);
-      world.After(length, [&world, server] { world.FreezeServer(server, false); });
+      world.After(length,
+                  [&world, server] { world.FreezeServer(server, false); });
       break;
     case 3: {
       const std::string primary = world.PrimaryName();
@@ -58,8 +59,8 @@
       world.SilenceServer(server);
       break;
     case 10:
-      world.SetPlatform(fault.target == 0 ? "down"
-                                          : (fault.target == 1 ? "slow" : "stale"));
+      world.SetPlatform(
+          fault.target == 0 ? "down" : (fault.target == 1 ? "slow" : "stale"));
       break;
     case 11:
       world.LoadSheet();
@@ -72,7 +73,8 @@
       break;
     case 14:
       world.DrainInstance(n);
-      world.After(length + kDrainTime, [&world, n] { world.RestartInstance(n); });
+      world.After(length + kDrainTime,
+                  [&world, n] { world.RestartInstance(n); });
       break;
     case 15:
       world.LeaveServer(fault.target == 0 ? "primary" : server);
@@ -133,9 +135,9 @@
     it.at_ms = static_cast<int>(random() % kLatestFaultMs);
     it.kind = static_cast<int>(random() % kFaultKinds);
     it.target = static_cast<int>(random() % 3);
-    it.length_ms = kShortestFaultMs +
-                   static_cast<int>(random() %
-                                    (kLongestFaultMs - kShortestFaultMs));
+    it.length_ms =
+        kShortestFaultMs +
+        static_cast<int>(random() % (kLongestFaultMs - kShortestFaultMs));
   }
   return faults;
 }
