--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -72,7 +72,8 @@
       "service,group,zones,kind,mode,max_age,demand\n"
       "claims,saddle-1,osu;tema;kaneshie,claim,write,,40\n"
       "claims,saddle-1,osu;tema;kaneshie,stock,read,0,40\n"
-      "claims,saddle-1,osu;tema;kaneshie,report,read,0,1\n"
+      "claims,saddle-1,osu;tema;kaneshie,report,read,5s,1\n"
+      "claims,saddle-1,osu;tema;kaneshie,audit,read,0,1\n"
       "catalogue,saddle-2,osu;tema;kaneshie,report,read,5s,1\n"
       "catalogue,saddle-2,osu;tema;kaneshie,browse,read,5s,200\n"
       "catalogue,saddle-2,osu;tema;kaneshie,edit,write,,2\n"
@@ -94,7 +95,8 @@
       "service,group,zones,kind,mode,max_age,demand\n"
       "claims,glow-1,riga-a;riga-b;riga-c,claim,write,,60\n"
       "claims,glow-1,riga-a;riga-b;riga-c,stock,read,0,40\n"
-      "claims,glow-1,riga-a;riga-b;riga-c,report,read,0,1\n"
+      "claims,glow-1,riga-a;riga-b;riga-c,report,read,10s,1\n"
+      "claims,glow-1,riga-a;riga-b;riga-c,audit,read,0,1\n"
       "catalogue,glow-2,riga-a;riga-b;riga-c,report,read,5s,1\n"
       "catalogue,glow-2,riga-a;riga-b;riga-c,browse,read,2s,600\n"
       "catalogue,glow-2,riga-a;riga-b;riga-c,edit,write,,2\n"
@@ -231,6 +233,7 @@
     if (!deployment_.alternatives.isNull()) {
       settings["alternatives"] = deployment_.alternatives;
     }
+    if (!deployment_.limits.isNull()) settings["limits"] = deployment_.limits;
     if (!deployment_.times.isNull()) settings["times"] = deployment_.times;
     WriteFile(name + ".json", corianderdock::ToText(settings));
     instance_processes_.emplace_back();
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -32,6 +32,7 @@
   int instances = 5;
   std::string sheet;         ///< CSV text
   Json::Value alternatives;  ///< passed to each instance's settings
+  Json::Value limits;        ///< passed to each instance's settings
   Json::Value times;         ///< passed to each instance's settings
 };
 
--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -94,7 +94,8 @@
                 std::uint64_t seed) {
   LoadSpec spec;
   spec.addresses = cluster.CallerAddresses();
-  spec.streams = TypicalStreams(150, reports);
+  spec.streams =
+      TypicalStreams(150, reports ? LongWork::kReports : LongWork::kNone);
   spec.phases = std::move(phases);
   spec.seed = seed;
   return RunLoad(spec);
@@ -107,7 +108,7 @@
   const LoadReport mixed = Load(cluster, true, {{kShort, 1}}, 12);
   LoadSpec spec;
   spec.addresses = cluster.CallerAddresses();
-  spec.streams = TypicalStreams(100, false);
+  spec.streams = TypicalStreams(100, LongWork::kNone);
   spec.phases = {{std::chrono::seconds(2), 1}, {std::chrono::seconds(6), 2}};
   spec.seed = 13;
   spec.timeout = std::chrono::seconds(8);
--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -53,10 +53,10 @@
 }
 
 LoadSpec Spec(const Cluster& cluster, const ExperimentRun& run, double rate,
-              bool reports) {
+              LongWork work) {
   LoadSpec spec;
   spec.addresses = cluster.CallerAddresses();
-  spec.streams = TypicalStreams(rate, reports);
+  spec.streams = TypicalStreams(rate, work);
   spec.phases = {{std::chrono::seconds(run.seconds), 1}};
   spec.seed = run.seed;
   return spec;
@@ -99,6 +99,7 @@
   std::string name;
   std::string alternative;
   bool value = true;
+  int prefetch = 1;
 };
 
 using Measure = std::function<std::vector<double>(
@@ -116,7 +117,8 @@
                  std::to_string(run.seed) + "`";
     table.columns = columns;
     for (const auto& it : variants) {
-      const Deployment with = With(deployment, it.alternative, it.value);
+      Deployment with = With(deployment, it.alternative, it.value);
+      with.limits["prefetch"] = it.prefetch;
       Json::Value& details = raw[deployment.name][it.name];
       table.rows.push_back({it.name, measure(run, with, details)});
     }
@@ -128,7 +130,7 @@
 std::vector<double> BusyLoad(const ExperimentRun& run,
                              const Deployment& deployment, Json::Value& raw) {
   Cluster cluster(deployment);
-  LoadSpec spec = Spec(cluster, run, kBusyRate, true);
+  LoadSpec spec = Spec(cluster, run, kBusyRate, LongWork::kAudits);
   spec.timeout = kCrestTimeout;
   const LoadReport report = RunLoad(spec);
   raw = report.ToJson();
@@ -156,34 +158,49 @@
 
 void Binding(const ExperimentRun& run) {
   Compare(run,
-          {{"bound when a slot frees", "late_binding", true},
-           {"pushed at once", "late_binding", false}},
+          {{"bound when a slot frees, one ahead", "late_binding", true, 1},
+           {"bound when a slot frees", "late_binding", true, 0},
+           {"pushed at once", "late_binding", false, 1}},
           kBusyColumns, BusyLoad);
 }
 
+std::vector<double> LongLoad(const ExperimentRun& run,
+                             const Deployment& deployment, Json::Value& raw) {
+  constexpr double kRate = 300;
+  Cluster cluster(deployment);
+  auto load = [&](LongWork work, std::uint64_t seed) {
+    ExperimentRun next = run;
+    next.seed = run.seed + seed;
+    return RunLoad(Spec(cluster, next, kRate, work));
+  };
+  (void)load(LongWork::kAudits, 1);  // costs are learned
+  const LoadReport calm = load(LongWork::kNone, 2);
+  const LoadReport reports = load(LongWork::kReports, 3);
+  const LoadReport audits = load(LongWork::kAudits, 4);
+  raw["without"] = calm.ToJson();
+  raw["reports"] = reports.ToJson();
+  raw["audits"] = audits.ToJson();
+  const double without = P99(calm, "claims/claim");
+  const double with_reports = P99(reports, "claims/claim");
+  const double with_audits = P99(audits, "claims/claim");
+  return {without,
+          with_reports,
+          with_reports / without,
+          with_audits,
+          with_audits / without,
+          P99(reports, "catalogue/browse"),
+          static_cast<double>(reports.kinds.at("claims/report").done +
+                              audits.kinds.at("claims/audit").done)};
+}
+
 void LongCap(const ExperimentRun& run) {
   Compare(run,
           {{"long work holds slots - 1", "long_work_cap", true},
            {"no cap", "long_work_cap", false}},
-          {"claim p99 ms without reports", "claim p99 ms with reports", "ratio",
-           "browse p99 ms with reports", "reports done"},
-          [](const ExperimentRun& it, const Deployment& deployment,
-             Json::Value& raw) -> std::vector<double> {
-            Cluster cluster(deployment);
-            const LoadReport warm = RunLoad(Spec(cluster, it, 300, true));
-            const LoadReport without = RunLoad(Spec(cluster, it, 300, false));
-            ExperimentRun next = it;
-            next.seed = it.seed + 1;
-            const LoadReport with = RunLoad(Spec(cluster, next, 300, true));
-            raw["without"] = without.ToJson();
-            raw["with"] = with.ToJson();
-            const double calm = P99(without, "claims/claim");
-            const double mixed = P99(with, "claims/claim");
-            return {
-                calm, mixed, mixed / calm, P99(with, "catalogue/browse"),
-                static_cast<double>(with.kinds.at("claims/report").done +
-                                    with.kinds.at("catalogue/report").done)};
-          });
+          {"claim p99 ms without long work", "with reports", "ratio",
+           "with audits on the primary", "ratio", "browse p99 ms with reports",
+           "long work done"},
+          LongLoad);
 }
 
 void ReplicaReads(const ExperimentRun& run) {
@@ -195,7 +212,7 @@
           [](const ExperimentRun& it, const Deployment& deployment,
              Json::Value& raw) -> std::vector<double> {
             Cluster cluster(deployment);
-            LoadSpec spec = Spec(cluster, it, kBusyRate, false);
+            LoadSpec spec = Spec(cluster, it, kBusyRate, LongWork::kNone);
             spec.timeout = kCrestTimeout;
             const LoadReport report = RunLoad(spec);
             raw = report.ToJson();
@@ -216,14 +233,15 @@
   for (const double multiplier : {2.0, 4.0, 6.0}) {
     ExperimentRun step = run;
     step.seed = run.seed + static_cast<std::uint64_t>(multiplier);
-    LoadSpec spec = Spec(cluster, step, kBaseRate * multiplier, false);
+    LoadSpec spec =
+        Spec(cluster, step, kBaseRate * multiplier, LongWork::kNone);
     spec.timeout = kCrestTimeout;
     const LoadReport report = RunLoad(spec);
     raw["steps"].append(report.ToJson());
     best = std::max(best, static_cast<double>(Sum(report, &KindReport::done)) /
                               run.seconds);
   }
-  LoadSpec spec = Spec(cluster, run, kBaseRate, false);
+  LoadSpec spec = Spec(cluster, run, kBaseRate, LongWork::kNone);
   spec.timeout = kCrestTimeout;
   spec.phases = {{std::chrono::seconds(2), 1},
                  {std::chrono::seconds(run.seconds), 10},
@@ -263,7 +281,7 @@
           [](const ExperimentRun& it, const Deployment& deployment,
              Json::Value& raw) -> std::vector<double> {
             Cluster cluster(deployment);
-            LoadSpec spec = Spec(cluster, it, kBaseRate, false);
+            LoadSpec spec = Spec(cluster, it, kBaseRate, LongWork::kNone);
             // Callers avoid the lost instance; its peers have to find out.
             spec.addresses.erase(spec.addresses.begin());
             spec.actions.emplace_back(std::chrono::seconds(2), [&] {
@@ -295,7 +313,7 @@
     Cluster cluster(small);
     LoadSpec spec;
     spec.addresses = cluster.CallerAddresses();
-    spec.streams = {TypicalStreams(1, false)[0]};
+    spec.streams = {TypicalStreams(1, LongWork::kNone)[0]};
     spec.streams[0].rate = 50;
     spec.phases = {{std::chrono::seconds(6), 1}};
     spec.seed = run.seed + static_cast<std::uint64_t>(n);
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -220,7 +220,7 @@
 
 }  // namespace
 
-std::vector<Stream> TypicalStreams(double rate, bool with_reports) {
+std::vector<Stream> TypicalStreams(double rate, LongWork work) {
   std::vector<Stream> streams = {
       {"claims", "claim", true, false,
        "INSERT INTO claim (request, stock) VALUES ($1, 1)", rate * 0.15},
@@ -233,10 +233,10 @@
       {"dispatch", "lookup", false, false,
        "SELECT count(*) FROM stock WHERE id < 3", rate * 0.1},
   };
-  if (with_reports) {
+  if (work != LongWork::kNone) {
     const std::string report = "SELECT pg_sleep(0.25), count(*) FROM claim";
-    streams.push_back(
-        {"claims", "report", false, true, report, kReportsPerSecond});
+    streams.push_back({"claims", work == LongWork::kAudits ? "audit" : "report",
+                       false, true, report, kReportsPerSecond});
     streams.push_back(
         {"catalogue", "report", false, true, report, kReportsPerSecond});
   }
--- a/bench/load.h
+++ b/bench/load.h
@@ -70,10 +70,16 @@
   [[nodiscard]] Json::Value ToJson() const;
 };
 
-/// Typical workload of a deployment: claims, catalogue, dispatch, and long
-/// reports when `with_reports`. `rate` is the total at multiplier 1.
-[[nodiscard]] std::vector<Stream> TypicalStreams(double rate,
-                                                 bool with_reports);
+/// Long work in a load.
+enum class LongWork {
+  kNone,
+  kReports,  ///< of stated age, so that replicas may run them
+  kAudits,   ///< of the latest data, so that they run where claims do
+};
+
+/// Typical workload of a deployment: claims, catalogue, dispatch and long
+/// work. `rate` is the total of the short work at multiplier 1.
+[[nodiscard]] std::vector<Stream> TypicalStreams(double rate, LongWork work);
 
 /// Runs a load to its end.
 [[nodiscard]] LoadReport RunLoad(const LoadSpec& spec);
--- a/include/corianderdock/options.h
+++ b/include/corianderdock/options.h
@@ -47,6 +47,7 @@
   Duration reconnect_pause = Milliseconds(50);
   Duration longest_reconnect_pause = std::chrono::seconds(1);
   int control_connections = 6;  ///< reserved of each server's limit
+  int prefetch = 1;             ///< short statements sent ahead of a free slot
 
   // Membership.
   Duration probe_interval = Milliseconds(500);
--- a/include/corianderdock/server_queue.h
+++ b/include/corianderdock/server_queue.h
@@ -24,6 +24,7 @@
 /// Which work may start now.
 struct SlotState {
   int slots = 0;
+  int prefetch = 0;  ///< short work that may be sent ahead of a free slot
   int running = 0;
   int running_long = 0;
   bool cap_long = true;  ///< keep one slot free of long work
--- a/src/core/server_queue.cc
+++ b/src/core/server_queue.cc
@@ -30,11 +30,12 @@
 }
 
 std::optional<QueueItem> ServerQueue::Pop(const SlotState& state) {
-  if (state.running >= state.slots) return std::nullopt;
+  if (state.running >= state.slots + state.prefetch) return std::nullopt;
   const int long_limit =
       state.cap_long ? std::max(state.slots - 1, 1) : state.slots;
   if (auto item = Take(kShort)) return item;
-  if (state.running_long >= long_limit) return std::nullopt;
+  const bool slot_free = state.running < state.slots;
+  if (!slot_free || state.running_long >= long_limit) return std::nullopt;
   return Take(kLong);
 }
 
--- a/src/core/work.cc
+++ b/src/core/work.cc
@@ -175,6 +175,7 @@
   const Server& server = lane.pool.server();
   SlotState state;
   state.slots = server.slots;
+  state.prefetch = context_.options.prefetch;
   if (!context_.options.shared_scheduler) {
     // Static shares cannot see the slots: each instance uses its connections.
     state.slots = lane.pool.Budget();
@@ -265,7 +266,7 @@
   Lane& lane = *found->second;
   while (lane.queue.size() > 0) {
     const SlotState slots = Slots(lane);
-    if (slots.running >= slots.slots) return;
+    if (slots.running >= slots.slots + slots.prefetch) return;
     const auto connection = lane.pool.Acquire();
     if (!connection) {
       lane.pool.Keep(lane.pool.size() + 1);
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -187,6 +187,7 @@
                  settings.options.platform_pollers_per_zone, 1, 100);
   section.Number("updates_per_message", settings.options.updates_per_message, 1,
                  1000);
+  section.Number("prefetch", settings.options.prefetch, 0, 1000);
   section.Number("retry_burst", settings.options.retry_burst, 0, kLargestCount);
 }
 
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -188,7 +188,7 @@
   Cluster cluster(deployment);
   LoadSpec spec;
   spec.addresses = cluster.CallerAddresses();
-  spec.streams = TypicalStreams(400, true);
+  spec.streams = TypicalStreams(400, LongWork::kAudits);
   spec.phases = {{std::chrono::seconds(4), 1}};
   spec.actions.emplace_back(std::chrono::seconds(2),
                             [&] { cluster.SignalInstance(1, SIGKILL); });
