Split large files by job; long work no longer starves; clocks may drift

Long work that waited a second goes next when none of it runs; stragglers count as long while they run. Promised ages are shortened by 1,000 ppm, and schedules now run clocks 500 ppm apart.

--- a/include/corianderdock/detail/fields.h
+++ b/include/corianderdock/detail/fields.h
@@ -45,4 +45,16 @@
   std::optional<Error> error_;
 };
 
+/// Enumerator whose name is `text`; reports `field` when there is none.
+template <typename Enum, std::size_t N>
+[[nodiscard]] Enum FindName(const char* const (&names)[N],
+                            const std::string& text, Fields& fields,
+                            const char* field) {
+  for (std::size_t n = 0; n < N; ++n) {
+    if (text == names[n]) return static_cast<Enum>(n);
+  }
+  fields.Fail(fields.Path(field), "has an unknown value");
+  return static_cast<Enum>(0);
+}
+
 }  // namespace corianderdock::detail
--- /dev/null
+++ b/include/corianderdock/detail/node_impl.h
@@ -0,0 +1,129 @@
+/// \file
+/// Threads and adapters of a running instance.
+#pragma once
+
+#include <log4cplus/logger.h>
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "corianderdock/metrics.h"
+#include "corianderdock/net/backend_client.h"
+#include "corianderdock/net/http_client.h"
+#include "corianderdock/net/http_server.h"
+#include "corianderdock/net/json_rpc.h"
+#include "corianderdock/net/platform_client.h"
+#include "corianderdock/node.h"
+#include "corianderdock/reducer.h"
+
+namespace corianderdock {
+
+namespace asio = boost::asio;
+using net::HttpRequest;
+using net::HttpRespond;
+using net::HttpResponse;
+using net::RpcCall;
+
+namespace detail {
+
+/// Bytes of HTTP headers counted for one control message.
+inline constexpr std::uint64_t kHttpOverheadBytes = 160;
+/// Target of requests between instances.
+inline constexpr char kPeerTarget[] = "/peer";
+
+/// A response with a ready body.
+[[nodiscard]] HttpResponse TextResponse(int status, std::string type,
+                                        std::string body);
+
+}  // namespace detail
+
+/// Everything a node owns. Members named after a thread run on it alone.
+class Node::Impl {
+ public:
+  explicit Impl(Settings settings);
+  void Run();
+
+ private:
+  /// What one traffic thread owns.
+  struct Traffic {
+    asio::io_context io{1};
+    std::unique_ptr<asio::executor_work_guard<asio::io_context::executor_type>>
+        guard;
+    std::unique_ptr<net::HttpClient> http;
+    std::unique_ptr<net::BackendClient> backend;
+    std::unique_ptr<net::RpcDispatcher> caller_rpc;
+    std::unique_ptr<net::RpcDispatcher> peer_rpc;
+    std::thread thread;
+  };
+
+  /// A call waiting for its answer on the control thread.
+  struct Pending {
+    RpcCall rpc;
+    HttpRespond respond;
+    TimePoint arrived;
+    Method method = Method::kExecute;
+  };
+
+  // Traffic threads.
+  void OnCallerHttp(const HttpRequest& request, HttpRespond respond,
+                    std::function<void()>& on_gone);
+  void OnPeerHttp(const HttpRequest& request, HttpRespond respond);
+  void OnPeerCall(RpcCall rpc, HttpRespond respond);
+  void OnGet(const std::string& target, HttpRespond respond);
+  Traffic& CurrentTraffic();
+
+  // Control thread.
+  void Post(Event event);
+  void Reduce(const Event& event);
+  void Dispatch(Effects effects);
+  void ArmTimer();
+  void Accept(CallId call, Pending pending, const Event& event);
+  void Apply(ReplyToCaller&& effect);
+  void Apply(ReplyToPeer&& effect);
+  void Apply(ForwardRequest&& effect);
+  void Apply(OpenConnection&& effect);
+  void Apply(CloseConnection&& effect);
+  void Apply(RunStatement&& effect);
+  void Apply(CallGroup&& effect);
+  void Apply(SendGossip&& effect);
+  void Apply(ReplyGossip&& effect);
+  void Apply(FetchFromPeer&& effect);
+  void Apply(PollPlatform&& effect);
+  void Apply(LogLine&& effect);
+  void Apply(Exit&& effect);
+  void Fetch(Traffic& traffic, const std::string& address,
+             const std::string& method);
+  void BeginDrain();
+  [[nodiscard]] std::string RenderMetrics();
+  [[nodiscard]] HttpResponse Health() const;
+
+  Traffic& TrafficOf(std::uint64_t id) {
+    return *traffic_[id % traffic_.size()];
+  }
+
+  Settings settings_;
+  log4cplus::Logger logger_;
+  asio::io_context control_{1};
+  asio::steady_timer timer_{control_};
+  asio::steady_timer exit_timer_{control_};
+  asio::signal_set signals_{control_, SIGTERM, SIGINT};
+  std::vector<std::unique_ptr<Traffic>> traffic_;
+  std::unique_ptr<net::PlatformClient> platform_;
+  std::unique_ptr<net::HttpServer> callers_;
+  std::unique_ptr<net::HttpServer> peers_;
+  std::unique_ptr<Reducer> reducer_;
+  std::map<CallId, Pending> pending_;
+  Metrics metrics_;
+  std::atomic<CallId> next_call_{1};
+  std::atomic<std::uint64_t> control_bytes_{0};
+};
+
+}  // namespace corianderdock
--- a/include/corianderdock/server_queue.h
+++ b/include/corianderdock/server_queue.h
@@ -18,7 +18,7 @@
   ServiceId service;
   bool is_long = false;
   Duration cost{0};  ///< expected run time
-  TimePoint deadline;
+  TimePoint enqueued;
 };
 
 /// Which work may start now.
@@ -28,10 +28,12 @@
   int running = 0;
   int running_long = 0;
   bool cap_long = true;  ///< keep one slot free of long work
+  TimePoint now{};
 };
 
 /// Start-time fair queue over services, with separate lanes for short and long
-/// work. Not thread-safe.
+/// work. Short work goes first, until long work has waited a second and none
+/// of it is running. Not thread-safe.
 ///
 /// \code
 /// ServerQueue queue;
@@ -70,6 +72,7 @@
   };
 
   [[nodiscard]] std::optional<QueueItem> Take(int lane);
+  [[nodiscard]] bool LongIsDue(TimePoint now) const;
 
   std::map<ServiceId, ServiceQueue> services_;
   double virtual_time_ = 0;
--- a/include/corianderdock/types.h
+++ b/include/corianderdock/types.h
@@ -45,6 +45,12 @@
   return end.term >= point.term && end.index >= point.index;
 }
 
+/// A duration shortened by what clocks of 1,000 ppm could gain within it.
+[[nodiscard]] constexpr Duration WithoutDrift(Duration duration) noexcept {
+  constexpr int kDriftDivisor = 1000;
+  return duration - duration / kDriftDivisor;
+}
+
 /// Smallest number of members that is more than half of `members`.
 [[nodiscard]] constexpr std::size_t Majority(std::size_t members) noexcept {
   return members / 2 + 1;
--- a/include/corianderdock/work.h
+++ b/include/corianderdock/work.h
@@ -58,8 +58,8 @@
   template <typename Visitor>
   void ForEachServer(Visitor visit) const {
     for (const auto& [id, lane] : lanes_) {
-      visit(id, lane->queue.size(), lane->running, lane->running_long,
-            lane->pool.size());
+      visit(id, lane->queue.size(), static_cast<int>(lane->busy.size()),
+            RunningLong(*lane), lane->pool.size());
     }
   }
 
@@ -90,8 +90,6 @@
         : pool(context, server) {}
     ServerPool pool;
     ServerQueue queue;
-    int running = 0;
-    int running_long = 0;
     std::map<ConnectionId, WorkId> busy;
     std::map<ConnectionId, WorkId> pings;
     double short_cost_ms = 1;  ///< running median of all work
@@ -115,6 +113,7 @@
   };
 
   Lane& LaneOf(const Server& server);
+  [[nodiscard]] int RunningLong(const Lane& lane) const;
   [[nodiscard]] SlotState Slots(const Lane& lane) const;
   [[nodiscard]] Duration ExpectedWait(const ServerId& server) const;
   [[nodiscard]] StatementType TypeOf(const Request& request, Mode mode) const;
--- a/src/core/client_calls.cc
+++ b/src/core/client_calls.cc
@@ -27,48 +27,6 @@
 
 }  // namespace
 
-const char* Name(Outcome outcome) noexcept {
-  switch (outcome) {
-    case Outcome::kDone:
-      return "done";
-    case Outcome::kNotRun:
-      return "not_run";
-    case Outcome::kUnknown:
-      return "unknown";
-    case Outcome::kFailed:
-      return "failed";
-  }
-  return "unknown";
-}
-
-const char* Name(Reason reason) noexcept {
-  constexpr const char* kNames[] = {"none",
-                                    "unknown_service",
-                                    "unknown_kind",
-                                    "zone_not_served",
-                                    "bad_statement",
-                                    "not_ready",
-                                    "overloaded",
-                                    "deadline",
-                                    "no_primary",
-                                    "replication_behind",
-                                    "token_not_reached",
-                                    "transaction_lost",
-                                    "no_evidence",
-                                    "connection_lost",
-                                    "retry_budget",
-                                    "sql_error",
-                                    "tombstoned",
-                                    "draining"};
-  return kNames[static_cast<std::size_t>(reason)];
-}
-
-const char* Name(Method method) noexcept {
-  constexpr const char* kNames[] = {"execute", "begin", "commit", "rollback",
-                                    "resolve"};
-  return kNames[static_cast<std::size_t>(method)];
-}
-
 ClientCalls::ClientCalls(detail::Context& context, const Directory& directory,
                          const Configuration& configuration,
                          GroupMonitor& monitor, Work& work)
@@ -408,7 +366,7 @@
   if (!context_.policy->VerifyAge()) return false;
   if (answer.status != RoutedStatus::kFinal) return false;
   const Duration transit = context_.now - call.sent - answer.handling;
-  return answer.data_age + transit > call.max_age;
+  return answer.data_age + transit > WithoutDrift(call.max_age);
 }
 
 void ClientCalls::RetryLater(CallId id, Call& call, Duration pause) {
--- /dev/null
+++ b/src/core/codec_gossip.cc
@@ -0,0 +1,153 @@
+#include "corianderdock/codec.h"
+#include "corianderdock/detail/fields.h"
+
+namespace corianderdock {
+
+namespace {
+
+using detail::Fields;
+using detail::FindName;
+
+constexpr const char* kMemberStates[] = {"alive", "suspect", "leaving", "dead"};
+
+Json::Value ToJson(const MemberUpdate& update) {
+  Json::Value out;
+  out["id"] = update.id;
+  out["zone"] = update.zone;
+  out["address"] = update.address;
+  out["incarnation"] = update.incarnation;
+  out["state"] = Name(update.state);
+  return out;
+}
+
+MemberUpdate ParseMember(Fields& fields) {
+  MemberUpdate update;
+  update.id = fields.Text("id", true);
+  update.zone = fields.Text("zone", true);
+  update.address = fields.Text("address", true);
+  update.incarnation = fields.Number("incarnation", 0);
+  update.state = FindName<MemberState>(kMemberStates, fields.Text("state"),
+                                       fields, "state");
+  return update;
+}
+
+}  // namespace
+
+Json::Value ToJson(const Gossip& gossip) {
+  Json::Value out;
+  out["sender"] = ToJson(gossip.sender);
+  out["members"] = Json::arrayValue;
+  for (const auto& it : gossip.members) out["members"].append(ToJson(it));
+  for (const auto& it : gossip.leaderships) {
+    Json::Value update = ToJson(it.leadership);
+    update["group"] = it.group;
+    out["leaderships"].append(update);
+  }
+  out["sheet_version"] = gossip.sheet_version;
+  out["topology_revision"] = gossip.topology_revision;
+  if (!gossip.probe_target.empty()) out["probe_target"] = gossip.probe_target;
+  if (gossip.full) out["full"] = true;
+  return out;
+}
+
+Result<Gossip> ParseGossip(const Json::Value& in) {
+  Fields fields(in, "gossip");
+  Gossip gossip;
+  Fields sender(fields.Object("sender"), "gossip.sender");
+  gossip.sender = ParseMember(sender);
+  if (sender.error()) return *sender.error();
+  for (const auto& it : fields.Array("members")) {
+    Fields member(it, "gossip.members");
+    gossip.members.push_back(ParseMember(member));
+    if (member.error()) return *member.error();
+  }
+  for (const auto& it : fields.Array("leaderships")) {
+    Fields update(it, "gossip.leaderships");
+    gossip.leaderships.push_back(
+        {update.Text("group", true), ParseLeadership(it)});
+    if (update.error()) return *update.error();
+  }
+  gossip.sheet_version = fields.Number("sheet_version", 0);
+  gossip.topology_revision = fields.Number("topology_revision", 0);
+  gossip.probe_target = fields.Text("probe_target");
+  gossip.full = fields.Flag("full", false);
+  if (fields.error()) return *fields.error();
+  return gossip;
+}
+
+Json::Value ToJson(const Topology& topology) {
+  Json::Value out;
+  out["revision"] = topology.revision;
+  out["servers"] = Json::objectValue;
+  for (const auto& [id, server] : topology.servers) {
+    Json::Value& it = out["servers"][id];
+    it["group"] = server.group;
+    it["zone"] = server.zone;
+    it["address"] = server.address;
+    it["slots"] = server.slots;
+    it["connection_limit"] = server.connection_limit;
+    it["leaving"] = server.leaving;
+  }
+  out["instances"] = Json::objectValue;
+  for (const auto& [id, instance] : topology.instances) {
+    Json::Value& it = out["instances"][id];
+    it["zone"] = instance.zone;
+    it["address"] = instance.address;
+    it["leaving"] = instance.leaving;
+  }
+  return out;
+}
+
+Result<Topology> ParseTopology(const Json::Value& in) {
+  constexpr std::uint64_t kMostSlots = 10000;
+  Fields fields(in, "topology");
+  Topology topology;
+  topology.revision = fields.Number("revision", 0);
+  const Json::Value& servers = fields.Object("servers");
+  for (const auto& id : servers.getMemberNames()) {
+    Fields it(servers[id], "servers." + id);
+    Server server;
+    server.id = id;
+    server.group = it.Text("group", true);
+    server.zone = it.Text("zone", true);
+    server.address = it.Text("address", true);
+    server.slots = static_cast<int>(it.Number("slots", 2, 1, kMostSlots));
+    server.connection_limit =
+        static_cast<int>(it.Number("connection_limit", 16, 1, kMostSlots));
+    server.leaving = it.Flag("leaving", false);
+    if (it.error()) return *it.error();
+    topology.servers[id] = server;
+  }
+  const Json::Value& instances = fields.Object("instances");
+  for (const auto& id : instances.getMemberNames()) {
+    Fields it(instances[id], "instances." + id);
+    ListedInstance instance{id, it.Text("zone", true), it.Text("address", true),
+                            it.Flag("leaving", false)};
+    if (it.error()) return *it.error();
+    topology.instances[id] = instance;
+  }
+  if (fields.error()) return *fields.error();
+  return topology;
+}
+
+Json::Value ToJson(const AcceptedSheet& sheet) {
+  Json::Value out;
+  out["version"] = sheet.version;
+  out["load_id"] = sheet.load_id;
+  out["author"] = sheet.author;
+  out["text"] = sheet.text;
+  return out;
+}
+
+Result<AcceptedSheet> ParseAcceptedSheet(const Json::Value& in) {
+  Fields fields(in, "sheet");
+  AcceptedSheet sheet;
+  sheet.version = fields.Number("version", 0, 1);
+  sheet.load_id = fields.Text("load_id", true);
+  sheet.author = fields.Text("author");
+  sheet.text = fields.Text("text", true);
+  if (fields.error()) return *fields.error();
+  return sheet;
+}
+
+}  // namespace corianderdock
--- a/src/core/server_queue.cc
+++ b/src/core/server_queue.cc
@@ -8,6 +8,7 @@
 
 constexpr int kShort = 0;
 constexpr int kLong = 1;
+constexpr Duration kLongPatience = std::chrono::seconds(1);
 
 double CostOf(const QueueItem& item) {
   const double ms =
@@ -33,12 +34,23 @@
   if (state.running >= state.slots + state.prefetch) return std::nullopt;
   const int long_limit =
       state.cap_long ? std::max(state.slots - 1, 1) : state.slots;
+  const bool long_may_start =
+      state.running < state.slots && state.running_long < long_limit;
+  if (long_may_start && state.running_long == 0 && LongIsDue(state.now)) {
+    return Take(kLong);
+  }
   if (auto item = Take(kShort)) return item;
-  const bool slot_free = state.running < state.slots;
-  if (!slot_free || state.running_long >= long_limit) return std::nullopt;
+  if (!long_may_start) return std::nullopt;
   return Take(kLong);
 }
 
+bool ServerQueue::LongIsDue(TimePoint now) const {
+  return std::any_of(services_.begin(), services_.end(), [now](const auto& it) {
+    const auto& items = it.second.lanes[kLong].items;
+    return !items.empty() && now - items.front().enqueued >= kLongPatience;
+  });
+}
+
 std::optional<QueueItem> ServerQueue::Take(int lane) {
   ServiceQueue* best = nullptr;
   for (auto& [id, service] : services_) {
--- /dev/null
+++ b/src/runtime/node_effects.cc
@@ -0,0 +1,179 @@
+#include <log4cplus/loggingmacros.h>
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "corianderdock/codec.h"
+#include "corianderdock/detail/hash.h"
+#include "corianderdock/detail/node_impl.h"
+
+namespace corianderdock {
+
+namespace {
+
+constexpr Duration kFlushTime = Milliseconds(100);
+constexpr Duration kFetchTimeout = Milliseconds(900);
+
+}  // namespace
+
+void Node::Impl::Apply(ReplyToCaller&& effect) {
+  const auto it = pending_.find(effect.call);
+  if (it == pending_.end()) return;
+  Pending pending = std::move(it->second);
+  pending_.erase(it);
+  const std::string labels = std::string("method=\"") + Name(pending.method) +
+                             "\",outcome=\"" + Name(effect.answer.outcome) +
+                             "\"";
+  metrics_.Latency("request_seconds", labels)
+      .Record(Clock::now() - pending.arrived);
+  HttpResponse response;
+  response.close = reducer_->Draining();
+  response.make_body = [rpc = std::move(pending.rpc),
+                        answer = std::move(effect.answer)] {
+    const Json::Value result = ToJson(answer);
+    if (answer.outcome == Outcome::kDone) return rpc.Success(result);
+    return rpc.Failure(net::kRpcOutcome, Name(answer.outcome), result);
+  };
+  pending.respond(std::move(response));
+}
+
+void Node::Impl::Apply(ReplyToPeer&& effect) {
+  const auto it = pending_.find(effect.call);
+  if (it == pending_.end()) return;
+  Pending pending = std::move(it->second);
+  pending_.erase(it);
+  HttpResponse response;
+  response.make_body = [rpc = std::move(pending.rpc),
+                        answer = std::move(effect.answer)] {
+    return rpc.Success(ToJson(answer));
+  };
+  pending.respond(std::move(response));
+}
+
+void Node::Impl::Apply(ReplyGossip&& effect) {
+  const auto it = pending_.find(effect.call);
+  if (it == pending_.end()) return;
+  Pending pending = std::move(it->second);
+  pending_.erase(it);
+  std::string body = pending.rpc.Success(ToJson(effect.gossip));
+  control_bytes_ += body.size() + detail::kHttpOverheadBytes;
+  pending.respond(
+      detail::TextResponse(200, "application/json", std::move(body)));
+}
+
+void Node::Impl::Apply(ForwardRequest&& effect) {
+  Traffic& traffic = TrafficOf(effect.call);
+  asio::post(traffic.io, [this, &traffic, effect = std::move(effect)] {
+    const CallId call = effect.call;
+    const std::uint64_t attempt = effect.attempt;
+    traffic.http->Post(
+        effect.address, detail::kPeerTarget,
+        net::MakeRpcRequest("peer.execute", ToJson(effect.routed)),
+        effect.timeout, [this, call, attempt](const net::HttpResult& result) {
+          ForwardResult event{call, attempt, result.sent, std::nullopt};
+          if (result.ok && result.status == 200) {
+            const auto value = net::ParseRpcResponse(result.body);
+            if (value) {
+              auto answer = ParseRoutedAnswer(*value);
+              if (answer) event.answer = std::move(*answer);
+            }
+          }
+          Post(std::move(event));
+        });
+  });
+}
+
+void Node::Impl::Apply(OpenConnection&& effect) {
+  Traffic& traffic = TrafficOf(effect.connection);
+  asio::post(traffic.io, [&traffic, effect] { traffic.backend->Open(effect); });
+}
+
+void Node::Impl::Apply(CloseConnection&& effect) {
+  Traffic& traffic = TrafficOf(effect.connection);
+  asio::post(traffic.io,
+             [&traffic, effect] { traffic.backend->Close(effect.connection); });
+}
+
+void Node::Impl::Apply(RunStatement&& effect) {
+  Traffic& traffic = TrafficOf(effect.connection);
+  asio::post(traffic.io, [&traffic, effect = std::move(effect)] {
+    traffic.backend->Run(effect);
+  });
+}
+
+void Node::Impl::Apply(CallGroup&& effect) {
+  Traffic& traffic = TrafficOf(detail::HashPair("control", effect.server));
+  asio::post(traffic.io, [&traffic, effect] { traffic.backend->Call(effect); });
+}
+
+void Node::Impl::Apply(SendGossip&& effect) {
+  Traffic& traffic = TrafficOf(effect.probe);
+  asio::post(traffic.io, [this, &traffic, effect = std::move(effect)] {
+    std::string body =
+        net::MakeRpcRequest("peer.gossip", ToJson(effect.gossip));
+    control_bytes_ += body.size() + detail::kHttpOverheadBytes;
+    traffic.http->Post(
+        effect.address, detail::kPeerTarget, std::move(body), effect.timeout,
+        [this, probe = effect.probe](const net::HttpResult& result) {
+          GossipResult event{probe, std::nullopt};
+          control_bytes_ += result.body.size() + detail::kHttpOverheadBytes;
+          if (result.ok && result.status == 200) {
+            const auto value = net::ParseRpcResponse(result.body);
+            if (value) {
+              auto gossip = ParseGossip(*value);
+              if (gossip) event.gossip = std::move(*gossip);
+            }
+          }
+          Post(std::move(event));
+        });
+  });
+}
+
+void Node::Impl::Fetch(Traffic& traffic, const std::string& address,
+                       const std::string& method) {
+  traffic.http->Post(
+      address, detail::kPeerTarget,
+      net::MakeRpcRequest(method, Json::Value(Json::objectValue)),
+      kFetchTimeout, [this, method](const net::HttpResult& result) {
+        control_bytes_ += result.body.size() + detail::kHttpOverheadBytes;
+        if (!result.ok || result.status != 200) return;
+        const auto value = net::ParseRpcResponse(result.body);
+        if (!value) return;
+        if (method == "peer.sheet") {
+          auto sheet = ParseAcceptedSheet(*value);
+          if (sheet) Post(SheetRead{std::move(*sheet)});
+        } else {
+          auto topology = ParseTopology(*value);
+          if (topology) Post(TopologyRead{std::move(*topology)});
+        }
+      });
+}
+
+void Node::Impl::Apply(FetchFromPeer&& effect) {
+  Traffic& traffic = *traffic_.front();
+  asio::post(traffic.io, [this, &traffic, effect] {
+    if (effect.sheet) Fetch(traffic, effect.address, "peer.sheet");
+    if (effect.topology) Fetch(traffic, effect.address, "peer.topology");
+  });
+}
+
+void Node::Impl::Apply(PollPlatform&& effect) {
+  Traffic& traffic = *traffic_.front();
+  asio::post(traffic.io, [this, effect] {
+    platform_->Poll(effect, [this](Event event) { Post(std::move(event)); });
+  });
+}
+
+void Node::Impl::Apply(LogLine&& effect) {
+  LOG4CPLUS_INFO(logger_, effect.text);
+}
+
+void Node::Impl::Apply(Exit&&) {
+  exit_timer_.expires_after(kFlushTime);
+  exit_timer_.async_wait([this](boost::system::error_code) {
+    LOG4CPLUS_INFO(logger_, "stopped");
+    control_.stop();
+  });
+}
+
+}  // namespace corianderdock
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 
 #include "corianderdock/codec.h"
 #include "corianderdock/net/http_server.h"
@@ -95,6 +96,18 @@
     }
   }
 
+  /// A name that may stand in keys, log lines and connection parameters.
+  void Name(const char* name, std::string& out) {
+    const std::size_t before = errors_.size();
+    Text(name, out, out.empty());
+    if (errors_.size() != before) return;
+    const bool valid = std::all_of(out.begin(), out.end(), [](char c) {
+      return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+             c == '_' || c == '.';
+    });
+    if (!valid) Fail(name, "expected letters, digits, -, _ and .");
+  }
+
   void Address(const char* name, std::string& out) {
     const std::size_t before = errors_.size();
     Text(name, out, true);
@@ -221,15 +234,15 @@
   Settings settings;
   {
     Section top(*json, "", errors);
-    top.Text("instance", settings.identity.instance, true);
-    top.Text("zone", settings.identity.zone, true);
+    top.Name("instance", settings.identity.instance);
+    top.Name("zone", settings.identity.zone);
     top.Address("listen", settings.listen);
     top.Address("peer_listen", settings.peer_listen);
     top.Addresses("platform", settings.platform);
     top.Addresses("seeds", settings.options.seeds);
     top.Number("traffic_threads", settings.traffic_threads, 1, 64);
-    top.Text("database_user", settings.database_user);
-    top.Text("database_name", settings.database_name);
+    top.Name("database_user", settings.database_user);
+    top.Name("database_name", settings.database_name);
     ReadLog(top, settings, errors);
     ReadTimes(top, settings.options, errors);
     ReadLimits(top, settings, errors);
--- a/standin/backend_session.cc
+++ b/standin/backend_session.cc
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "pg_wire.h"
 #include "replication.h"
 
 namespace standin {
@@ -26,83 +27,6 @@
 constexpr Milliseconds kKeepalive{2000};  // a server drops a dead peer
 constexpr std::size_t kLargestMessage = 4 << 20;
 
-std::string Int32(std::uint32_t n) {
-  std::string out(4, '\0');
-  for (int i = 0; i < 4; ++i) out[i] = static_cast<char>(n >> (24 - 8 * i));
-  return out;
-}
-
-std::string Int16(std::uint16_t n) {
-  return {static_cast<char>(n >> 8), static_cast<char>(n & 0xff)};
-}
-
-std::uint32_t ReadInt32(std::string_view in) {
-  std::uint32_t n = 0;
-  for (int i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(in[i]);
-  return n;
-}
-
-/// Reads fields of one message body in order.
-class Cursor {
- public:
-  explicit Cursor(std::string_view in) : in_(in) {}
-  std::string Text() {
-    const auto end = in_.find('\0');
-    std::string out(in_.substr(0, end));
-    in_.remove_prefix(std::min(in_.size(), out.size() + 1));
-    return out;
-  }
-  std::uint32_t Word() {
-    const std::uint32_t n = in_.size() < 4 ? 0 : ReadInt32(in_);
-    in_.remove_prefix(std::min<std::size_t>(4, in_.size()));
-    return n;
-  }
-  std::uint16_t Half() {
-    std::uint16_t n = 0;
-    if (in_.size() >= 2) {
-      n = static_cast<unsigned char>(in_[0]) << 8 |
-          static_cast<unsigned char>(in_[1]);
-    }
-    in_.remove_prefix(std::min<std::size_t>(2, in_.size()));
-    return n;
-  }
-  std::string Take(std::size_t n) {
-    std::string out(in_.substr(0, n));
-    in_.remove_prefix(std::min(n, in_.size()));
-    return out;
-  }
-
- private:
-  std::string_view in_;
-};
-
-std::string FirstWord(std::string_view sql) {
-  std::string word;
-  for (const char c : sql) {
-    if (std::isalpha(static_cast<unsigned char>(c)) != 0) {
-      word += static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
-    } else if (!word.empty() || (c != ' ' && c != '\n' && c != '\t')) {
-      break;
-    }
-  }
-  return word;
-}
-
-bool IsInteger(const std::string& text) {
-  const std::size_t from = text.starts_with('-') ? 1 : 0;
-  return text.size() > from && text.size() < 19 &&
-         std::all_of(text.begin() + static_cast<std::ptrdiff_t>(from),
-                     text.end(),
-                     [](unsigned char c) { return c >= '0' && c <= '9'; });
-}
-
-/// Group operations and bookkeeping take neither a slot nor service time.
-bool IsControl(std::string_view sql) {
-  return sql.find("group_") != std::string_view::npos ||
-         sql.find("standin_") != std::string_view::npos ||
-         sql.find("corianderdock_request") != std::string_view::npos;
-}
-
 }  // namespace
 
 BackendSession::BackendSession(asio::ip::tcp::socket socket,
@@ -509,77 +433,4 @@
   return SqlError{"42601", message};
 }
 
-void BackendSession::Put(char type, const Bytes& body) {
-  out_ += type;
-  out_ += Int32(static_cast<std::uint32_t>(body.size() + 4));
-  out_ += body;
-}
-
-void BackendSession::PutError(const SqlError& error) {
-  Bytes body;
-  body += "SERROR";
-  body += '\0';
-  body += "C" + error.code;
-  body += '\0';
-  body += "M" + error.message;
-  body += '\0';
-  body += '\0';
-  Put('E', body);
-}
-
-void BackendSession::PutRowDescription(sqlite3_stmt* statement) {
-  constexpr std::uint32_t kInt8Oid = 20;
-  constexpr std::uint32_t kTextOid = 25;
-  constexpr std::uint16_t kInt8Size = 8;
-  constexpr std::uint16_t kAnySize = 0xffff;
-  const int columns = sqlite3_column_count(statement);
-  Bytes body = Int16(static_cast<std::uint16_t>(columns));
-  for (int n = 0; n < columns; ++n) {
-    const char* type = sqlite3_column_decltype(statement, n);
-    const bool integer = type != nullptr && std::strncmp(type, "INT", 3) == 0;
-    body += sqlite3_column_name(statement, n);
-    body += '\0';
-    body += Int32(0) + Int16(0) + Int32(integer ? kInt8Oid : kTextOid) +
-            Int16(integer ? kInt8Size : kAnySize) + Int32(-1) + Int16(0);
-  }
-  Put('T', body);
-}
-
-void BackendSession::PutDataRow(sqlite3_stmt* statement) {
-  const int columns = sqlite3_column_count(statement);
-  Bytes body = Int16(static_cast<std::uint16_t>(columns));
-  for (int n = 0; n < columns; ++n) {
-    const auto* text =
-        reinterpret_cast<const char*>(sqlite3_column_text(statement, n));
-    if (text == nullptr) {
-      body += Int32(-1);
-      continue;
-    }
-    const int size = sqlite3_column_bytes(statement, n);
-    body += Int32(static_cast<std::uint32_t>(size));
-    body.append(text, static_cast<std::size_t>(size));
-  }
-  Put('D', body);
-}
-
-void BackendSession::PutComplete(sqlite3_stmt* statement, std::uint64_t rows) {
-  const std::string word = FirstWord(sqlite3_sql(statement));
-  std::string tag = word;
-  const auto changed = std::to_string(sqlite3_changes(db_.get()));
-  if (word == "SELECT" || word == "VALUES") {
-    tag = "SELECT " + std::to_string(rows);
-  } else if (word == "INSERT") {
-    tag = "INSERT 0 " + changed;
-  } else if (word == "UPDATE" || word == "DELETE") {
-    tag += " " + changed;
-  }
-  Put('C', tag + '\0');
-}
-
-void BackendSession::PutReady() {
-  char state = 'I';
-  if (explicit_transaction_) state = failed_ ? 'E' : 'T';
-  Put('Z', Bytes(1, state));
-}
-
 }  // namespace standin
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -101,6 +101,20 @@
   CHECK(queue.Pop(state)->work == 2);
 }
 
+TEST_CASE("long work is not starved by short work", "[queue]") {
+  ServerQueue queue;
+  const TimePoint start = TimePoint(std::chrono::hours(1));
+  QueueItem report = Item(1, "r", true, 100);
+  report.enqueued = start;
+  queue.Push(report, 1);
+  queue.Push(Item(2, "c"), 1);
+  queue.Push(Item(3, "c"), 1);
+  SlotState state{.slots = 2, .now = start + Milliseconds(500)};
+  CHECK(queue.Pop(state)->work == 2);
+  state.now = start + std::chrono::seconds(2);
+  CHECK(queue.Pop(state)->work == 1);
+}
+
 TEST_CASE("services share a server by weight", "[queue]") {
   ServerQueue queue;
   for (WorkId n = 0; n < 300; ++n) {
--- /dev/null
+++ b/tests/support/fake_network.cc
@@ -0,0 +1,182 @@
+#include <algorithm>
+
+#include "fake_world.h"
+
+namespace testing_support {
+
+// Callers and peers ----------------------------------------------------------
+
+void FakeWorld::Handle(int n, ReplyToCaller effect) {
+  instances_[static_cast<std::size_t>(n)].calls.erase(effect.call);
+  const auto found = callers_.find(effect.call);
+  if (found == callers_.end()) return;
+  const auto on_answer = std::move(found->second);
+  callers_.erase(found);
+  After(Latency(),
+        [on_answer, answer = std::move(effect.answer)] { on_answer(answer); });
+}
+
+void FakeWorld::Handle(int n, ForwardRequest effect) {
+  const Instance& from = instances_[static_cast<std::size_t>(n)];
+  const int to = InstanceAt(effect.address);
+  const std::uint64_t life = from.life;
+  const CallId call = effect.call;
+  const std::uint64_t attempt = effect.attempt;
+  const bool refused =
+      to >= 0 && !instances_[static_cast<std::size_t>(to)].alive;
+  if (to < 0 || refused) {
+    After(Latency(), [this, n, life, call, attempt] {
+      Deliver(n, ForwardResult{call, attempt, false, std::nullopt}, life);
+    });
+    return;
+  }
+  const Instance& target = instances_[static_cast<std::size_t>(to)];
+  const std::uint64_t id = next_call_++;
+  peer_calls_[id] = {n, life, call, attempt};
+  After(effect.timeout, [this, id] {
+    const auto found = peer_calls_.find(id);
+    if (found == peer_calls_.end()) return;
+    const PeerCall peer = found->second;
+    peer_calls_.erase(found);
+    Deliver(peer.from, ForwardResult{peer.call, peer.attempt, true, {}},
+            peer.life);
+  });
+  if (!Linked(from.identity.zone, target.identity.zone)) return;
+  After(Latency(), [this, to, id, target_life = target.life,
+                    routed = std::move(effect.routed)] {
+    Deliver(to, PeerRequest{id, routed}, target_life);
+  });
+}
+
+void FakeWorld::Handle(int n, ReplyToPeer effect) {
+  const auto found = peer_calls_.find(effect.call);
+  if (found == peer_calls_.end()) return;
+  const PeerCall peer = found->second;
+  const ZoneId zone = instances_[static_cast<std::size_t>(n)].identity.zone;
+  const ZoneId to =
+      instances_[static_cast<std::size_t>(peer.from)].identity.zone;
+  if (!Linked(zone, to)) return;
+  peer_calls_.erase(found);
+  const Duration latency = Latency();
+  ForwardResult result{peer.call, peer.attempt, true, std::move(effect.answer)};
+  After(latency,
+        [this, peer, result] { Deliver(peer.from, result, peer.life); });
+  if (options_.lossy && random_() % 50 == 0) {
+    After(3 * latency,
+          [this, peer, result] { Deliver(peer.from, result, peer.life); });
+  }
+}
+
+void FakeWorld::Handle(int n, SendGossip effect) {
+  const Instance& from = instances_[static_cast<std::size_t>(n)];
+  const int to = InstanceAt(effect.address);
+  const std::uint64_t id = next_call_++;
+  probe_calls_[id] = {n, from.life, effect.probe};
+  After(effect.timeout, [this, id] {
+    const auto found = probe_calls_.find(id);
+    if (found == probe_calls_.end()) return;
+    const ProbeCall probe = found->second;
+    probe_calls_.erase(found);
+    Deliver(probe.from, GossipResult{probe.probe, std::nullopt}, probe.life);
+  });
+  if (to < 0) return;
+  const Instance& target = instances_[static_cast<std::size_t>(to)];
+  if (!target.alive || !Linked(from.identity.zone, target.identity.zone)) {
+    return;
+  }
+  After(Latency(),
+        [this, to, id, life = target.life, gossip = std::move(effect.gossip)] {
+          Deliver(to, GossipRequest{id, gossip}, life);
+        });
+}
+
+void FakeWorld::Handle(int n, ReplyGossip effect) {
+  const auto found = probe_calls_.find(effect.call);
+  if (found == probe_calls_.end()) return;
+  const ProbeCall probe = found->second;
+  const ZoneId zone = instances_[static_cast<std::size_t>(n)].identity.zone;
+  const ZoneId to =
+      instances_[static_cast<std::size_t>(probe.from)].identity.zone;
+  if (!Linked(zone, to)) return;
+  probe_calls_.erase(found);
+  After(Latency(), [this, probe, gossip = std::move(effect.gossip)] {
+    Deliver(probe.from, GossipResult{probe.probe, gossip}, probe.life);
+  });
+}
+
+void FakeWorld::Handle(int n, FetchFromPeer effect) {
+  const int to = InstanceAt(effect.address);
+  if (to < 0) return;
+  const Instance& from = instances_[static_cast<std::size_t>(n)];
+  After(2 * Latency(), [this, n, to, effect, life = from.life] {
+    const Instance& peer = instances_[static_cast<std::size_t>(to)];
+    const Instance& self = instances_[static_cast<std::size_t>(n)];
+    if (!peer.alive || peer.frozen ||
+        !Linked(self.identity.zone, peer.identity.zone)) {
+      return;
+    }
+    if (effect.topology) {
+      Deliver(n, TopologyRead{peer.reducer->directory().topology()}, life);
+    }
+    if (effect.sheet) {
+      Deliver(n, SheetRead{peer.reducer->configuration().accepted()}, life);
+    }
+  });
+}
+
+void FakeWorld::Handle(int n, LogLine effect) {
+  instances_[static_cast<std::size_t>(n)].log.push_back(std::move(effect));
+}
+
+void FakeWorld::Handle(int n, Exit) {
+  Instance& it = instances_[static_cast<std::size_t>(n)];
+  if (!it.calls.empty()) {
+    violations_.push_back("graceful shutdown cut off " +
+                          std::to_string(it.calls.size()) + " requests");
+  }
+  it.exited = true;
+  After(Duration(0), [this, n] { KillInstance(n); });
+}
+
+// Platform -------------------------------------------------------------------
+
+Topology FakeWorld::Lists() const {
+  Topology lists;
+  lists.revision = list_revision_;
+  for (const auto& [id, server] : servers_) lists.servers[id] = server.listed;
+  for (const auto& it : instances_) {
+    lists.instances[it.identity.instance] = {
+        it.identity.instance, it.identity.zone, it.identity.address, false};
+  }
+  return lists;
+}
+
+void FakeWorld::Handle(int n, PollPlatform effect) {
+  const Instance& from = instances_[static_cast<std::size_t>(n)];
+  const std::uint64_t life = from.life;
+  if (platform_mode_ == "down" || platform_cuts_.contains(from.identity.zone)) {
+    After(Milliseconds(800),
+          [this, n, life] { Deliver(n, PlatformPolled{false}, life); });
+    return;
+  }
+  Duration delay = 2 * Latency();
+  if (platform_mode_ == "slow") delay += std::chrono::seconds(2);
+  const std::size_t versions =
+      platform_mode_ == "stale" ? stale_sheets_ : sheets_.size();
+  After(delay, [this, n, life, effect, versions] {
+    if (list_revision_ > effect.known_topology) {
+      Deliver(n, TopologyRead{Lists()}, life);
+    }
+    // A platform that answers with old data offers an old sheet to everyone.
+    const bool offer = versions > effect.known_sheet ||
+                       (platform_mode_ == "stale" && versions > 0);
+    if (offer) {
+      const std::string id = "load-" + std::to_string(versions);
+      Deliver(n, SheetRead{{versions, id, "operator", sheets_[versions - 1]}},
+              life);
+    }
+    Deliver(n, PlatformPolled{true}, life);
+  });
+}
+
+}  // namespace testing_support
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -27,6 +27,7 @@
   Duration lag = Milliseconds(3);
   const Policy* policy = nullptr;
   std::function<void(Options&)> tune;  ///< changes options of all instances
+  double drift = 0;    ///< clocks run faster or slower by up to this share
   bool lossy = false;  ///< now and then delay and repeat what is delivered
 };
 
@@ -56,7 +57,6 @@
   void RestartInstance(int n);
   void FreezeInstance(int n, bool frozen);
   void DrainInstance(int n);
-  void SetDrift(int n, double rate);
   void Cut(const ZoneId& a, const ZoneId& b);
   void CutPlatform(const ZoneId& zone);
   void HealAll();
--- a/tests/support/schedule.cc
+++ b/tests/support/schedule.cc
@@ -10,6 +10,7 @@
 constexpr Duration kWarmUp = std::chrono::seconds(3);
 constexpr Duration kDrainTime = std::chrono::seconds(4);
 constexpr int kSessions = 4;
+constexpr double kDrift = 500e-6;
 
 void Inject(FakeWorld& world, const Fault& fault) {
   const std::string server = "g-" + std::to_string(fault.target + 1);
@@ -153,6 +154,7 @@
     const std::function<void(FakeWorld&)>& inspect) {
   WorldOptions options;
   options.lossy = true;
+  options.drift = kDrift;
   options.policy = policy;
   FakeWorld world(options, seed);
   world.RunFor(kWarmUp);
