--- a/apps/corianderctl.cc
+++ b/apps/corianderctl.cc
@@ -160,7 +160,9 @@
       std::string all;
       for (const auto& it : parsed.error()) {
         if (!all.empty()) all += "\n";
-        all += arguments_.argument + ": " + corianderdock::ToText(it);
+        all += arguments_.argument;
+        all += ": ";
+        all += corianderdock::ToText(it);
       }
       return Fail(kExitBadInput, all);
     }
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -122,6 +122,7 @@
   Process Spawn(std::vector<std::string> arguments, const std::string& log);
   void End(Process& process);
   void AwaitPort(const std::string& address);
+  [[nodiscard]] std::string LogTails() const;
 
   Deployment deployment_;
   std::string folder_;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -57,7 +57,7 @@
     WatchForClose();
     on_gone_ = nullptr;
     handler_(
-        std::move(request),
+        request,
         [self = shared_from_this()](HttpResponse response) {
           asio::post(self->stream_.get_executor(),
                      [self, response = std::move(response)] {
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -89,14 +89,15 @@
   limits.largest_body = settings_.largest_body;
   callers_ = std::make_unique<net::HttpServer>(
       contexts, net::ParseEndpoint(settings_.listen), limits,
-      [this](HttpRequest request, HttpRespond respond,
+      [this](const HttpRequest& request, HttpRespond respond,
              std::function<void()>& on_gone) {
         OnCallerHttp(request, std::move(respond), on_gone);
       });
   limits.largest_body = kLargestPeerBody;
   peers_ = std::make_unique<net::HttpServer>(
       contexts, net::ParseEndpoint(settings_.peer_listen), limits,
-      [this](HttpRequest request, HttpRespond respond, std::function<void()>&) {
+      [this](const HttpRequest& request, HttpRespond respond,
+             std::function<void()>&) {
         OnPeerHttp(request, std::move(respond));
       });
 }
