--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -21,8 +21,9 @@
 
 namespace {
 
-constexpr double kBaseRate = 150;  // statements per second before the swing
-constexpr double kBusyRate = 900;  // close to what the servers can take
+constexpr double kBaseRate = 150;   // statements per second before a swing
+constexpr double kCrestBase = 250;  // the same where ten times must saturate
+constexpr double kBusyRate = 900;   // close to what the servers can take
 constexpr Duration kCrestTimeout = std::chrono::seconds(1);
 
 double Ms(Duration duration) {
--- a/include/corianderdock/net/http_server.h
+++ b/include/corianderdock/net/http_server.h
@@ -33,7 +33,7 @@
 
 /// Handles a request on a connection's thread. `on_gone` may be set to learn
 /// that the client went away before the response.
-using HttpHandler = std::function<void(HttpRequest, HttpRespond,
+using HttpHandler = std::function<void(const HttpRequest&, HttpRespond,
                                        std::function<void()>& on_gone)>;
 
 struct HttpLimits {
