--- /dev/null
+++ b/include/corianderdock/detail/base64.h
@@ -0,0 +1,14 @@
+/// \file
+/// Base64 as in RFC 4648 section 4, for the platform's JSON gateway.
+#pragma once
+
+#include <string>
+
+#include "corianderdock/result.h"
+
+namespace corianderdock::detail {
+
+[[nodiscard]] std::string EncodeBase64(const std::string& bytes);
+[[nodiscard]] Result<std::string> DecodeBase64(std::string text);
+
+}  // namespace corianderdock::detail
--- a/src/adapters/platform_client.cc
+++ b/src/adapters/platform_client.cc
@@ -1,9 +1,6 @@
 #include "corianderdock/net/platform_client.h"
 
 #include <algorithm>
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/binary_from_base64.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,6 +9,7 @@
 #include <charconv>
 
 #include "corianderdock/codec.h"
+#include "corianderdock/detail/base64.h"
 #include "corianderdock/detail/fields.h"
 #include "corianderdock/detail/hash.h"
 
@@ -28,29 +26,6 @@
 constexpr std::size_t kChunkSize = std::size_t{256} * 1024;
 constexpr std::size_t kHistoryKept = 32;
 
-std::string Encode64(const std::string& bytes) {
-  using namespace boost::archive::iterators;  // NOLINT
-  using Text =
-      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
-  std::string out(Text(bytes.cbegin()), Text(bytes.cend()));
-  out.append((3 - bytes.size() % 3) % 3, '=');
-  return out;
-}
-
-Result<std::string> Decode64(std::string text) {
-  using namespace boost::archive::iterators;  // NOLINT
-  using Binary =
-      transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
-  while (!text.empty() && text.back() == '=') text.pop_back();
-  try {
-    std::string out(Binary(text.cbegin()), Binary(text.cend()));
-    out.resize(text.size() * 6 / 8);
-    return out;
-  } catch (const std::exception&) {
-    return Error{"platform", "answered with malformed base64"};
-  }
-}
-
 std::uint64_t NumberOf(const Json::Value& value) {
   if (value.isUInt64()) return value.asUInt64();
   std::uint64_t number = 0;
@@ -117,8 +92,8 @@
 asio::awaitable<Result<PlatformClient::RangeAnswer>> PlatformClient::Range(
     std::string key, std::string end, std::uint64_t min_mod_revision) {
   Json::Value body;
-  body["key"] = Encode64(key);
-  if (!end.empty()) body["range_end"] = Encode64(end);
+  body["key"] = detail::EncodeBase64(key);
+  if (!end.empty()) body["range_end"] = detail::EncodeBase64(end);
   if (min_mod_revision > 0) {
     body["min_mod_revision"] = std::to_string(min_mod_revision);
   }
@@ -134,8 +109,8 @@
     if (!it.isObject() || !it["key"].isString()) {
       co_return Error{"platform", "answered with a malformed key"};
     }
-    const auto decoded_key = Decode64(it["key"].asString());
-    const auto decoded = Decode64(it.get("value", "").asString());
+    const auto decoded_key = detail::DecodeBase64(it["key"].asString());
+    const auto decoded = detail::DecodeBase64(it.get("value", "").asString());
     if (!decoded_key) co_return decoded_key.error();
     if (!decoded) co_return decoded.error();
     answer.values.push_back(
@@ -147,8 +122,8 @@
 asio::awaitable<Result<bool>> PlatformClient::Put(std::string key,
                                                   std::string value) {
   Json::Value body;
-  body["key"] = Encode64(key);
-  body["value"] = Encode64(value);
+  body["key"] = detail::EncodeBase64(key);
+  body["value"] = detail::EncodeBase64(value);
   const auto answer = co_await Call("/v3/kv/put", body);
   if (!answer) co_return answer.error();
   co_return true;
@@ -269,13 +244,13 @@
     manifest["history"].append(entry);
   }
   Json::Value compare;
-  compare["key"] = Encode64(kManifestKey);
+  compare["key"] = detail::EncodeBase64(kManifestKey);
   compare["target"] = "MOD";
   compare["result"] = "EQUAL";
   compare["mod_revision"] = std::to_string(expected);
   Json::Value put;
-  put["requestPut"]["key"] = Encode64(kManifestKey);
-  put["requestPut"]["value"] = Encode64(ToText(manifest));
+  put["requestPut"]["key"] = detail::EncodeBase64(kManifestKey);
+  put["requestPut"]["value"] = detail::EncodeBase64(ToText(manifest));
   Json::Value body;
   body["compare"].append(compare);
   body["success"].append(put);
--- a/src/adapters/statement_runner.cc
+++ b/src/adapters/statement_runner.cc
@@ -203,13 +203,8 @@
   StatementResult recorded = co_await LookUp();
   const auto* found = std::get_if<StatementSuccess>(&recorded);
   if (found == nullptr || found->recorded) co_return recorded;
-  std::vector<PqQuery> batch = {{"BEGIN", {}}, Guard()};
-  auto replies = co_await connection_.Run(std::move(batch));
-  if (const PqReply* error = FirstError(replies)) {
-    const StatementFailure failure = ToFailure(*error);
-    co_await Abort();
-    co_return failure;
-  }
+  StatementResult begun = co_await Begin();
+  if (std::holds_alternative<StatementFailure>(begun)) co_return begun;
   co_return co_await RecordAndCommit({}, true);
 }
 
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -10,6 +10,7 @@
 #include <iterator>
 
 #include "backend_session.h"
+#include "corianderdock/net/http_server.h"
 #include "replication.h"
 
 namespace {
@@ -97,11 +98,8 @@
     asio::io_context io(1);
     standin::BackendStore store(io, options);
     Bootstrap(store, follow, init.empty() ? "" : ReadFile(init));
-    const auto colon = options.address.rfind(':');
-    tcp::acceptor acceptor(
-        io, {asio::ip::make_address(options.address.substr(0, colon)),
-             static_cast<std::uint16_t>(
-                 std::stoi(options.address.substr(colon + 1)))});
+    tcp::acceptor acceptor(io,
+                           corianderdock::net::ParseEndpoint(options.address));
     asio::signal_set signals(io, SIGINT, SIGTERM);
     signals.async_wait([&](auto, int) { io.stop(); });
     asio::co_spawn(io, Accept(acceptor, store), asio::detached);
--- a/standin/backend_store.cc
+++ b/standin/backend_store.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "corianderdock/codec.h"
+
 namespace standin {
 
 namespace {
@@ -114,9 +116,7 @@
     start["index"] = it.index;
     out["term_starts"].append(start);
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, out);
+  return corianderdock::ToText(out);
 }
 
 Milliseconds BackendStore::SincePrimaryHeard() const {
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -3,9 +3,6 @@
 /// JSON gateway, with fault switches, for tests and the demo.
 #include <json/json.h>
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/binary_from_base64.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast.hpp>
@@ -14,6 +11,10 @@
 #include <map>
 #include <sstream>
 
+#include "corianderdock/codec.h"
+#include "corianderdock/detail/base64.h"
+#include "corianderdock/net/http_server.h"
+
 namespace {
 
 namespace asio = boost::asio;
@@ -30,23 +31,13 @@
 
 constexpr std::size_t kLargestValue = 1 << 20;
 
-std::string Decode64(std::string text) {
-  using namespace boost::archive::iterators;  // NOLINT
-  using Binary =
-      transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
-  while (!text.empty() && text.back() == '=') text.pop_back();
-  std::string out(Binary(text.cbegin()), Binary(text.cend()));
-  out.resize(text.size() * 6 / 8);
-  return out;
-}
+using corianderdock::ToText;
+using corianderdock::detail::EncodeBase64;
 
-std::string Encode64(const std::string& bytes) {
-  using namespace boost::archive::iterators;  // NOLINT
-  using Text =
-      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
-  std::string out(Text(bytes.cbegin()), Text(bytes.cend()));
-  out.append((3 - bytes.size() % 3) % 3, '=');
-  return out;
+std::string Decode64(const Json::Value& text) {
+  auto bytes = corianderdock::detail::DecodeBase64(text.asString());
+  if (!bytes) throw std::runtime_error("malformed base64");
+  return *bytes;
 }
 
 std::uint64_t NumberOf(const Json::Value& value) {
@@ -137,16 +128,16 @@
 
 Json::Value ToJson(const std::string& key, const Version& version) {
   Json::Value kv;
-  kv["key"] = Encode64(key);
-  kv["value"] = Encode64(version.value.value_or(""));
+  kv["key"] = EncodeBase64(key);
+  kv["value"] = EncodeBase64(version.value.value_or(""));
   kv["create_revision"] = std::to_string(version.create_revision);
   kv["mod_revision"] = std::to_string(version.mod_revision);
   return kv;
 }
 
 Json::Value Range(const Platform& platform, const Json::Value& in) {
-  const std::string key = Decode64(in["key"].asString());
-  const std::string end = Decode64(in["range_end"].asString());
+  const std::string key = Decode64(in["key"]);
+  const std::string end = Decode64(in["range_end"]);
   const std::uint64_t from =
       in.isMember("min_mod_revision") ? NumberOf(in["min_mod_revision"]) : 0;
   Json::Value out;
@@ -166,8 +157,8 @@
 }
 
 Json::Value Put(Platform& platform, const Json::Value& in) {
-  const std::string key = Decode64(in["key"].asString());
-  const std::string value = Decode64(in["value"].asString());
+  const std::string key = Decode64(in["key"]);
+  const std::string value = Decode64(in["value"]);
   if (value.size() > kLargestValue) throw std::runtime_error("value too large");
   platform.Write(key, value);
   if (in.isMember("lease")) {
@@ -181,12 +172,12 @@
 }
 
 bool Holds(const Platform& platform, const Json::Value& compare) {
-  const Version* version = platform.Latest(Decode64(compare["key"].asString()));
+  const Version* version = platform.Latest(Decode64(compare["key"]));
   const std::string target = compare["target"].asString();
   std::uint64_t have = 0;
   std::uint64_t want = 0;
   if (target == "VALUE") {
-    const std::string expected = Decode64(compare["value"].asString());
+    const std::string expected = Decode64(compare["value"]);
     return version != nullptr && version->value == expected;
   }
   if (target == "MOD") {
@@ -263,18 +254,12 @@
     {"/standin/fault", SetFault},
 };
 
-std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
 /// Streams the changes of one key range as newline-delimited JSON.
 asio::awaitable<void> Watch(tcp::socket& socket, Platform& platform,
                             const Json::Value& in) {
   const Json::Value& create = in["create_request"];
-  const std::string key = Decode64(create["key"].asString());
-  std::string end = Decode64(create["range_end"].asString());
+  const std::string key = Decode64(create["key"]);
+  std::string end = Decode64(create["range_end"]);
   if (end.empty()) end = key + '\0';
   std::uint64_t next = create.isMember("start_revision")
                            ? NumberOf(create["start_revision"])
@@ -386,10 +371,7 @@
     po::notify(values);
     asio::io_context io(1);
     Platform platform(io);
-    const auto colon = address.rfind(':');
-    tcp::acceptor acceptor(
-        io, {asio::ip::make_address(address.substr(0, colon)),
-             static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    tcp::acceptor acceptor(io, corianderdock::net::ParseEndpoint(address));
     asio::signal_set signals(io, SIGINT, SIGTERM);
     signals.async_wait([&](auto, int) { io.stop(); });
     asio::co_spawn(io, Accept(acceptor, platform), asio::detached);
--- a/standin/replication.cc
+++ b/standin/replication.cc
@@ -13,6 +13,9 @@
 #include <sstream>
 #include <utility>
 
+#include "corianderdock/codec.h"
+#include "corianderdock/net/http_server.h"
+
 namespace standin {
 
 namespace asio = boost::asio;
@@ -28,9 +31,7 @@
 constexpr std::size_t kEntriesPerMessage = 200;
 
 std::string ToLine(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value) + "\n";
+  return corianderdock::ToText(value) + "\n";
 }
 
 asio::awaitable<Json::Value> ReadLine(tcp::socket& socket,
@@ -80,12 +81,6 @@
   return hello;
 }
 
-tcp::endpoint ParseAddress(const std::string& address) {
-  const auto colon = address.rfind(':');
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-}
-
 /// Appends and applies the entries of one message, in order.
 asio::awaitable<void> ApplyMessage(BackendStore& store,
                                    DelayedMessage message) {
@@ -149,8 +144,8 @@
   watchdog.async_wait([&socket](boost::system::error_code ec) {
     if (!ec) socket.close();
   });
-  co_await socket.async_connect(ParseAddress(store.log.primary()),
-                                use_awaitable);
+  co_await socket.async_connect(
+      corianderdock::net::ParseEndpoint(store.log.primary()), use_awaitable);
   std::string request(8, '\0');
   request[3] = 8;
   for (int n = 0; n < 4; ++n) {
