--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -70,8 +70,10 @@
   for (int n = 0; n < services; ++n) {
     const std::string name = "service-" + std::to_string(n);
     const std::string head = name + "," + GroupName(n) + zones;
-    text += head + "claim,write,,40\n";
-    text += head + "browse,read,2s,160\n";
+    for (const char* kind : {"claim,write,,40\n", "browse,read,2s,160\n"}) {
+      text += head;
+      text += kind;
+    }
   }
   return text;
 }
@@ -119,9 +121,9 @@
 
   void Feed(const Event& event) {
     const auto start = Clock::now();
-    Effects effects = reducer_.Reduce(now_, event);
+    const Effects effects = reducer_.Reduce(now_, event);
     spent_ += Clock::now() - start;
-    Handle(std::move(effects));
+    Handle(effects);
   }
 
  private:
@@ -130,7 +132,7 @@
     answers_.push({now_ + Milliseconds(1), next_++});
   }
 
-  void Handle(Effects effects) {
+  void Handle(const Effects& effects) {
     for (const auto& it : effects) {
       if (const auto* call = std::get_if<CallGroup>(&it)) {
         ServerStatus status;
@@ -437,6 +439,7 @@
   ClosedLoopResult result;
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(callers));
   const auto end = Clock::now() + length;
   const std::string sql = "SELECT left_over FROM stock WHERE id = 7";
   for (int n = 0; n < callers; ++n) {
