--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -11,6 +11,7 @@
 
 #include "capacity.h"
 #include "cluster.h"
+#include "comparison.h"
 #include "corianderdock/codec.h"
 #include "load.h"
 #include "report.h"
@@ -26,108 +27,6 @@
 constexpr double kBusyRate = 900;   // close to what the servers can take
 constexpr Duration kCrestTimeout = std::chrono::seconds(1);
 
-double Ms(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-double P99(const LoadReport& report, const std::string& kind) {
-  const auto it = report.kinds.find(kind);
-  return it == report.kinds.end() ? 0 : Ms(it->second.latency.Quantile(0.99));
-}
-
-std::uint64_t Sum(const LoadReport& report, std::uint64_t KindReport::*member) {
-  std::uint64_t sum = 0;
-  for (const auto& [name, it] : report.kinds) sum += it.*member;
-  return sum;
-}
-
-std::vector<Deployment> Deployments(const ExperimentRun& run) {
-  std::vector<Deployment> all;
-  if (run.deployment != "dzintarkrasts") all.push_back(Adinkra());
-  if (run.deployment != "adinkra") all.push_back(Dzintarkrasts());
-  return all;
-}
-
-Deployment With(Deployment deployment, const std::string& name, bool value) {
-  if (!name.empty()) deployment.alternatives[name] = value;
-  return deployment;
-}
-
-LoadSpec Spec(const Cluster& cluster, const ExperimentRun& run, double rate,
-              LongWork work) {
-  LoadSpec spec;
-  spec.addresses = cluster.CallerAddresses();
-  spec.streams = TypicalStreams(rate, work);
-  spec.phases = {{std::chrono::seconds(run.seconds), 1}};
-  spec.seed = run.seed;
-  return spec;
-}
-
-/// Request ids that were refused as not run and yet are in the books.
-std::uint64_t FalseRefusals(Cluster& cluster, const LoadReport& report) {
-  std::uint64_t found = 0;
-  for (const auto& server : cluster.servers()) {
-    if (!server.ends_with("-1")) continue;
-    const std::string group = server.substr(0, server.size() - 2);
-    const std::string primary = cluster.PrimaryOf(group);
-    if (primary.empty()) continue;
-    std::string list;
-    for (const auto& id : report.not_run_ids) {
-      list += (list.empty() ? "'" : ",'") + id + "'";
-    }
-    if (list.empty()) continue;
-    const std::string n = cluster.Sql(
-        primary, "SELECT count(*) FROM claim WHERE request IN (" + list + ")");
-    found += std::strtoull(n.c_str(), nullptr, 10);
-  }
-  return found;
-}
-
-int MostConnections(Cluster& cluster) {
-  int most = 0;
-  for (const auto& server : cluster.servers()) {
-    const auto status =
-        corianderdock::ParseJson(cluster.Sql(server, "SELECT group_status()"));
-    if (!status || !status->isObject()) continue;
-    most = std::max(most, (*status)["most_connections"].asInt() +
-                              (*status)["refused_connections"].asInt());
-  }
-  return most;
-}
-
-/// A variant of an ablation: its name and the alternative it sets.
-struct Variant {
-  std::string name;
-  std::string alternative;
-  bool value = true;
-  int prefetch = 1;
-};
-
-using Measure = std::function<std::vector<double>(
-    const ExperimentRun&, const Deployment&, Json::Value&)>;
-
-void Compare(const ExperimentRun& run, const std::vector<Variant>& variants,
-             const std::vector<std::string>& columns, const Measure& measure) {
-  std::vector<Table> tables;
-  Json::Value raw;
-  for (const auto& deployment : Deployments(run)) {
-    Table table;
-    table.title = run.name + ", " + deployment.name;
-    table.note = "`scripts/experiment " + run.name + " --seconds " +
-                 std::to_string(run.seconds) + " --seed " +
-                 std::to_string(run.seed) + "`";
-    table.columns = columns;
-    for (const auto& it : variants) {
-      Deployment with = With(deployment, it.alternative, it.value);
-      with.limits["prefetch"] = it.prefetch;
-      Json::Value& details = raw[deployment.name][it.name];
-      table.rows.push_back({it.name, measure(run, with, details)});
-    }
-    tables.push_back(std::move(table));
-  }
-  WriteReport(run.folder, run.name, tables, raw);
-}
-
 std::vector<double> BusyLoad(const ExperimentRun& run,
                              const Deployment& deployment, Json::Value& raw) {
   Cluster cluster(deployment);
@@ -458,14 +357,66 @@
   WriteReport(run.folder, run.name, {table}, {});
 }
 
+/// The brief's four measures of one deployment in one run.
+std::vector<double> FourMeasures(const ExperimentRun& run,
+                                 const Deployment& deployment,
+                                 Json::Value& raw) {
+  Cluster cluster(deployment);
+  ExperimentRun next = run;
+  (void)RunLoad(Spec(cluster, next, kBaseRate, LongWork::kAudits));
+  const LoadReport calm =
+      RunLoad(Spec(cluster, next, kBaseRate, LongWork::kNone));
+  ++next.seed;
+  const LoadReport mixed =
+      RunLoad(Spec(cluster, next, kBaseRate, LongWork::kAudits));
+  ++next.seed;
+  LoadSpec swing = Spec(cluster, next, kCrestBase, LongWork::kNone);
+  swing.timeout = kCrestTimeout;
+  swing.phases = {{std::chrono::seconds(2), 1},
+                  {std::chrono::seconds(run.seconds), 10}};
+  const LoadReport crest = RunLoad(swing);
+  ++next.seed;
+  LoadSpec failing = Spec(cluster, next, kBaseRate, LongWork::kNone);
+  failing.timeout = std::chrono::seconds(8);
+  failing.actions.emplace_back(std::chrono::seconds(2), [&] {
+    cluster.SignalServer(cluster.PrimaryOf(deployment.groups[0]), SIGKILL);
+  });
+  const LoadReport failover = RunLoad(failing);
+  raw["calm"] = calm.ToJson();
+  raw["long_work"] = mixed.ToJson();
+  raw["crest"] = crest.ToJson();
+  raw["failover"] = failover.ToJson();
+  return {100 * calm.ReplicaShare(),
+          Ms(failover.longest_gap.at("claims")),
+          static_cast<double>(crest.phase_done[1]) / run.seconds,
+          P99(crest, "catalogue/browse"),
+          static_cast<double>(Sum(crest, &KindReport::not_run)),
+          static_cast<double>(Sum(crest, &KindReport::late)),
+          P99(mixed, "claims/claim") / P99(calm, "claims/claim")};
+}
+
+void Measures(const ExperimentRun& run) {
+  Compare(run, {{"as shipped", "", true}},
+          {"reads by replicas %", "claim gap in failover ms",
+           "done/s at ten times", "browse p99 ms there", "refused there",
+           "late there", "claims p99 with long work over without"},
+          FourMeasures);
+}
+
 using Experiment = void (*)(const ExperimentRun&);
 const std::map<std::string, Experiment>& Experiments() {
   static const std::map<std::string, Experiment> kAll = {
-      {"scheduler", Scheduler}, {"binding", Binding},
-      {"long-cap", LongCap},    {"replica-reads", ReplicaReads},
-      {"queue", Queue},         {"membership", MembershipRun},
-      {"failover", Failover},   {"sheet", SheetRun},
-      {"baseline", Baseline},   {"capacity", MeasureCapacity}};
+      {"scheduler", Scheduler},
+      {"binding", Binding},
+      {"long-cap", LongCap},
+      {"replica-reads", ReplicaReads},
+      {"queue", Queue},
+      {"membership", MembershipRun},
+      {"failover", Failover},
+      {"sheet", SheetRun},
+      {"baseline", Baseline},
+      {"measures", Measures},
+      {"capacity", MeasureCapacity}};
   return kAll;
 }
 
