--- a/bench/report.cc
+++ b/bench/report.cc
@@ -84,14 +84,18 @@
   std::filesystem::create_directories(folder);
   std::string markdown = "## " + name + "\n\n";
   for (std::size_t n = 0; n < tables.size(); ++n) {
-    const std::string plot = name + "-" + std::to_string(n + 1) + ".svg";
+    std::string plot = name;
+    plot += "-";
+    plot += std::to_string(n + 1);
+    plot += ".svg";
     markdown += tables[n].Markdown();
     markdown += "![";
     markdown += tables[n].title;
     markdown += "](";
     markdown += plot;
     markdown += ")\n\n";
-    std::ofstream(folder + "/" + plot) << tables[n].Svg();
+    const std::filesystem::path path = std::filesystem::path(folder) / plot;
+    std::ofstream(path) << tables[n].Svg();
   }
   std::ofstream(folder + "/" + name + ".md") << markdown;
   std::ofstream(folder + "/" + name + ".json")
