--- a/standin/backend_session.cc
+++ b/standin/backend_session.cc
@@ -43,7 +43,7 @@
   co_await Flush();
   for (;;) {
     const Bytes head = co_await ReadExactly(5);
-    const std::uint32_t length = ReadInt32(std::string_view(head).substr(1));
+    const std::uint32_t length = ReadInt32(head.substr(1));
     if (length < 4 || length > kLargestMessage) co_return;
     Bytes body = co_await ReadExactly(length - 4);
     if (head[0] == 'X') co_return;
@@ -56,7 +56,7 @@
   for (;;) {
     const Bytes head = co_await ReadExactly(8);
     const std::uint32_t length = ReadInt32(head);
-    const std::uint32_t code = ReadInt32(std::string_view(head).substr(4));
+    const std::uint32_t code = ReadInt32(head.substr(4));
     if (code == kReplicationCode) {
       co_await ServeReplica(std::move(socket_), store_);
       co_return false;
--- a/tests/support/fake_callers.cc
+++ b/tests/support/fake_callers.cc
@@ -23,8 +23,8 @@
   return request;
 }
 
-void FakeWorld::Submit(Operation operation, int n, Request request,
-                       std::function<void(const Answer&)> on_done) {
+void FakeWorld::Submit(Operation operation, int n, const Request& request,
+                       const std::function<void(const Answer&)>& on_done) {
   Instance& it = instances_[static_cast<std::size_t>(n)];
   if (!it.alive) return;
   operation.invoked = now_;
@@ -66,7 +66,7 @@
   request.sql = "INSERT INTO t VALUES ($1)";
   request.params = {operation.id};
   request.request_id = operation.id;
-  Submit(std::move(operation), instance, std::move(request));
+  Submit(std::move(operation), instance, request);
 }
 
 void FakeWorld::Read(int session, int instance, const std::string& kind) {
@@ -78,7 +78,7 @@
   Request request = MakeRequest(Method::kExecute, session);
   request.kind = kind;
   request.sql = "SELECT * FROM t";
-  Submit(std::move(operation), instance, std::move(request));
+  Submit(std::move(operation), instance, request);
 }
 
 void FakeWorld::Transact(int session, int instance, int other) {
@@ -107,7 +107,7 @@
       Request commit = MakeRequest(Method::kCommit, session);
       commit.transaction = begun.transaction;
       commit.request_id = id;
-      Submit(std::move(operation), other, std::move(commit));
+      Submit(std::move(operation), other, commit);
     };
     Deliver(other, CallerRequest{second, insert}, next.life);
   };
@@ -122,7 +122,7 @@
   operation.session = session;
   Request request = MakeRequest(Method::kResolve, session);
   request.request_id = id;
-  Submit(std::move(operation), instance, std::move(request));
+  Submit(std::move(operation), instance, request);
 }
 
 }  // namespace testing_support
--- a/tests/support/fake_network.cc
+++ b/tests/support/fake_network.cc
@@ -104,7 +104,7 @@
   });
 }
 
-void FakeWorld::Handle(int n, FetchFromPeer effect) {
+void FakeWorld::Handle(int n, const FetchFromPeer& effect) {
   const int to = InstanceAt(effect.address);
   if (to < 0) return;
   const Instance& from = instances_[static_cast<std::size_t>(n)];
--- a/tests/support/fake_servers.cc
+++ b/tests/support/fake_servers.cc
@@ -36,7 +36,7 @@
 
 // Backend connections --------------------------------------------------------
 
-void FakeWorld::Handle(int n, OpenConnection effect) {
+void FakeWorld::Handle(int n, const OpenConnection& effect) {
   const Instance& it = instances_[static_cast<std::size_t>(n)];
   const std::uint64_t life = it.life;
   const ZoneId zone = it.identity.zone;
@@ -212,8 +212,6 @@
     case StatementType::kPing:
       return StatementSuccess{};
     case StatementType::kRollback:
-      connection.statements.clear();
-      return StatementSuccess{};
     case StatementType::kBegin:
       connection.statements.clear();
       return StatementSuccess{};
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -158,13 +158,13 @@
   void Handle(int n, ReplyToCaller effect);
   void Handle(int n, ReplyToPeer effect);
   void Handle(int n, ForwardRequest effect);
-  void Handle(int n, OpenConnection effect);
+  void Handle(int n, const OpenConnection& effect);
   void Handle(int n, CloseConnection effect);
   void Handle(int n, RunStatement effect);
   void Handle(int n, CallGroup effect);
   void Handle(int n, SendGossip effect);
   void Handle(int n, ReplyGossip effect);
-  void Handle(int n, FetchFromPeer effect);
+  void Handle(int n, const FetchFromPeer& effect);
   void Handle(int n, PollPlatform effect);
   void Handle(int n, LogLine effect);
   void Handle(int n, Exit effect);
@@ -197,8 +197,8 @@
     std::uint64_t probe = 0;
   };
 
-  void Submit(Operation operation, int instance, Request request,
-              std::function<void(const Answer&)> on_done = nullptr);
+  void Submit(Operation operation, int instance, const Request& request,
+              const std::function<void(const Answer&)>& on_done = nullptr);
   [[nodiscard]] Request MakeRequest(Method method, int session) const;
 
   WorldOptions options_;
--- a/tests/support/process_target.cc
+++ b/tests/support/process_target.cc
@@ -208,7 +208,7 @@
   const std::string object = words.size() > 1 ? words[1] : "";
   std::string name = words.size() > 2 ? words[2] : "";
   if (name == "primary") name = cluster_->PrimaryOf(kGroup);
-  const std::string last = words.back();
+  const std::string& last = words.back();
   const int n = std::atoi(name.c_str());
   auto later = [this](Duration delay, std::function<void()> action) {
     delayed_.emplace_back([delay, action = std::move(action)] {
@@ -283,7 +283,7 @@
 
 std::string ProcessTarget::Check(const Step& step) {
   bool handled = false;
-  const std::string reason =
+  std::string reason =
       CheckHistory(step.words, history_, start_, load_end_, handled);
   if (handled) return reason;
   const std::string what = step.words[0];
