Reads wait until a majority holds what they show

Cause: a read at the primary returned entries that no replica had yet, and a read at a former primary was let through by a confirmed sample of its old term; the primary's loss then took back what callers had seen.

--- a/include/corianderdock/group_monitor.h
+++ b/include/corianderdock/group_monitor.h
@@ -54,6 +54,11 @@
   [[nodiscard]] std::size_t Holders(const GroupId& group,
                                     Position position) const;
 
+  /// How many servers are known to hold in the current term all that a read at
+  /// `position` on `reader` returned. 0 when the term replaced some of it.
+  [[nodiscard]] std::size_t ReadHolders(const GroupId& group, Position position,
+                                        const ServerId& reader) const;
+
   /// Whether a majority answered in the current term lately, so that a write
   /// can gather evidence.
   [[nodiscard]] bool EvidencePossible(const GroupId& group) const;
@@ -127,6 +132,8 @@
     TimePoint sent;
   };
 
+  /// Whether the server was last seen to hold `position` within its term.
+  static bool Holds(const ServerView& view, Position position);
   void Poll(const GroupId& id, Group& group, const ServerId& server);
   void SchedulePoll(const GroupId& id, const ServerId& server, Duration delay);
   [[nodiscard]] Duration PollInterval(const GroupId& id) const;
--- a/include/corianderdock/policy.h
+++ b/include/corianderdock/policy.h
@@ -21,6 +21,12 @@
     return holders >= majority;
   }
 
+  /// Whether data held by `holders` servers is shown to a reader.
+  [[nodiscard]] virtual bool ShowRead(std::size_t holders,
+                                      std::size_t majority) const {
+    return holders >= majority;
+  }
+
   /// Whether `grants` servers suffice to promote.
   [[nodiscard]] virtual bool MayPromote(std::size_t grants,
                                         std::size_t majority) const {
--- a/include/corianderdock/work.h
+++ b/include/corianderdock/work.h
@@ -120,6 +120,7 @@
   [[nodiscard]] std::optional<RoutedAnswer> Refusal(const Item& item,
                                                     const Server& server) const;
   [[nodiscard]] std::optional<TimePoint> CurrentAt(const Item& item) const;
+  [[nodiscard]] bool ReadIsHeld(const Item& item) const;
   [[nodiscard]] bool ReadMayServe(const Item& item) const;
   void Enqueue(WorkId id, Item& item, const Server& server);
   void ExecuteInTransaction(WorkId id, Item& item);
--- a/src/core/group_monitor.cc
+++ b/src/core/group_monitor.cc
@@ -283,6 +283,12 @@
          Confirmations(group, term, since) >= Majority(group.servers.size());
 }
 
+bool GroupMonitor::Holds(const ServerView& view, Position position) {
+  if (!view.status || view.status->term != position.term) return false;
+  const Position last = view.status->last;
+  return last.term == position.term && last.index >= position.index;
+}
+
 std::size_t GroupMonitor::Holders(const GroupId& id, Position position) const {
   const auto it = groups_.find(id);
   if (it == groups_.end()) return 0;
@@ -294,13 +300,32 @@
       holders += group.leadership.term == position.term ? 1 : 0;
       continue;
     }
-    if (!view.status || view.status->term != position.term) continue;
-    const Position last = view.status->last;
-    if (last.term == position.term && last.index >= position.index) ++holders;
+    if (Holds(view, position)) ++holders;
   }
   return holders;
 }
 
+std::size_t GroupMonitor::ReadHolders(const GroupId& id, Position position,
+                                      const ServerId& reader) const {
+  const Leadership& lead = LeadershipOf(id);
+  if (position.term > lead.term) return 0;
+  if (position.term < lead.term) {
+    // The entry that opened the term stands for all that it took over.
+    const auto opened = lead.starts.find(lead.term);
+    if (opened == lead.starts.end()) return 0;
+    if (ClampToHistory(position, lead.starts) != position) return 0;
+    return Holders(id, {lead.term, opened->second});
+  }
+  const std::size_t holders = Holders(id, position);
+  if (reader == lead.primary) return holders;
+  const auto group = groups_.find(id);
+  if (group == groups_.end()) return 0;
+  const auto view = group->second.servers.find(reader);
+  const bool counted =
+      view != group->second.servers.end() && Holds(view->second, position);
+  return counted ? holders : holders + 1;
+}
+
 bool GroupMonitor::EvidencePossible(const GroupId& id) const {
   const auto it = groups_.find(id);
   if (it == groups_.end()) return false;
--- a/src/core/work_results.cc
+++ b/src/core/work_results.cc
@@ -193,6 +193,7 @@
         strict ? item.accepted
                : context_.now - WithoutDrift(item.routed.max_age);
     if (context_.policy->VerifyAge() && *current_at < since) return false;
+    if (!ReadIsHeld(item)) return false;
     item.current_at = current_at.value_or(context_.now);
     Complete(id, RoutedStatus::kFinal, Outcome::kDone, Reason::kNone);
     return true;
@@ -216,6 +217,13 @@
   return false;
 }
 
+bool Work::ReadIsHeld(const Item& item) const {
+  const std::size_t holders =
+      monitor_.ReadHolders(item.group, item.position, item.routed.server);
+  return context_.policy->ShowRead(
+      holders, Majority(directory_.Servers(item.group).size()));
+}
+
 std::optional<TimePoint> Work::CurrentAt(const Item& item) const {
   const bool on_primary =
       item.routed.server == monitor_.LeadershipOf(item.group).primary;
--- a/tests/support/naive.h
+++ b/tests/support/naive.h
@@ -15,6 +15,11 @@
   bool Acknowledge(std::size_t, std::size_t) const override { return true; }
 };
 
+/// Shows a reader what only one server holds.
+struct ShowAtOnce : Policy {
+  bool ShowRead(std::size_t, std::size_t) const override { return true; }
+};
+
 /// Promotes as soon as any server grants the term.
 struct PromoteWithoutMajority : Policy {
   bool MayPromote(std::size_t grants, std::size_t) const override {
--- a/tests/support/process_target.cc
+++ b/tests/support/process_target.cc
@@ -132,6 +132,7 @@
 void ProcessTarget::Record(Operation operation, const Json::Value& response,
                            std::string& token) {
   operation.answered = corianderdock::Clock::now();
+  operation.replied = operation.answered;
   operation.group = kGroup;
   if (response.isObject()) {
     operation.has_answer = true;
