Kill between commit and answer, slow senders: tested on processes

Cause: two gaps of the proofs. Time limits of callers' requests are now settings (idle_timeout_ms, body_timeout_ms), so that a test can wait for them. The kill is aimed by holding back the replicas (lag 2.5 s): the commit is seen on the primary, its evidence is not there, and each of three instances is killed in turn. Each claim was found booked once and done when asked for again.

--- a/include/corianderdock/settings.h
+++ b/include/corianderdock/settings.h
@@ -23,6 +23,8 @@
   std::string database_user = "corianderdock";
   std::string database_name = "postgres";
   std::size_t largest_body = 1 << 20;
+  Duration idle_timeout = std::chrono::seconds(60);  ///< until a whole header
+  Duration body_timeout = std::chrono::seconds(10);  ///< until a whole body
   Options options;
 };
 
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -87,6 +87,8 @@
                                                     settings_.platform);
   net::HttpLimits limits;
   limits.largest_body = settings_.largest_body;
+  limits.idle_timeout = settings_.idle_timeout;
+  limits.body_timeout = settings_.body_timeout;
   callers_ = std::make_unique<net::HttpServer>(
       contexts, net::ParseEndpoint(settings_.listen), limits,
       [this](const HttpRequest& request, HttpRespond respond,
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -143,6 +143,12 @@
     out = static_cast<T>(value->asUInt64());
   }
 
+  void Time(const char* name, Duration& out) {
+    std::uint64_t ms = 0;
+    Number(name, ms, 1, kLongestTimeMs);
+    if (ms > 0) out = Milliseconds(ms);
+  }
+
   void Flag(const char* name, bool& out) {
     const Json::Value* value = Find(name);
     if (value == nullptr) return;
@@ -175,16 +181,14 @@
   std::vector<std::string> known_;
 };
 
-void ReadTimes(Section& top, Options& options, std::vector<Error>& errors) {
+void ReadTimes(Section& top, Settings& settings, std::vector<Error>& errors) {
   const Json::Value* object = top.Find("times");
   if (object == nullptr) return;
   Section section(*object, "times", errors);
-  for (const auto& it : kTimes) {
-    std::uint64_t ms = 0;
-    const bool given = object->isObject() && object->isMember(it.name);
-    section.Number(it.name, ms, 1, kLongestTimeMs);
-    if (given && ms > 0) options.*it.member = Milliseconds(ms);
-  }
+  section.Time("idle_timeout_ms", settings.idle_timeout);
+  section.Time("body_timeout_ms", settings.body_timeout);
+  for (const auto& it : kTimes)
+    section.Time(it.name, settings.options.*it.member);
 }
 
 void ReadLimits(Section& top, Settings& settings, std::vector<Error>& errors) {
@@ -244,7 +248,7 @@
     top.Name("database_user", settings.database_user);
     top.Name("database_name", settings.database_name);
     ReadLog(top, settings, errors);
-    ReadTimes(top, settings.options, errors);
+    ReadTimes(top, settings, errors);
     ReadLimits(top, settings, errors);
     ReadAlternatives(top, settings.options, errors);
   }
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -7,12 +7,14 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <set>
 #include <thread>
 
 #include "cluster.h"
 #include "corianderdock/codec.h"
+#include "corianderdock/net/http_server.h"
 #include "corianderdock/settings.h"
 #include "load.h"
 
@@ -52,6 +54,28 @@
   return answer;
 }
 
+/// Sends `bytes` one by one and returns how long the other end kept the
+/// connection open.
+Duration CutOffAfter(const std::string& address, const std::string& bytes,
+                     Duration pause, Duration most) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(corianderdock::net::ParseEndpoint(address));
+  socket.non_blocking(true);
+  const auto begun = Clock::now();
+  boost::system::error_code ec;
+  char buf = 0;
+  for (std::size_t n = 0; Clock::now() - begun < most; ++n) {
+    if (n < bytes.size()) {
+      socket.send(boost::asio::buffer(&bytes[n], 1), 0, ec);
+    }
+    std::this_thread::sleep_for(pause);
+    socket.receive(boost::asio::buffer(&buf, 1), 0, ec);
+    if (ec && ec != boost::asio::error::would_block) break;
+  }
+  return Clock::now() - begun;
+}
+
 std::string Rpc(const std::string& body) {
   return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -183,6 +207,71 @@
   }
 }
 
+TEST_CASE("slow senders are cut off", "[processes]") {
+  constexpr Milliseconds kIdle(600);
+  constexpr Milliseconds kBody(300);
+  constexpr Milliseconds kPause(10);
+  constexpr std::chrono::seconds kMost(20);
+  Deployment deployment = SmallDeployment();
+  deployment.times["idle_timeout_ms"] = static_cast<int>(kIdle.count());
+  deployment.times["body_timeout_ms"] = static_cast<int>(kBody.count());
+  Cluster cluster(deployment);
+  const std::string address = cluster.CallerAddress(0);
+  const std::string header =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999\r\n";
+  const auto in_header = CutOffAfter(address, header, kPause * 20, kMost);
+  CHECK(in_header >= kIdle);
+  CHECK(in_header < kMost);
+  const auto in_body = CutOffAfter(
+      address, header + "\r\n" + std::string(9999, ' '), kPause / 5, kMost);
+  CHECK(in_body >= kBody);
+  CHECK(in_body < kMost);
+  CHECK(CutOffAfter(address, "", kPause, kMost) < kMost);
+  CHECK(cluster.Call(0, "execute", Claim("p1"))["result"]["outcome"] == "done");
+}
+
+/// Commits a claim whose evidence is held back, kills an instance in that
+/// moment and asks for the same claim again elsewhere.
+void KillBetweenCommitAndAnswer(Cluster& cluster, int victim) {
+  const std::string id = "k" + std::to_string(victim);
+  const std::string count =
+      "SELECT count(*) FROM claim WHERE request = '" + id + "'";
+  const std::string primary = cluster.PrimaryOf("saddle-1");
+  const auto set_lag = [&](const char* ms) {
+    for (const auto& it : cluster.ServersOf("saddle-1")) {
+      cluster.Sql(it, std::string("SELECT standin_fault('lag', ") + ms + ")");
+    }
+  };
+  set_lag("2500");
+  Json::Value first;
+  std::thread caller([&] { first = cluster.Call(0, "execute", Claim(id)); });
+  const auto deadline = Clock::now() + std::chrono::seconds(10);
+  while (cluster.Sql(primary, count) != "1" && Clock::now() < deadline) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  REQUIRE(cluster.Sql(primary, count) == "1");
+  cluster.SignalInstance(victim, SIGKILL);
+  set_lag("3");
+  caller.join();
+  INFO("victim " << victim << " first answer " << first.toStyledString());
+  CHECK((victim != 0 || !first.isMember("result")));
+  const int other = victim == 1 ? 2 : 1;
+  const Json::Value again = cluster.Call(other, "execute", Claim(id));
+  INFO(again.toStyledString());
+  CHECK(again["result"]["outcome"] == "done");
+  CHECK(cluster.Sql(cluster.PrimaryOf("saddle-1"), count) == "1");
+  cluster.RestartInstance(victim);
+  REQUIRE(cluster.AwaitReady(std::chrono::seconds(20)));
+}
+
+TEST_CASE("a kill between commit and answer books a claim once",
+          "[processes]") {
+  Cluster cluster(SmallDeployment());
+  for (int victim = 0; victim < 3; ++victim) {
+    KillBetweenCommitAndAnswer(cluster, victim);
+  }
+}
+
 TEST_CASE("each caller gets the whole answer to its own request",
           "[processes]") {
   constexpr int kCallers = 8;
