--- a/apps/corianderctl.cc
+++ b/apps/corianderctl.cc
@@ -14,6 +14,7 @@
 #include <map>
 #include <random>
 
+#include "command_line.h"
 #include "corianderdock/codec.h"
 #include "corianderdock/detail/hash.h"
 #include "corianderdock/net/http_client.h"
@@ -406,16 +407,9 @@
       "recorded as the loader of a sheet")(
       "wait-ms", po::value(&arguments.wait_ms)->default_value(13000),
       "how long load waits for the instances")("json", "print JSON");
-  po::positional_options_description positions;
-  positions.add("command", 1).add("argument", 1);
   try {
-    po::variables_map values;
-    po::store(po::command_line_parser(argc, argv)
-                  .options(flags)
-                  .positional(positions)
-                  .run(),
-              values);
-    po::notify(values);
+    const po::variables_map values =
+        apps::ParseCommandLine(argc, argv, flags, {"command", "argument"});
     if (values.count("help") != 0 || arguments.command.empty()) {
       std::cout << kUsage << flags;
       return values.count("help") != 0 ? kExitOk : kExitBadInput;
--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -226,12 +226,29 @@
   table.note = out.str();
 }
 
+/// Size of what a peer sends when ten instances of the fleet changed.
+double ChangesKilobytes(int groups, int instances) {
+  constexpr int kChanged = 10;
+  const Topology before = FleetTopology(groups, instances);
+  Topology after = before;
+  ++after.revision;
+  int left = kChanged;
+  for (auto& [id, it] : after.instances) {
+    if (left-- > 0) it.leaving = true;
+  }
+  TopologyLog log;
+  log.Record(Topology(), before);
+  log.Record(before, after);
+  const auto change = log.Since(before.revision, after);
+  return static_cast<double>(ToText(ToJson(*change)).size()) / 1024;
+}
+
 Table GroupSlope() {
   Table table;
   table.title = "control state of one instance over database groups";
   table.note = "one reducer among 410 idle instances, virtual time, 20 s";
-  table.columns = {"groups", "state KB",   "core %",
-                   "KB/s",   "messages/s", "lists KB"};
+  table.columns = {"groups",     "state KB", "core %",       "KB/s",
+                   "messages/s", "lists KB", "10 changes KB"};
   for (const int groups : {1, 50, 200, 410, 820, 1000}) {
     const std::size_t before = AllocatedBytes();
     IdleFleet fleet(groups, 410);
@@ -248,7 +265,8 @@
           static_cast<double>(fleet.messages) / seconds,
           static_cast<double>(
               ToText(ToJson(FleetTopology(groups, 410))).size()) /
-              1024}});
+              1024,
+          ChangesKilobytes(groups, 410)}});
   }
   NoteSlopes(table, 0);
   return table;
--- a/include/corianderdock/codec.h
+++ b/include/corianderdock/codec.h
@@ -12,6 +12,7 @@
 #include "corianderdock/result.h"
 #include "corianderdock/sheet.h"
 #include "corianderdock/topology.h"
+#include "corianderdock/topology_change.h"
 
 namespace corianderdock {
 
@@ -30,6 +31,9 @@
 [[nodiscard]] Result<Gossip> ParseGossip(const Json::Value& in);
 [[nodiscard]] Json::Value ToJson(const Topology& topology);
 [[nodiscard]] Result<Topology> ParseTopology(const Json::Value& in);
+
+[[nodiscard]] Json::Value ToJson(const TopologyChange& change);
+[[nodiscard]] Result<TopologyChange> ParseTopologyChange(const Json::Value& in);
 [[nodiscard]] Json::Value ToJson(const AcceptedSheet& sheet);
 [[nodiscard]] Result<AcceptedSheet> ParseAcceptedSheet(const Json::Value& in);
 [[nodiscard]] Json::Value ToJson(const Leadership& leadership);
--- a/include/corianderdock/corianderdock.h
+++ b/include/corianderdock/corianderdock.h
@@ -21,5 +21,6 @@
 #include "corianderdock/sheet.h"
 #include "corianderdock/statement_check.h"
 #include "corianderdock/topology.h"
+#include "corianderdock/topology_change.h"
 #include "corianderdock/types.h"
 #include "corianderdock/work.h"
--- a/include/corianderdock/detail/node_impl.h
+++ b/include/corianderdock/detail/node_impl.h
@@ -77,6 +77,7 @@
                     std::function<void()>& on_gone);
   void OnPeerHttp(const HttpRequest& request, HttpRespond respond);
   void OnPeerCall(RpcCall rpc, HttpRespond respond);
+  void AcceptPeer(CallId call, RpcCall rpc, HttpRespond respond, Event event);
   void OnGet(const std::string& target, HttpRespond respond);
   Traffic& CurrentTraffic();
 
@@ -100,7 +101,7 @@
   void Apply(LogLine&& effect);
   void Apply(Exit&& effect);
   void Fetch(Traffic& traffic, const std::string& address,
-             const std::string& method);
+             const std::string& method, std::uint64_t since);
   void BeginDrain();
   [[nodiscard]] std::string RenderMetrics();
   [[nodiscard]] HttpResponse Health() const;
--- a/include/corianderdock/directory.h
+++ b/include/corianderdock/directory.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "corianderdock/detail/context.h"
 #include "corianderdock/membership.h"
 #include "corianderdock/topology.h"
+#include "corianderdock/topology_change.h"
 
 namespace corianderdock {
 
@@ -28,6 +30,12 @@
 
   [[nodiscard]] const Topology& topology() const noexcept { return topology_; }
 
+  /// Changes after `revision`; nothing when the whole lists must be sent.
+  [[nodiscard]] std::optional<TopologyChange> ChangesSince(
+      std::uint64_t revision) const {
+    return log_.Since(revision, topology_);
+  }
+
   /// \return null when `id` is not listed.
   [[nodiscard]] const Server* Find(const ServerId& id) const;
 
@@ -61,6 +69,7 @@
   const detail::Context& context_;
   const Membership& membership_;
   Topology topology_;
+  TopologyLog log_;
   std::map<GroupId, std::vector<ServerId>> groups_;
   mutable std::map<ServerId, InstanceId> schedulers_;
   mutable std::uint64_t generation_ = 0;
--- a/include/corianderdock/effects.h
+++ b/include/corianderdock/effects.h
@@ -74,12 +74,13 @@
   Gossip gossip;
 };
 
-/// Fetch the newer sheet and lists a peer announced; may end in `SheetRead`
-/// and `TopologyRead`.
+/// Fetch the newer sheet and lists a peer announced; may end in `SheetRead`,
+/// `TopologyRead` and `TopologyChanged`.
 struct FetchFromPeer {
   std::string address;
   bool sheet = false;
   bool topology = false;
+  std::uint64_t known_topology = 0;  ///< 0 asks for the whole lists
 };
 
 /// Read the platform; ends in `PlatformPolled` after any `SheetRead` and
--- a/include/corianderdock/events.h
+++ b/include/corianderdock/events.h
@@ -13,6 +13,7 @@
 #include "corianderdock/sheet.h"
 #include "corianderdock/statement.h"
 #include "corianderdock/topology.h"
+#include "corianderdock/topology_change.h"
 
 namespace corianderdock {
 
@@ -85,6 +86,12 @@
   Topology topology;
 };
 
+/// A peer sent what changed in the lists.
+struct TopologyChanged {
+  std::string address;  ///< of the peer
+  TopologyChange change;
+};
+
 /// The accepted sheet was read, or received from a peer.
 struct SheetRead {
   AcceptedSheet sheet;
@@ -104,7 +111,7 @@
 using Event =
     std::variant<CallerRequest, CallerGone, PeerRequest, ForwardResult,
                  ConnectResult, ConnectionClosed, StatementDone, GroupResult,
-                 GossipRequest, GossipResult, TopologyRead, SheetRead,
-                 PlatformPolled, TimePassed, DrainRequested>;
+                 GossipRequest, GossipResult, TopologyRead, TopologyChanged,
+                 SheetRead, PlatformPolled, TimePassed, DrainRequested>;
 
 }  // namespace corianderdock
--- a/include/corianderdock/forward.h
+++ b/include/corianderdock/forward.h
@@ -14,6 +14,7 @@
 class ServerPool;
 class ServerQueue;
 class SessionToken;
+class TopologyLog;
 class Work;
 struct AcceptedSheet;
 struct Answer;
@@ -27,5 +28,6 @@
 struct Service;
 struct Sheet;
 struct Topology;
+struct TopologyChange;
 
 }  // namespace corianderdock
--- a/include/corianderdock/net/platform_client.h
+++ b/include/corianderdock/net/platform_client.h
@@ -80,6 +80,8 @@
     std::uint64_t mod_revision = 0;
   };
 
+  /// The lists with changed entries; nothing when entries were removed too.
+  [[nodiscard]] std::optional<Topology> Merge(const RangeAnswer& changes);
   boost::asio::awaitable<void> PollTask(PollPlatform effect, Sink sink);
   boost::asio::awaitable<Result<Json::Value>> Call(std::string path,
                                                    Json::Value body);
@@ -97,6 +99,7 @@
   HttpClient http_;
   std::vector<std::string> endpoints_;
   std::size_t current_ = 0;
+  Topology lists_;  ///< as last read here
   std::uint64_t list_mod_revision_ = 0;
   std::uint64_t list_count_ = 0;
 };
--- a/include/corianderdock/reducer.h
+++ b/include/corianderdock/reducer.h
@@ -77,11 +77,13 @@
   void On(const GossipRequest& event);
   void On(const GossipResult& event);
   void On(const TopologyRead& event);
+  void On(const TopologyChanged& event);
   void On(const SheetRead& event);
   void On(const PlatformPolled& event);
   void On(const TimePassed& event);
   void On(const DrainRequested& event);
 
+  void InstallLists(const Topology& lists);
   void FireTimers();
   void OnTimer(const detail::Timer& timer);
   void MergeGossip(const Gossip& gossip);
--- a/src/adapters/platform_client.cc
+++ b/src/adapters/platform_client.cc
@@ -160,9 +160,32 @@
     list_mod_revision_ = std::max(list_mod_revision_, it.mod_revision);
   }
   list_count_ = all->count;
+  lists_ = *topology;
   co_return std::move(topology);
 }
 
+std::optional<Topology> PlatformClient::Merge(const RangeAnswer& changes) {
+  if (lists_.revision == 0) return std::nullopt;
+  const auto changed = ToTopology(changes);
+  if (!changed) return std::nullopt;
+  Topology merged = lists_;
+  merged.revision = changed->revision;
+  for (const auto& [id, it] : changed->servers) {
+    merged.servers.insert_or_assign(id, it);
+  }
+  for (const auto& [id, it] : changed->instances) {
+    merged.instances.insert_or_assign(id, it);
+  }
+  const std::size_t entries = merged.servers.size() + merged.instances.size();
+  if (entries != changes.count) return std::nullopt;
+  for (const auto& it : changes.values) {
+    list_mod_revision_ = std::max(list_mod_revision_, it.mod_revision);
+  }
+  list_count_ = changes.count;
+  lists_ = merged;
+  return merged;
+}
+
 // Sheets ---------------------------------------------------------------------
 
 Result<PlatformClient::Manifest> PlatformClient::ParseManifest(
@@ -343,8 +366,12 @@
                        changes->count != list_count_ ||
                        effect.known_topology == 0;
   if (changed) {
-    auto topology = co_await ReadTopology();
-    if (topology) sink(TopologyRead{std::move(*topology)});
+    auto merged = Merge(*changes);
+    if (merged) {
+      sink(TopologyRead{std::move(*merged)});
+    } else if (auto lists = co_await ReadTopology()) {
+      sink(TopologyRead{std::move(*lists)});
+    }
   }
   auto sheet = co_await ReadSheet(effect.known_sheet);
   if (sheet && *sheet) sink(SheetRead{std::move(**sheet)});
--- a/src/core/codec_gossip.cc
+++ b/src/core/codec_gossip.cc
@@ -31,6 +31,24 @@
   return update;
 }
 
+Json::Value NamesOf(const std::set<std::string>& names) {
+  Json::Value out(Json::arrayValue);
+  for (const auto& it : names) out.append(it);
+  return out;
+}
+
+std::set<std::string> ParseNames(Fields& fields, const char* name) {
+  std::set<std::string> names;
+  for (const auto& it : fields.Array(name)) {
+    if (!it.isString()) {
+      fields.Fail(fields.Path(name), "expected strings");
+      continue;
+    }
+    names.insert(it.asString());
+  }
+  return names;
+}
+
 }  // namespace
 
 Json::Value ToJson(const Gossip& gossip) {
@@ -130,6 +148,27 @@
   return topology;
 }
 
+Json::Value ToJson(const TopologyChange& change) {
+  Json::Value out = ToJson(change.entries);
+  out["digest"] = change.digest;
+  out["removed_servers"] = NamesOf(change.removed_servers);
+  out["removed_instances"] = NamesOf(change.removed_instances);
+  return out;
+}
+
+Result<TopologyChange> ParseTopologyChange(const Json::Value& in) {
+  auto entries = ParseTopology(in);
+  if (!entries) return entries.error();
+  Fields fields(in, "change");
+  TopologyChange change;
+  change.entries = std::move(*entries);
+  change.digest = fields.Number("digest", 0);
+  change.removed_servers = ParseNames(fields, "removed_servers");
+  change.removed_instances = ParseNames(fields, "removed_instances");
+  if (fields.error()) return *fields.error();
+  return change;
+}
+
 Json::Value ToJson(const AcceptedSheet& sheet) {
   Json::Value out;
   out["version"] = sheet.version;
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -46,6 +46,7 @@
   fetch.address = gossip.sender.address;
   fetch.sheet = gossip.sheet_version > accepted_.version;
   fetch.topology = gossip.topology_revision > known_topology;
+  fetch.known_topology = known_topology;
   if (!fetch.sheet && !fetch.topology) return;
   if (fetching_until_ && context_.now < *fetching_until_) return;
   fetching_until_ = context_.now + kFetchTimeout;
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -13,6 +13,7 @@
 bool Directory::Install(const Topology& topology) {
   if (topology.revision <= topology_.revision) return false;
   const bool changed = !topology_.SameContent(topology);
+  log_.Record(topology_, topology);
   topology_ = topology;
   if (!changed) return false;
   groups_.clear();
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -119,9 +119,28 @@
 
 void Reducer::On(const TopologyRead& event) {
   configuration_.OnFetched();
-  if (!directory_.Install(event.topology)) return;
+  InstallLists(event.topology);
+}
+
+void Reducer::On(const TopologyChanged& event) {
+  configuration_.OnFetched();
+  const Topology& known = directory_.topology();
+  if (event.change.entries.revision <= known.revision) return;
+  context_.Count("topology_changes");
+  const auto lists = Apply(known, event.change);
+  if (lists) {
+    InstallLists(*lists);
+    return;
+  }
+  // An entry changed there and back between two revisions the peer has seen.
+  context_.Count("topology_mismatches");
+  context_.Emit(FetchFromPeer{event.address, false, true, 0});
+}
+
+void Reducer::InstallLists(const Topology& lists) {
+  if (!directory_.Install(lists)) return;
   context_.Count("topologies_installed");
-  membership_.OnTopology(event.topology);
+  membership_.OnTopology(lists);
   monitor_.OnDirectoryChanged();
   work_.OnDirectoryChanged();
   generation_ = membership_.generation();
--- a/src/runtime/node_effects.cc
+++ b/src/runtime/node_effects.cc
@@ -130,11 +130,12 @@
 }
 
 void Node::Impl::Fetch(Traffic& traffic, const std::string& address,
-                       const std::string& method) {
+                       const std::string& method, std::uint64_t since) {
+  Json::Value params(Json::objectValue);
+  if (since > 0) params["since"] = since;
   traffic.http->Post(
-      address, detail::kPeerTarget,
-      net::MakeRpcRequest(method, Json::Value(Json::objectValue)),
-      kFetchTimeout, [this, method](const net::HttpResult& result) {
+      address, detail::kPeerTarget, net::MakeRpcRequest(method, params),
+      kFetchTimeout, [this, address, method](const net::HttpResult& result) {
         control_bytes_ += result.body.size() + detail::kHttpOverheadBytes;
         if (!result.ok || result.status != 200) return;
         const auto value = net::ParseRpcResponse(result.body);
@@ -142,6 +143,9 @@
         if (method == "peer.sheet") {
           auto sheet = ParseAcceptedSheet(*value);
           if (sheet) Post(SheetRead{std::move(*sheet)});
+        } else if (value->isMember("digest")) {
+          auto change = ParseTopologyChange(*value);
+          if (change) Post(TopologyChanged{address, std::move(*change)});
         } else {
           auto topology = ParseTopology(*value);
           if (topology) Post(TopologyRead{std::move(*topology)});
@@ -152,8 +156,9 @@
 void Node::Impl::Apply(FetchFromPeer&& effect) {
   Traffic& traffic = *traffic_.front();
   asio::post(traffic.io, [this, &traffic, effect] {
-    if (effect.sheet) Fetch(traffic, effect.address, "peer.sheet");
-    if (effect.topology) Fetch(traffic, effect.address, "peer.topology");
+    if (effect.sheet) Fetch(traffic, effect.address, "peer.sheet", 0);
+    if (!effect.topology) return;
+    Fetch(traffic, effect.address, "peer.topology", effect.known_topology);
   });
 }
 
--- a/src/runtime/node_http.cc
+++ b/src/runtime/node_http.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "corianderdock/codec.h"
+#include "corianderdock/detail/fields.h"
 #include "corianderdock/detail/node_impl.h"
 
 namespace corianderdock {
@@ -90,6 +91,16 @@
   OnPeerCall(std::move(*rpc), std::move(respond));
 }
 
+void Node::Impl::AcceptPeer(CallId call, RpcCall rpc, HttpRespond respond,
+                            Event event) {
+  Pending pending{std::move(rpc), std::move(respond), Clock::now(),
+                  Method::kExecute};
+  asio::post(control_, [this, call, pending = std::move(pending),
+                        event = std::move(event)]() mutable {
+    Accept(call, std::move(pending), event);
+  });
+}
+
 void Node::Impl::OnPeerCall(RpcCall rpc, HttpRespond respond) {
   auto reject = [&](const Error& error) {
     respond(detail::TextResponse(
@@ -101,35 +112,28 @@
     auto routed = ParseRoutedRequest(rpc.params);
     if (!routed) return reject(routed.error());
     const CallId call = next_call_++;
-    asio::post(control_,
-               [this, call,
-                pending = Pending{std::move(rpc), std::move(respond),
-                                  Clock::now(), Method::kExecute},
-                event = PeerRequest{call, std::move(*routed)}]() mutable {
-                 Accept(call, std::move(pending), event);
-               });
-    return;
+    return AcceptPeer(call, std::move(rpc), std::move(respond),
+                      PeerRequest{call, std::move(*routed)});
   }
   if (rpc.method == "peer.gossip") {
     auto gossip = ParseGossip(rpc.params);
     if (!gossip) return reject(gossip.error());
     const CallId call = next_call_++;
-    asio::post(control_,
-               [this, call,
-                pending = Pending{std::move(rpc), std::move(respond),
-                                  Clock::now(), Method::kExecute},
-                event = GossipRequest{call, std::move(*gossip)}]() mutable {
-                 Accept(call, std::move(pending), event);
-               });
-    return;
+    return AcceptPeer(call, std::move(rpc), std::move(respond),
+                      GossipRequest{call, std::move(*gossip)});
   }
-  asio::post(control_, [this, rpc = std::move(rpc),
+  detail::Fields fields(rpc.params, "params");
+  const std::uint64_t since = fields.Number("since", 0);
+  if (fields.error()) return reject(*fields.error());
+  asio::post(control_, [this, rpc = std::move(rpc), since,
                         respond = std::move(respond)] {
     Json::Value result(Json::objectValue);
     if (rpc.method == "peer.sheet") {
       result = ToJson(reducer_->configuration().accepted());
     } else if (rpc.method == "peer.topology") {
-      result = ToJson(reducer_->directory().topology());
+      const Directory& lists = reducer_->directory();
+      const auto change = lists.ChangesSince(since);
+      result = change ? ToJson(*change) : ToJson(lists.topology());
     } else {
       BeginDrain();
     }
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -15,6 +15,7 @@
 #include "cluster.h"
 #include "corianderdock/codec.h"
 #include "corianderdock/net/http_server.h"
+#include "corianderdock/net/json_rpc.h"
 #include "corianderdock/settings.h"
 #include "load.h"
 
@@ -91,120 +92,158 @@
   return params;
 }
 
-TEST_CASE("requests pass through separate processes", "[processes]") {
-  Cluster cluster(SmallDeployment());
-  const Json::Value done = cluster.Call(0, "execute", Claim("p1"));
-  REQUIRE(done["result"]["outcome"] == "done");
-  Json::Value read;
-  read["service"] = "claims";
-  read["kind"] = "stock";
-  read["statement"] = "SELECT count(*) FROM claim WHERE request = 'p1'";
-  read["token"] = done["result"]["token"];
-  const Json::Value seen = cluster.Call(1, "execute", read);
-  CHECK(seen["result"]["result"]["rows"][0][0].asString() == "1");
-
-  SECTION("bad input is refused and harms nothing") {
-    const std::string address = cluster.CallerAddress(0);
-    const std::vector<std::string> bodies = {
-        "",
-        "{",
-        "[]",
-        "nonsense",
-        "{\"jsonrpc\":\"2.0\"}",
-        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"fly\",\"params\":{}}",
-        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"execute\",\"params\":{}}",
-        R"({"jsonrpc":"2.0","id":1,"method":"execute","params":{"service":1}})",
-        std::string(2000, '['),
-        std::string(5000, '{')};
-    for (const auto& it : bodies) {
-      INFO(it.substr(0, 60));
-      CHECK(SendRaw(address, Rpc(it)).find("\"error\"") != std::string::npos);
-    }
-    Json::Value forged = read;
-    forged["token"] = "cd1.saddle-1~9~9.0000000000000000";
-    CHECK(cluster.Call(0, "execute", forged)["error"]["code"] == -32602);
-    Json::Value unknown = read;
-    unknown["service"] = "nobody";
-    CHECK(cluster.Call(0, "execute", unknown)["error"]["data"]["reason"] ==
-          "unknown_service");
-    CHECK(SendRaw(address,
-                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
-                  "99999999\r\n\r\n")
-              .find("413") != std::string::npos);
-    CHECK(SendRaw(address, "GARBAGE\r\n\r\n").find("400") != std::string::npos);
-    SendRaw(address, "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf");
-    CHECK(SendRaw(cluster.PeerAddress(0), Rpc("{\"jsonrpc\":\"2.0\",\"id\":1,"
-                                              "\"method\":\"peer.gossip\","
-                                              "\"params\":{\"sender\":3}}"))
-              .find("\"error\"") != std::string::npos);
-    CHECK(cluster.Call(0, "execute", Claim("p2"))["result"]["outcome"] ==
-          "done");
+/// A cluster that has served a claim and shown it through another instance.
+struct ServedPath {
+  ServedPath() : cluster(SmallDeployment()) {
+    const Json::Value done = cluster.Call(0, "execute", Claim("p1"));
+    REQUIRE(done["result"]["outcome"] == "done");
+    read["service"] = "claims";
+    read["kind"] = "stock";
+    read["statement"] = "SELECT count(*) FROM claim WHERE request = 'p1'";
+    read["token"] = done["result"]["token"];
+    const Json::Value seen = cluster.Call(1, "execute", read);
+    CHECK(seen["result"]["result"]["rows"][0][0].asString() == "1");
   }
 
-  SECTION("operators see and steer it") {
-    const std::string platform = cluster.platform();
-    CHECK(cluster.Ctl({"show", "--platform", platform}).code == 0);
-    const auto dump = cluster.Ctl({"dump", "entry-0", "--platform", platform});
-    CHECK(dump.code == 0);
-    CHECK(dump.output.find("\"members\"") != std::string::npos);
-    const auto bad = cluster.WriteFile("bad.csv", "service,group\nx,y\n");
-    CHECK(cluster.Ctl({"check", bad}).code == 2);
-    CHECK(cluster.Ctl({"load", bad, "--platform", platform}).code == 2);
-    CHECK(cluster.Ctl({"fly"}).code == 2);
-    CHECK(cluster.Ctl({"show", "--platform", "127.0.0.1:1"}).code == 3);
-    CHECK(cluster
-              .Ctl({"resolve", "p1", "--service", "claims", "--address",
-                    cluster.CallerAddress(2)})
-              .code == 0);
-    const auto metrics = cluster.Get(0, "/metrics");
-    REQUIRE(metrics);
-    CHECK(metrics->find("corianderdock_request_seconds_bucket") !=
-          std::string::npos);
-    CHECK(cluster.Ctl({"drain", "entry-2", "--platform", platform}).code == 0);
-    const auto deadline = Clock::now() + std::chrono::seconds(10);
-    while (!cluster.InstanceEnded(2) && Clock::now() < deadline) {
-      std::this_thread::sleep_for(Milliseconds(50));
-    }
-    CHECK(cluster.InstanceEnded(2));
+  Cluster cluster;
+  Json::Value read;
+};
+
+TEST_CASE_METHOD(ServedPath, "bad input is refused and harms nothing",
+                 "[processes]") {
+  const std::string address = cluster.CallerAddress(0);
+  const std::vector<std::string> bodies = {
+      "",
+      "{",
+      "[]",
+      "nonsense",
+      "{\"jsonrpc\":\"2.0\"}",
+      "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"fly\",\"params\":{}}",
+      "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"execute\",\"params\":{}}",
+      R"({"jsonrpc":"2.0","id":1,"method":"execute","params":{"service":1}})",
+      std::string(2000, '['),
+      std::string(5000, '{')};
+  for (const auto& it : bodies) {
+    INFO(it.substr(0, 60));
+    CHECK(SendRaw(address, Rpc(it)).find("\"error\"") != std::string::npos);
   }
+  Json::Value forged = read;
+  forged["token"] = "cd1.saddle-1~9~9.0000000000000000";
+  CHECK(cluster.Call(0, "execute", forged)["error"]["code"] == -32602);
+  Json::Value unknown = read;
+  unknown["service"] = "nobody";
+  CHECK(cluster.Call(0, "execute", unknown)["error"]["data"]["reason"] ==
+        "unknown_service");
+  CHECK(SendRaw(address,
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                "99999999\r\n\r\n")
+            .find("413") != std::string::npos);
+  CHECK(SendRaw(address, "GARBAGE\r\n\r\n").find("400") != std::string::npos);
+  SendRaw(address, "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf");
+  CHECK(SendRaw(cluster.PeerAddress(0), Rpc("{\"jsonrpc\":\"2.0\",\"id\":1,"
+                                            "\"method\":\"peer.gossip\","
+                                            "\"params\":{\"sender\":3}}"))
+            .find("\"error\"") != std::string::npos);
+  CHECK(cluster.Call(0, "execute", Claim("p2"))["result"]["outcome"] == "done");
+}
 
-  SECTION("of two operators one wins and the other is told by whom") {
-    const std::string sheet = cluster.WriteFile("again.csv", Adinkra().sheet);
-    std::vector<Cluster::CtlResult> results(2);
-    std::vector<std::thread> operators;
-    operators.reserve(results.size());
-    for (int n = 0; n < 2; ++n) {
-      operators.emplace_back([&, n] {
-        results[static_cast<std::size_t>(n)] =
-            cluster.Ctl({"load", sheet, "--platform", cluster.platform(),
-                         "--author", "operator-" + std::to_string(n)});
-      });
-    }
-    for (auto& it : operators) it.join();
-    int accepted = 0;
-    for (const auto& it : results) {
-      INFO(it.output);
-      if (it.code == 0) ++accepted;
-      if (it.code != 0) CHECK(it.output.find("operator-") != std::string::npos);
-    }
-    CHECK(accepted >= 1);
+TEST_CASE_METHOD(ServedPath, "operators see and steer it", "[processes]") {
+  const std::string platform = cluster.platform();
+  CHECK(cluster.Ctl({"show", "--platform", platform}).code == 0);
+  const auto dump = cluster.Ctl({"dump", "entry-0", "--platform", platform});
+  CHECK(dump.code == 0);
+  CHECK(dump.output.find("\"members\"") != std::string::npos);
+  const auto bad = cluster.WriteFile("bad.csv", "service,group\nx,y\n");
+  CHECK(cluster.Ctl({"check", bad}).code == 2);
+  CHECK(cluster.Ctl({"load", bad, "--platform", platform}).code == 2);
+  CHECK(cluster.Ctl({"fly"}).code == 2);
+  CHECK(cluster.Ctl({"show", "--platform", "127.0.0.1:1"}).code == 3);
+  CHECK(cluster
+            .Ctl({"resolve", "p1", "--service", "claims", "--address",
+                  cluster.CallerAddress(2)})
+            .code == 0);
+  const auto metrics = cluster.Get(0, "/metrics");
+  REQUIRE(metrics);
+  CHECK(metrics->find("corianderdock_request_seconds_bucket") !=
+        std::string::npos);
+  CHECK(cluster.Ctl({"drain", "entry-2", "--platform", platform}).code == 0);
+  const auto deadline = Clock::now() + std::chrono::seconds(10);
+  while (!cluster.InstanceEnded(2) && Clock::now() < deadline) {
+    std::this_thread::sleep_for(Milliseconds(50));
   }
+  CHECK(cluster.InstanceEnded(2));
+}
 
-  SECTION("a load whose answer is lost is found again") {
-    // Every answer to a write is lost for a while, although it takes effect.
-    cluster.PlatformFault("lose");
-    std::thread later([&] {
-      std::this_thread::sleep_for(std::chrono::seconds(1));
-      cluster.PlatformFault("none");
+TEST_CASE_METHOD(ServedPath,
+                 "of two operators one wins and the other is told by whom",
+                 "[processes]") {
+  const std::string sheet = cluster.WriteFile("again.csv", Adinkra().sheet);
+  std::vector<Cluster::CtlResult> results(2);
+  std::vector<std::thread> operators;
+  operators.reserve(results.size());
+  for (int n = 0; n < 2; ++n) {
+    operators.emplace_back([&, n] {
+      results[static_cast<std::size_t>(n)] =
+          cluster.Ctl({"load", sheet, "--platform", cluster.platform(),
+                       "--author", "operator-" + std::to_string(n)});
     });
-    const std::string sheet = cluster.WriteFile("lost.csv", Adinkra().sheet);
-    const auto loaded =
-        cluster.Ctl({"load", sheet, "--platform", cluster.platform()});
-    later.join();
-    INFO(loaded.output);
-    CHECK(loaded.code == 0);
-    CHECK(loaded.output.find("version 2") != std::string::npos);
   }
+  for (auto& it : operators) it.join();
+  int accepted = 0;
+  for (const auto& it : results) {
+    INFO(it.output);
+    if (it.code == 0) ++accepted;
+    if (it.code != 0) CHECK(it.output.find("operator-") != std::string::npos);
+  }
+  CHECK(accepted >= 1);
+}
+
+TEST_CASE_METHOD(ServedPath, "a load whose answer is lost is found again",
+                 "[processes]") {
+  // Every answer to a write is lost for a while, although it takes effect.
+  cluster.PlatformFault("lose");
+  std::thread later([&] {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    cluster.PlatformFault("none");
+  });
+  const std::string sheet = cluster.WriteFile("lost.csv", Adinkra().sheet);
+  const auto loaded =
+      cluster.Ctl({"load", sheet, "--platform", cluster.platform()});
+  later.join();
+  INFO(loaded.output);
+  CHECK(loaded.code == 0);
+  CHECK(loaded.output.find("version 2") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServedPath, "peers are told what changed in the lists",
+                 "[processes]") {
+  const std::string peer = cluster.PeerAddress(0);
+  const auto ask = [&](const Json::Value& since) {
+    Json::Value params;
+    params["since"] = since;
+    const auto body =
+        HttpPost(peer, "/peer",
+                 corianderdock::net::MakeRpcRequest("peer.topology", params),
+                 std::chrono::seconds(10));
+    REQUIRE(body);
+    const auto value = corianderdock::ParseJson(*body);
+    REQUIRE(value);
+    return *value;
+  };
+  CHECK(ask(-1)["error"]["code"] == -32602);
+  const Json::Value whole = ask(0)["result"];
+  CHECK(whole["servers"].size() == cluster.servers().size());
+  CHECK_FALSE(whole.isMember("digest"));
+  cluster.ListServer("saddle-1-3", true);
+  const auto deadline = Clock::now() + std::chrono::seconds(13);
+  Json::Value change;
+  do {
+    std::this_thread::sleep_for(Milliseconds(50));
+    change = ask(whole["revision"])["result"];
+  } while (change["servers"].empty() && Clock::now() < deadline);
+  CHECK(change.isMember("digest"));
+  REQUIRE(change["servers"].size() == 1);
+  CHECK(change["servers"]["saddle-1-3"]["leaving"].asBool());
 }
 
 TEST_CASE("slow senders are cut off", "[processes]") {
--- a/tests/support/fake_network.cc
+++ b/tests/support/fake_network.cc
@@ -116,7 +116,13 @@
       return;
     }
     if (effect.topology) {
-      Deliver(n, TopologyRead{peer.reducer->directory().topology()}, life);
+      const auto& lists = peer.reducer->directory();
+      const auto change = lists.ChangesSince(effect.known_topology);
+      if (change) {
+        Deliver(n, TopologyChanged{effect.address, *change}, life);
+      } else {
+        Deliver(n, TopologyRead{lists.topology()}, life);
+      }
     }
     if (effect.sheet) {
       Deliver(n, SheetRead{peer.reducer->configuration().accepted()}, life);
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -148,8 +148,14 @@
     it.held.push_back(std::move(event));
     return;
   }
-  if (const auto* lists = std::get_if<TopologyRead>(&event)) {
-    for (const auto& [id, server] : lists->topology.servers) {
+  const Topology* told = nullptr;
+  if (const auto* read = std::get_if<TopologyRead>(&event)) {
+    told = &read->topology;
+  } else if (const auto* changed = std::get_if<TopologyChanged>(&event)) {
+    told = &changed->change.entries;
+  }
+  if (told != nullptr) {
+    for (const auto& [id, server] : told->servers) {
       if (server.leaving) it.told_leaving.emplace(id, now_);
     }
   }
--- a/tests/support/process_target.cc
+++ b/tests/support/process_target.cc
@@ -204,54 +204,66 @@
   Record(std::move(operation), committed, token);
 }
 
+void ProcessTarget::Later(Duration delay, std::function<void()> action) {
+  delayed_.emplace_back([delay, action = std::move(action)] {
+    std::this_thread::sleep_for(delay);
+    action();
+  });
+}
+
+void ProcessTarget::ActOnServer(const std::string& verb,
+                                const std::string& name,
+                                const std::string& last) {
+  if (name.empty()) return;
+  if (verb == "kill") cluster_->SignalServer(name, SIGKILL);
+  if (verb == "silence") {
+    cluster_->Sql(name, "SELECT standin_fault('silence', '1')");
+  }
+  if (verb == "lag") {
+    const auto ms =
+        std::chrono::duration_cast<Milliseconds>(TimeOf(last)).count();
+    cluster_->Sql(name,
+                  "SELECT standin_fault('lag', " + std::to_string(ms) + ")");
+  }
+  if (verb == "leave") cluster_->ListServer(name, true);
+  if (verb == "freeze") {
+    cluster_->SignalServer(name, SIGSTOP);
+    Later(TimeOf(last),
+          [this, name] { cluster_->SignalServer(name, SIGCONT); });
+  }
+}
+
+void ProcessTarget::ActOnInstance(const std::string& verb, int n,
+                                  const std::string& last) {
+  if (verb == "kill") cluster_->SignalInstance(n, SIGKILL);
+  if (verb == "restart") cluster_->RestartInstance(n);
+  if (verb == "drain") cluster_->SignalInstance(n, SIGTERM);
+  if (verb == "freeze") {
+    cluster_->SignalInstance(n, SIGSTOP);
+    Later(TimeOf(last), [this, n] { cluster_->SignalInstance(n, SIGCONT); });
+  }
+}
+
+void ProcessTarget::Cut(const std::string& zone, const std::string& other) {
+  const std::vector<std::pair<std::string, std::string>> sides = {
+      {zone, other}, {other, zone}};
+  for (const auto& [server_zone, caller_zone] : sides) {
+    const std::string server = "g-" + std::to_string(server_zone[0] - 'a' + 1);
+    cluster_->Sql(server, "SELECT standin_fault('cut', '" + caller_zone + "')");
+  }
+}
+
 void ProcessTarget::Act(const std::vector<std::string>& words) {
   const std::string& verb = words[0];
   const std::string object = words.size() > 1 ? words[1] : "";
   std::string name = words.size() > 2 ? words[2] : "";
   if (name == "primary") name = cluster_->PrimaryOf(kGroup);
-  const std::string& last = words.back();
-  const int n = std::atoi(name.c_str());
-  auto later = [this](Duration delay, std::function<void()> action) {
-    delayed_.emplace_back([delay, action = std::move(action)] {
-      std::this_thread::sleep_for(delay);
-      action();
-    });
-  };
-  if (object == "server" && name.empty()) return;
   if (object == "server") {
-    if (verb == "kill") cluster_->SignalServer(name, SIGKILL);
-    if (verb == "silence") {
-      cluster_->Sql(name, "SELECT standin_fault('silence', '1')");
-    }
-    if (verb == "lag") {
-      const auto ms =
-          std::chrono::duration_cast<Milliseconds>(TimeOf(last)).count();
-      cluster_->Sql(name,
-                    "SELECT standin_fault('lag', " + std::to_string(ms) + ")");
-    }
-    if (verb == "leave") cluster_->ListServer(name, true);
-    if (verb == "freeze") {
-      cluster_->SignalServer(name, SIGSTOP);
-      later(TimeOf(last),
-            [this, name] { cluster_->SignalServer(name, SIGCONT); });
-    }
+    ActOnServer(verb, name, words.back());
   } else if (object == "instance") {
-    if (verb == "kill") cluster_->SignalInstance(n, SIGKILL);
-    if (verb == "restart") cluster_->RestartInstance(n);
-    if (verb == "drain") cluster_->SignalInstance(n, SIGTERM);
-    if (verb == "freeze") {
-      cluster_->SignalInstance(n, SIGSTOP);
-      later(TimeOf(last), [this, n] { cluster_->SignalInstance(n, SIGCONT); });
-    }
+    ActOnInstance(verb, std::atoi(name.c_str()), words.back());
   } else if (verb == "cut") {
-    const std::vector<std::pair<std::string, std::string>> sides = {
-        {words[1], words[3]}, {words[3], words[1]}};
-    for (const auto& [server_zone, caller_zone] : sides) {
-      const std::string server =
-          "g-" + std::to_string(server_zone[0] - 'a' + 1);
-      cluster_->Sql(server,
-                    "SELECT standin_fault('cut', '" + caller_zone + "')");
-    }
+    Cut(words[1], words[3]);
   } else if (verb == "heal") {
     Heal();
   } else if (verb == "platform") {
--- a/tests/support/process_target.h
+++ b/tests/support/process_target.h
@@ -40,7 +40,13 @@
   void Record(Operation operation, const Json::Value& response,
               std::string& token);
   void Act(const std::vector<std::string>& words);
+  void ActOnServer(const std::string& verb, const std::string& name,
+                   const std::string& last);
+  void ActOnInstance(const std::string& verb, int n, const std::string& last);
+  /// Cuts two zones from each other.
+  void Cut(const std::string& zone, const std::string& other);
   void Heal();
+  void Later(Duration delay, std::function<void()> action);
   void RecordSurvivors();
 
   std::unique_ptr<bench::Cluster> cluster_;
