Reads wait for all they may have shown, not for what they surely showed

Cause: the wait for a majority used the position noted before the statement, which is a lower bound: a long statement shows entries committed meanwhile. The fake noted position and data at one instant and could not show it.

--- a/include/corianderdock/statement.h
+++ b/include/corianderdock/statement.h
@@ -36,6 +36,7 @@
 struct StatementSuccess {
   ResultSet result;
   Position position;       ///< commit position, or lower bound of what was read
+  Position shown;          ///< upper bound of what was read
   bool recorded = false;   ///< the request id was already recorded
   bool tombstone = false;  ///< the record is a tombstone
 };
--- a/include/corianderdock/work.h
+++ b/include/corianderdock/work.h
@@ -80,7 +80,7 @@
     TimePoint started;
     TimePoint deadline;
     TimePoint current_at;  ///< a verified read's data was current then
-    Position position;
+    Position position;     ///< of a commit, or lower bound of what was read
     StatementSuccess success;
   };
 
--- a/src/adapters/statement_runner.cc
+++ b/src/adapters/statement_runner.cc
@@ -86,6 +86,7 @@
   std::vector<PqQuery> batch = {{"BEGIN READ ONLY", {}},
                                 {"SELECT group_position()", {}},
                                 {statement_.sql, statement_.params},
+                                {"SELECT group_position()", {}},
                                 {"COMMIT", {}}};
   auto replies = co_await connection_.Run(std::move(batch));
   if (const PqReply* error = FirstError(replies)) {
@@ -95,6 +96,7 @@
   }
   StatementSuccess success;
   success.position = ParsePosition(replies[1]);
+  success.shown = ParsePosition(replies[3]);
   success.result = std::move(replies[2].result);
   co_return success;
 }
--- a/src/core/work.cc
+++ b/src/core/work.cc
@@ -324,7 +324,9 @@
   if (outcome == Outcome::kDone) {
     answer.answer.result = std::move(item.success.result);
     answer.answer.transaction = item.transaction;
-    answer.answer.token.Merge(item.group, item.position);
+    const bool is_read = item.type == StatementType::kRead;
+    answer.answer.token.Merge(item.group,
+                              is_read ? item.success.shown : item.position);
     answer.answer.from_replica =
         item.type == StatementType::kRead &&
         item.routed.server != answer.leadership.primary;
--- a/src/core/work_results.cc
+++ b/src/core/work_results.cc
@@ -219,7 +219,7 @@
 
 bool Work::ReadIsHeld(const Item& item) const {
   const std::size_t holders =
-      monitor_.ReadHolders(item.group, item.position, item.routed.server);
+      monitor_.ReadHolders(item.group, item.success.shown, item.routed.server);
   return context_.policy->ShowRead(
       holders, Majority(directory_.Servers(item.group).size()));
 }
--- a/tests/support/fake_network.cc
+++ b/tests/support/fake_network.cc
@@ -12,10 +12,25 @@
   if (found == callers_.end()) return;
   const auto on_answer = std::move(found->second);
   callers_.erase(found);
+  CheckShown(effect.answer);
   After(Latency(), [on_answer, answer = std::move(effect.answer),
                     replied = now_] { on_answer(answer, replied); });
 }
 
+void FakeWorld::CheckShown(const Answer& answer) {
+  if (answer.result.rows.empty() || answer.result.rows.front().empty()) return;
+  // Rows are ids in the order of a log: who holds the last holds them all.
+  const std::string last = answer.result.rows.front().back().value_or("");
+  std::size_t holders = 0;
+  for (const auto& [id, server] : servers_) {
+    const auto ids = IdsOf(server.log);
+    if (std::find(ids.rbegin(), ids.rend(), last) != ids.rend()) ++holders;
+  }
+  if (holders < Majority(servers_.size())) {
+    violations_.push_back("shown before a majority holds it: " + last);
+  }
+}
+
 void FakeWorld::Handle(int n, ForwardRequest effect) {
   const Instance& from = instances_[static_cast<std::size_t>(n)];
   const int to = InstanceAt(effect.address);
--- a/tests/support/fake_servers.cc
+++ b/tests/support/fake_servers.cc
@@ -119,25 +119,44 @@
   found->second.commits = Commits(effect.statement.type);
   const std::string name = found->second.server;
   const ZoneId zone = instances_[static_cast<std::size_t>(n)].identity.zone;
-  const Duration service = Milliseconds(1) * static_cast<int>(random_() % 5);
-  After(Latency() + service, [this, n, life, zone, name, effect] {
+  Duration service = Milliseconds(1) * static_cast<int>(random_() % 5);
+  if (options_.lossy && random_() % 20 == 0) {
+    service += Milliseconds(20 + random_() % 200);
+  }
+  After(Latency(), [this, n, life, zone, name, effect, service] {
     if (!Linked(zone, servers_.at(name).listed.zone)) return;
-    AtServer(name, [this, n, life, zone, name, effect] {
-      FakeServer& server = servers_.at(name);
-      const auto it = connections_.find({n, effect.connection});
-      if (it == connections_.end()) return;
-      if (it->second.session_id < server.silent_before) return;
-      StatementDone done{effect.work, effect.connection,
-                         RunAtServer(server, it->second, effect.statement)};
-      const Duration latency = Latency();
-      After(latency, [this, n, life, done, name, zone] {
-        if (!Linked(zone, servers_.at(name).listed.zone)) return;
-        FinishStatement(n, life, done.connection, done);
+    AtServer(name, [this, n, life, name, effect, service] {
+      // A transaction notes its position before its statement runs.
+      const auto last = servers_.at(name).log.Last();
+      const Position noted{last.term, last.index};
+      After(service, [this, n, life, name, effect, noted] {
+        AtServer(name, [this, n, life, name, effect, noted] {
+          RunNoted(n, life, name, effect, noted);
+        });
       });
     });
   });
 }
 
+void FakeWorld::RunNoted(int n, std::uint64_t life, const std::string& name,
+                         const RunStatement& effect, Position noted) {
+  FakeServer& server = servers_.at(name);
+  const auto it = connections_.find({n, effect.connection});
+  if (it == connections_.end()) return;
+  if (it->second.session_id < server.silent_before) return;
+  StatementDone done{effect.work, effect.connection,
+                     RunAtServer(server, it->second, effect.statement)};
+  auto* success = std::get_if<StatementSuccess>(&done.result);
+  if (success != nullptr && effect.statement.type == StatementType::kRead) {
+    success->position = noted;
+  }
+  const ZoneId zone = instances_[static_cast<std::size_t>(n)].identity.zone;
+  After(Latency(), [this, n, life, done, name, zone] {
+    if (!Linked(zone, servers_.at(name).listed.zone)) return;
+    FinishStatement(n, life, done.connection, done);
+  });
+}
+
 void FakeWorld::FinishStatement(int n, std::uint64_t life, ConnectionId id,
                                 StatementDone done) {
   const auto found = connections_.find({n, id});
@@ -204,7 +223,7 @@
   switch (statement.type) {
     case StatementType::kRead: {
       StatementSuccess success;
-      success.position = {server.log.Last().term, server.log.Last().index};
+      success.shown = {server.log.Last().term, server.log.Last().index};
       auto& row = success.result.rows.emplace_back();
       for (auto& it : IdsOf(server.log)) row.emplace_back(std::move(it));
       return success;
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -161,6 +161,11 @@
   void Handle(int n, const OpenConnection& effect);
   void Handle(int n, CloseConnection effect);
   void Handle(int n, RunStatement effect);
+  /// Notes a violation when a read shows what no majority holds.
+  void CheckShown(const Answer& answer);
+  /// Runs a statement whose transaction noted the position `noted`.
+  void RunNoted(int n, std::uint64_t life, const std::string& name,
+                const RunStatement& effect, Position noted);
   void Handle(int n, CallGroup effect);
   void Handle(int n, SendGossip effect);
   void Handle(int n, ReplyGossip effect);
