Reads that a failover catches go to the new primary

Cause: a read waiting for confirmation on a primary that was replaced, or promoted again, could never be confirmed and waited until its deadline, then failed. Now such a read is handed back at once as not the primary's, without spending the retry budget; replicas of larger groups wait for a majority instead of being passed over. Trace: three statements of a killed instance, held by a frozen server, ran on the new connections of its successor, since the fake finds connections by a number that starts anew.

--- a/include/corianderdock/work.h
+++ b/include/corianderdock/work.h
@@ -121,6 +121,9 @@
                                                     const Server& server) const;
   [[nodiscard]] std::optional<TimePoint> CurrentAt(const Item& item) const;
   [[nodiscard]] bool ReadIsHeld(const Item& item) const;
+  /// Time at which what a read returned was current, when that is within the
+  /// age it was promised.
+  [[nodiscard]] std::optional<TimePoint> VerifiedAge(const Item& item) const;
   [[nodiscard]] bool ReadMayServe(const Item& item) const;
   void Enqueue(WorkId id, Item& item, const Server& server);
   void ExecuteInTransaction(WorkId id, Item& item);
@@ -133,6 +136,7 @@
   void OnReadDone(WorkId id, Item& item);
   void AwaitEvidence(WorkId id, Item& item);
   bool TryFinishWaiting(WorkId id, Item& item);
+  bool TryFinishRead(WorkId id, Item& item);
   void LearnCost(Item& item, Lane& lane);
   void ReleaseConnection(Item& item, Lane& lane, bool reusable);
   void EndTransaction(const TransactionId& id, bool close);
--- a/src/core/work_results.cc
+++ b/src/core/work_results.cc
@@ -168,11 +168,7 @@
              Reason::kTokenNotReached);
     return;
   }
-  if (TryFinishWaiting(id, item)) return;
-  if (item.routed.server != lead.primary) {
-    Complete(id, RoutedStatus::kStale, Outcome::kNotRun, Reason::kNone);
-    return;
-  }
+  if (TryFinishRead(id, item)) return;
   waiting_[item.group].insert(id);
   monitor_.BeginUrgency(item.group);
 }
@@ -184,20 +180,39 @@
   monitor_.BeginUrgency(item.group);
 }
 
-bool Work::TryFinishWaiting(WorkId id, Item& item) {
-  if (item.phase == Phase::kConfirm) {
-    const auto current_at = CurrentAt(item);
-    if (!current_at && context_.policy->VerifyAge()) return false;
-    const bool strict = item.routed.max_age.count() == 0;
-    const TimePoint since =
-        strict ? item.accepted
-               : context_.now - WithoutDrift(item.routed.max_age);
-    if (context_.policy->VerifyAge() && *current_at < since) return false;
-    if (!ReadIsHeld(item)) return false;
-    item.current_at = current_at.value_or(context_.now);
+bool Work::TryFinishRead(WorkId id, Item& item) {
+  const auto current_at = VerifiedAge(item);
+  if (current_at && ReadIsHeld(item)) {
+    item.current_at = *current_at;
     Complete(id, RoutedStatus::kFinal, Outcome::kDone, Reason::kNone);
     return true;
   }
+  const Leadership& lead = monitor_.LeadershipOf(item.group);
+  const bool on_primary = item.routed.server == lead.primary;
+  const bool overtaken = item.position.term < lead.term;
+  // Confirmation, or a majority that holds what was shown, may yet be seen.
+  if (!overtaken && (on_primary || current_at)) return false;
+  if (overtaken && (on_primary || item.routed.max_age.count() == 0)) {
+    Complete(id, RoutedStatus::kNotPrimary, Outcome::kNotRun,
+             Reason::kNoPrimary);
+  } else {
+    Complete(id, RoutedStatus::kStale, Outcome::kNotRun, Reason::kNone);
+  }
+  return true;
+}
+
+std::optional<TimePoint> Work::VerifiedAge(const Item& item) const {
+  const auto current_at = CurrentAt(item);
+  if (!context_.policy->VerifyAge()) return current_at.value_or(context_.now);
+  const bool strict = item.routed.max_age.count() == 0;
+  const TimePoint since =
+      strict ? item.accepted : context_.now - WithoutDrift(item.routed.max_age);
+  if (!current_at || *current_at < since) return std::nullopt;
+  return current_at;
+}
+
+bool Work::TryFinishWaiting(WorkId id, Item& item) {
+  if (item.phase == Phase::kConfirm) return TryFinishRead(id, item);
   const std::size_t majority = Majority(directory_.Servers(item.group).size());
   const std::size_t holders = monitor_.Holders(item.group, item.position);
   if (context_.policy->Acknowledge(holders, majority)) {
--- a/tests/support/fake_servers.cc
+++ b/tests/support/fake_servers.cc
@@ -143,6 +143,8 @@
   FakeServer& server = servers_.at(name);
   const auto it = connections_.find({n, effect.connection});
   if (it == connections_.end()) return;
+  // A restarted instance numbers its connections anew.
+  if (instances_[static_cast<std::size_t>(n)].life != life) return;
   if (it->second.session_id < server.silent_before) return;
   StatementDone done{effect.work, effect.connection,
                      RunAtServer(server, it->second, effect.statement)};
