--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -9,6 +9,8 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
 #include <set>
 #include <thread>
 
@@ -18,6 +20,7 @@
 #include "corianderdock/net/json_rpc.h"
 #include "corianderdock/settings.h"
 #include "load.h"
+#include "load_command.h"
 
 namespace bench {
 namespace {
@@ -375,6 +378,33 @@
   }
 }
 
+TEST_CASE("a load reports the four measures", "[processes]") {
+  Cluster cluster(SmallDeployment());
+  LoadCommand command;
+  command.addresses = cluster.CallerAddresses();
+  command.seconds = 2;
+  command.json = cluster.WriteFile("load.json", "");
+  CHECK(RunLoadCommand(command) == 0);
+  std::ifstream file(command.json);
+  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  const auto json = corianderdock::ParseJson(text);
+  REQUIRE(json);
+  const Json::Value& measures = (*json)["measures"];
+  CHECK(measures["reads by replicas %"].asDouble() > 0);
+  CHECK(measures["longest gap ms, claims"].asDouble() > 0);
+  CHECK(measures["done/s at the peak"].asDouble() > 0);
+  CHECK(measures["claims p99 with long work over without"].asDouble() > 0);
+
+  command.long_work = "tea";
+  CHECK(RunLoadCommand(command) == 2);
+  command.long_work = "none";
+  command.addresses = {"nowhere"};
+  CHECK(RunLoadCommand(command) == 2);
+  command.addresses = {"127.0.0.1:1"};
+  command.seconds = 1;
+  CHECK(RunLoadCommand(command) == 1);
+}
+
 TEST_CASE("settings are checked whole", "[settings]") {
   using corianderdock::ParseSettings;
   const std::string good =
