--- a/include/corianderdock/detail/timers.h
+++ b/include/corianderdock/detail/timers.h
@@ -26,6 +26,12 @@
   kSuspicion,
   kPlatformPoll,
   kDrainCheck,
+  kStatementDeadline,
+  kAttemptLimit,
+  kRetryStatement,
+  kSessionIdle,
+  kConnectLimit,
+  kServiceCheck,
 };
 
 /// A timer; `key` and `id` name its object, which may have ended since.
--- a/include/corianderdock/net/http_client.h
+++ b/include/corianderdock/net/http_client.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "corianderdock/types.h"
@@ -21,7 +22,16 @@
   std::string body;
 };
 
-/// Posts requests. Not thread-safe; use one for each I/O thread, from it.
+/// A request to send.
+struct HttpCall {
+  std::string method = "GET";
+  std::string address;  ///< IP:PORT
+  std::string target;
+  std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// Sends requests. Not thread-safe; use one for each I/O thread, from it.
 class HttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
@@ -30,7 +40,10 @@
   explicit HttpClient(boost::asio::io_context& io);
   ~HttpClient();
 
-  /// Sends `body` and calls back exactly once, after `timeout` at the latest.
+  /// Sends `call` and calls back exactly once, after `timeout` at the latest.
+  void Send(HttpCall call, Duration timeout, Callback callback);
+
+  /// Posts `body`; otherwise as `Send`.
   void Post(const std::string& address, const std::string& target,
             std::string body, Duration timeout, Callback callback);
 
@@ -41,10 +54,6 @@
  private:
   class Exchange;
   struct Pool;
-  void Start(const std::string& address, const std::string& target,
-             bool is_post, std::string body, Duration timeout,
-             Callback callback);
-
   boost::asio::io_context& io_;
   std::shared_ptr<Pool> pool_;
 };
--- /dev/null
+++ b/include/corianderdock/session/failover.h
@@ -0,0 +1,116 @@
+/// \file
+/// Promotion of a new primary for one service.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "corianderdock/session/events.h"
+#include "corianderdock/session/model.h"
+
+namespace corianderdock::session {
+
+/// Times of a failover.
+struct FailoverOptions {
+  /// Silence of a primary with unanswered work before it is replaced.
+  Duration silence = std::chrono::milliseconds(700);
+  /// Pause after a claim that came to nothing.
+  Duration claim_pause = std::chrono::milliseconds(1000);
+  /// Longest wait for an answer of the store.
+  Duration claim_timeout = std::chrono::milliseconds(1500);
+  /// Longest wait for the replicas to stop receiving.
+  Duration hold_timeout = std::chrono::milliseconds(2500);
+  /// Pause between repeated commands to a replica.
+  Duration hold_retry = std::chrono::milliseconds(300);
+  /// Pause between repeated promotion orders.
+  Duration order_retry = std::chrono::milliseconds(600);
+  /// Longest time until the promoted server leads.
+  Duration lead_timeout = std::chrono::milliseconds(3500);
+};
+
+/// Orders the promotion of the replica that holds every acknowledged commit.
+///
+/// All replicas are held first: then nothing more is acknowledged, and an
+/// acknowledged commit is on at least one of them, so the most advanced holds
+/// them all. A promotion whose answer is missing is only repeated for the same
+/// server under the same token. Not thread-safe; times must not decrease.
+class Failover {
+ public:
+  /// Asks for a fencing token.
+  struct Claim {};
+  /// Asks a replica to stop receiving below `term`.
+  struct Hold {
+    ServerId server;
+    Term term = 0;
+  };
+  /// Lets a replica receive again.
+  struct Resume {
+    ServerId server;
+  };
+  /// Orders a promotion.
+  struct Order {
+    ServerId server;
+    std::uint64_t token = 0;
+  };
+  using Action = std::variant<Claim, Hold, Resume, Order>;
+  using Actions = std::vector<Action>;
+
+  enum class Phase { kIdle, kClaiming, kHolding, kOrdering, kStarting };
+
+  /// What is known of the service when a step is taken.
+  struct Situation {
+    TimePoint now;
+    bool primary_lost = false;  ///< silent, gone or leaving
+    Term newest_term = 0;
+    std::map<ServerId, bool> replicas;  ///< whether each is leaving
+    bool reachable = true;              ///< of at least one replica
+  };
+
+  explicit Failover(FailoverOptions options = {}) : options_(options) {}
+
+  /// Advances by time.
+  [[nodiscard]] Actions Step(const Situation& situation);
+
+  /// The store answered a claim; 0 when another holds it or none answered.
+  [[nodiscard]] Actions OnClaim(const Situation& situation,
+                                std::uint64_t token);
+
+  /// A replica answered `Hold`.
+  [[nodiscard]] Actions OnHeld(const Situation& situation,
+                               const ServerId& server,
+                               const ServerStatus& status);
+
+  /// The platform answered an order.
+  [[nodiscard]] Actions OnOrdered(const Situation& situation,
+                                  PromotionResult result);
+
+  /// `server` proved to lead.
+  void OnLeader(const ServerId& server);
+
+  [[nodiscard]] Phase phase() const noexcept { return phase_; }
+  [[nodiscard]] const ServerId& candidate() const noexcept {
+    return candidate_;
+  }
+
+ private:
+  Actions HoldMissing(const Situation& situation);
+  Actions TryOrder(const Situation& situation);
+  Actions Abandon(const Situation& situation);
+  void Enter(Phase phase, TimePoint now);
+
+  FailoverOptions options_;
+  Phase phase_ = Phase::kIdle;
+  TimePoint since_;
+  TimePoint next_claim_;
+  TimePoint next_retry_;
+  std::uint64_t token_ = 0;
+  Term hold_term_ = 0;
+  std::map<ServerId, Position> held_;
+  ServerId candidate_;
+};
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/include/corianderdock/session/options.h
@@ -0,0 +1,56 @@
+/// \file
+/// Limits and times of the session proxy.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "corianderdock/session/failover.h"
+#include "corianderdock/types.h"
+
+namespace corianderdock::session {
+
+/// Who this instance is.
+struct ProxyIdentity {
+  InstanceId id;
+  ZoneId zone;
+};
+
+/// Limits and times; the defaults suit a system in one region.
+struct ProxyOptions {
+  FailoverOptions failover;
+  /// Connections to one server left to instances that died or just started.
+  int spare_connections = 2;
+  /// Statements of a session's own state; more are refused.
+  std::size_t most_values = 64;
+  std::size_t most_prepared = 256;
+  /// Attempts at one statement before it is refused.
+  int most_attempts = 4;
+  /// Silence of a server with unanswered work before new work avoids it.
+  Duration suspect_after = std::chrono::milliseconds(300);
+  /// Answer of a single attempt at a read.
+  Duration attempt_limit = std::chrono::milliseconds(400);
+  /// Opening of a connection.
+  Duration connect_limit = std::chrono::milliseconds(1000);
+  /// Pause after a connection could not be opened.
+  Duration connect_pause = std::chrono::milliseconds(150);
+  /// Pause after a server refused a statement for lack of room.
+  Duration busy_pause = std::chrono::milliseconds(10);
+  /// How long a copy that lacked a position is avoided.
+  Duration behind_pause = std::chrono::milliseconds(150);
+  /// Longest wait for a server before a statement is refused, where the
+  /// service has no primary.
+  Duration leaderless_wait = std::chrono::milliseconds(20);
+  /// Part of a promised age kept for the way to the server.
+  Duration age_margin = std::chrono::milliseconds(300);
+  /// Age of the newest sample at which the primary is asked for another.
+  Duration sample_interval = std::chrono::milliseconds(400);
+  /// Interval of the regular check of servers and services.
+  Duration tick = std::chrono::milliseconds(25);
+  /// Pause between searches for an unknown primary.
+  Duration search_interval = std::chrono::milliseconds(100);
+  /// Time from not being ready until no new sessions are expected.
+  Duration leave_rotation = std::chrono::milliseconds(2500);
+};
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/include/corianderdock/session/proxy.h
@@ -0,0 +1,287 @@
+/// \file
+/// The reducer of sessions: statements in, commands to servers out.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "corianderdock/detail/timers.h"
+#include "corianderdock/server_queue.h"
+#include "corianderdock/session/connection_state.h"
+#include "corianderdock/session/events.h"
+#include "corianderdock/session/failover.h"
+#include "corianderdock/session/freshness.h"
+#include "corianderdock/session/options.h"
+#include "corianderdock/session/outcome.h"
+
+namespace corianderdock::session {
+
+/// Serves sessions over shared server connections.
+///
+/// A session holds a server connection only while a statement runs or from the
+/// first statement of a transaction to its end. Performs no I/O and reads no
+/// clock. Not thread-safe; times must not decrease.
+///
+/// \code
+/// Proxy proxy({"a", "zone-1"}, {}, seed);
+/// auto effects = proxy.Reduce(now, SessionOpened{1, "stock"});
+/// \endcode
+class Proxy {
+ public:
+  Proxy(ProxyIdentity self, ProxyOptions options, std::uint64_t seed);
+
+  /// Handles one event and all timers due at `now`.
+  [[nodiscard]] Effects Reduce(TimePoint now, const Event& event);
+
+  /// When `TimerFired` is due next.
+  [[nodiscard]] std::optional<TimePoint> NextTimer() const {
+    return timers_.Next();
+  }
+
+  /// Whether new sessions should come here.
+  [[nodiscard]] bool Ready() const;
+
+  [[nodiscard]] const std::map<std::string, std::uint64_t, std::less<>>&
+  counters() const {
+    return counters_;
+  }
+
+  /// Whole state as JSON text.
+  [[nodiscard]] std::string DumpState() const;
+
+ private:
+  /// What the next answer on a connection belongs to.
+  enum class Step {
+    kSetup,      ///< value or prepared name
+    kBegin,      ///< start of a client's transaction, or proof for one read
+    kStatement,  ///< of a client
+    kEnd,        ///< end of a transaction; its answer tells nothing
+    kProbe,      ///< proof of leadership
+    kHold,       ///< evidence for a promotion
+    kResume,
+  };
+
+  struct Expected {
+    Step step = Step::kSetup;
+    TimePoint sent;
+    bool uses_slot = false;
+    bool proves_lead = false;  ///< when it succeeds
+    bool commits = false;      ///< writes become permanent by it
+  };
+
+  struct Connection {
+    ServerId server;
+    ServiceId service;
+    ConnectionState state;
+    std::deque<Expected> expected;
+    SessionId bound = 0;  ///< 0 when no session uses it
+    bool open = false;
+    std::vector<std::pair<Step, ServerCommand>> on_open;
+    TimePoint opened;  ///< or asked for
+  };
+
+  /// A server and this instance's connections to it.
+  struct Lane {
+    ServerEntry entry;
+    std::set<ConnectionId> connections;
+    std::vector<ConnectionId> idle;  ///< last used last
+    int opening = 0;
+    int running = 0;           ///< statements that use a slot
+    int most_connections = 0;  ///< while the server is full; 0: no limit
+    TimePoint full_until;
+    ConnectionId control = 0;  ///< last used for a command of the proxy
+    int commits_lost = 0;      ///< in a row
+    TimePoint last_heard;
+    TimePoint connect_after;
+    TimePoint avoid_until;  ///< for reads
+    TimePoint busy_until;
+    TimePoint failing_since;  ///< first failure since the last answer
+    TimePoint probed;
+    bool failing = false;
+    bool listed = true;
+    double latency_ms = 5;  ///< moving average of statements
+    Term lead_term = 0;     ///< newest term in which it proved to lead
+  };
+
+  struct Service {
+    ServiceLimits limits;
+    std::set<ServerId> servers;
+    ServerId leader;  ///< empty when not known
+    Term newest_term = 0;
+    TimePoint searched;
+    TimePoint leaderless_since;
+    TimePoint used;  ///< last statement
+    bool wants_samples = false;
+    FreshnessSamples samples;
+    ServerQueue primary_queue;
+    ServerQueue read_queue;
+    Failover failover;
+  };
+
+  /// The outstanding statement of a session.
+  struct Pending {
+    StatementId id;
+    Statement statement;
+    std::optional<PreparedShape> shape;
+    std::shared_ptr<const Route> route;
+    bool writes = false;
+    bool queued = false;
+    bool sent = false;          ///< on the wire, and no answer yet
+    bool wrapped = false;       ///< inside a transaction of the proxy
+    bool first_inside = false;  ///< its transaction begins with it
+    bool force_primary = false;
+    std::set<ServerId> tried;
+    int attempts = 0;
+    std::uint64_t timer = 0;  ///< identifies its timers
+    TimePoint arrived;
+    TimePoint deadline;
+    TimePoint sent_at;
+  };
+
+  struct Session {
+    DatabaseName database;
+    SessionValues values;
+    std::map<std::string, PreparedShape> prepared;
+    TransactionState state = TransactionState::kIdle;
+    bool plain = false;                  ///< the open transaction may write
+    bool wrote = false;                  ///< it sent a write
+    std::shared_ptr<const Route> route;  ///< of the open transaction
+    ConnectionId bound = 0;
+    ServiceId own_service;        ///< to which `own` belongs
+    std::optional<Position> own;  ///< its last acknowledged commit
+    std::optional<Pending> pending;
+    TimePoint active;
+  };
+
+  void On(const SessionOpened& event);
+  void On(const StatementReceived& event);
+  void On(const SessionClosed& event);
+  void On(const ServerConnected& event);
+  void On(const ServerReplied& event);
+  void On(const ServerConnectionLost& event);
+  void On(const ConfigRead& event);
+  void On(const ServersRead& event);
+  void On(const InstancesCounted& event);
+  void On(const ClaimAnswered& event);
+  void On(const PromotionAnswered& event);
+  void On(const TimerFired& event);
+  void On(const StopRequested& event);
+
+  // Sessions (proxy_sessions.cc).
+  void Begin(SessionId id, Session& session, bool plain);
+  void EndLocally(SessionId id, Session& session, bool commit);
+  void KeepValue(SessionId id, Session& session, const Statement& statement);
+  void KeepPrepared(SessionId id, Session& session, const Statement& statement);
+  void ForgetPrepared(SessionId id, Session& session,
+                      const Statement& statement);
+  void Accept(SessionId id, Session& session, const StatementReceived& event);
+  [[nodiscard]] std::shared_ptr<const Route> RouteOf(
+      const Session& session) const;
+  void Answer(SessionId id, Session& session, Reply reply);
+  void AnswerOk(SessionId id, Session& session);
+  void AnswerError(SessionId id, Session& session, ErrorCode code,
+                   std::string detail);
+  void EndTransaction(Session& session);
+  void Unbind(Session& session);
+  void CloseAllIdle();
+  void CheckStopped();
+
+  // Statements (proxy_statements.cc).
+  void Enqueue(SessionId id, Session& session);
+  void Pump(const ServiceId& service);
+  bool PumpQueue(Service& service, ServerQueue& queue, bool primary);
+  [[nodiscard]] bool NeedsPrimary(const Session& session) const;
+  [[nodiscard]] std::optional<Position> RequiredPosition(
+      const Session& session, const Service& service) const;
+  [[nodiscard]] Lane* ChooseForRead(const Service& service,
+                                    const Pending* pending);
+  [[nodiscard]] bool HasRoom(const Lane& lane) const;
+  bool Start(SessionId id, Session& session, Lane& lane);
+  void SendStatement(SessionId id, Session& session, ConnectionId connection);
+  void OnBeginDone(ConnectionId id, const Expected& expected,
+                   const Reply& reply);
+  void OnStatementDone(ConnectionId id, const Expected& expected, Reply reply);
+  void Succeed(SessionId id, Session& session, ConnectionId connection,
+               const Expected& expected, Reply reply);
+  void Fail(SessionId id, Session& session, AttemptEnd end, ErrorCode code,
+            const std::string& detail);
+  void Retry(SessionId id, Session& session, Duration pause);
+  void OnDeadline(SessionId id, std::uint64_t timer);
+  void OnAttemptLimit(SessionId id, std::uint64_t timer);
+  void OnTransactionIdle(SessionId id);
+  [[nodiscard]] AttemptKind KindOf(const Session& session) const;
+  [[nodiscard]] ServerCommand CommandFor(const Session& session) const;
+
+  // Servers (proxy_servers.cc).
+  void OpenIfUseful(Lane& lane, std::size_t wanted);
+  ConnectionId Open(Lane& lane);
+  [[nodiscard]] ConnectionId TakeIdle(
+      Lane& lane, const SessionValues& values,
+      const std::optional<PreparedShape>& shape);
+  void MakeIdle(ConnectionId id);
+  void Drop(ConnectionId id, bool tell);
+  void LoseConnection(SessionId id, Session& session, const ServerId& server);
+  void Send(ConnectionId id, std::vector<ServerCommand> commands, Step step);
+  void SendOne(ConnectionId id, ServerCommand command, Step step,
+               bool proves_lead);
+  void NoteHeard(Lane& lane);
+  void NoteFailing(Lane& lane);
+  [[nodiscard]] bool Suspect(const Lane& lane) const;
+  [[nodiscard]] std::optional<TimePoint> OldestUnanswered(
+      const Lane& lane) const;
+  [[nodiscard]] int ShareOf(const Lane& lane) const;
+  void CheckLanes();
+
+  // Leadership (proxy_leadership.cc).
+  void NoteLeader(Lane& lane, std::optional<Position> position, TimePoint sent);
+  void NoteNotLeader(Lane& lane);
+  void ProbeLead(Lane& lane);
+  void CheckServices();
+  void SearchLeader(Service& service);
+  [[nodiscard]] bool CommitsStall(const Lane& lane) const;
+  [[nodiscard]] bool PrimaryLost(const Service& service) const;
+  [[nodiscard]] Failover::Situation SituationOf(const Service& service) const;
+  void Perform(const ServiceId& id, const Failover::Actions& actions);
+  void SendControl(const ServerId& server, ServerCommand command, Step step);
+  void OnHoldAnswer(Lane& lane, const Reply& reply);
+
+  void FireTimers();
+  void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
+  void Log(std::string text) { Emit(LogDecision{std::move(text)}); }
+  void Count(std::string_view name);
+  void After(Duration delay, detail::Timer timer) {
+    timers_.Schedule(now_ + delay, std::move(timer));
+  }
+
+  ProxyIdentity self_;
+  ProxyOptions options_;
+  std::mt19937_64 random_;
+  TimePoint now_;
+  detail::Timers timers_;
+  Effects effects_;
+  std::shared_ptr<const RoutingConfig> config_;
+  std::unordered_map<SessionId, Session> sessions_;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  std::map<ServerId, Lane> lanes_;
+  std::map<ServiceId, Service> services_;
+  std::set<ServiceId> to_pump_;
+  std::map<std::string, std::uint64_t, std::less<>> counters_;
+  ConnectionId next_connection_ = 1;
+  std::uint64_t next_timer_ = 1;
+  int instances_ = 1;
+  bool servers_known_ = false;
+  bool ticking_ = false;
+  bool finished_ = false;
+  std::optional<TimePoint> stop_at_;  ///< told to leave
+  Duration stop_grace_{0};
+};
+
+}  // namespace corianderdock::session
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -63,13 +63,14 @@
         deadline_(Clock::now() + timeout),
         callback_(std::move(callback)) {}
 
-  void Run(const std::string& target, bool is_post, std::string body) {
-    request_.method(is_post ? http::verb::post : http::verb::get);
-    request_.target(target);
+  void Run(HttpCall call) {
+    request_.method_string(call.method);
+    request_.target(call.target);
     request_.version(11);
     request_.set(http::field::host, address_);
     request_.set(http::field::content_type, "application/json");
-    request_.body() = std::move(body);
+    for (const auto& [name, value] : call.headers) request_.set(name, value);
+    request_.body() = std::move(call.body);
     request_.keep_alive(true);
     request_.prepare_payload();
     stream_ = pool_->Take(address_);
@@ -153,19 +154,19 @@
 
 void HttpClient::Post(const std::string& address, const std::string& target,
                       std::string body, Duration timeout, Callback callback) {
-  Start(address, target, true, std::move(body), timeout, std::move(callback));
+  Send({"POST", address, target, std::move(body), {}}, timeout,
+       std::move(callback));
 }
 
 void HttpClient::Get(const std::string& address, const std::string& target,
                      Duration timeout, Callback callback) {
-  Start(address, target, false, {}, timeout, std::move(callback));
+  Send({"GET", address, target, {}, {}}, timeout, std::move(callback));
 }
 
-void HttpClient::Start(const std::string& address, const std::string& target,
-                       bool is_post, std::string body, Duration timeout,
-                       Callback callback) {
-  std::make_shared<Exchange>(io_, pool_, address, timeout, std::move(callback))
-      ->Run(target, is_post, std::move(body));
+void HttpClient::Send(HttpCall call, Duration timeout, Callback callback) {
+  std::make_shared<Exchange>(io_, pool_, call.address, timeout,
+                             std::move(callback))
+      ->Run(std::move(call));
 }
 
 }  // namespace corianderdock::net
--- /dev/null
+++ b/src/adapters/line_socket.cc
@@ -0,0 +1,152 @@
+#include "corianderdock/net/line_socket.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace corianderdock::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(tcp::socket& socket, int level, int name, int value) {
+  // A socket without the option still works, only slower to notice silence.
+  (void)::setsockopt(socket.native_handle(), level, name, &value,
+                     sizeof(value));
+}
+
+}  // namespace
+
+std::shared_ptr<LineSocket> LineSocket::Make(tcp::socket socket,
+                                             const LineLimits& limits) {
+  return std::shared_ptr<LineSocket>(new LineSocket(std::move(socket), limits));
+}
+
+LineSocket::LineSocket(tcp::socket socket, const LineLimits& limits)
+    : socket_(std::move(socket)), limits_(limits) {}
+
+void LineSocket::Configure() {
+  const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+      limits_.peer_silence);
+  SetOption(socket_, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(silence.count()));
+  SetOption(socket_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket_, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  SetOption(socket_, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(socket_, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+void LineSocket::Start(OnLine on_line, OnClosed on_closed) {
+  on_line_ = std::move(on_line);
+  on_closed_ = std::move(on_closed);
+  error_code ec;
+  socket_.non_blocking(true, ec);
+  if (ec) return Fail(ec.message());
+  Configure();
+  WaitReadable();
+}
+
+void LineSocket::WaitReadable() {
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code ec) {
+                       if (self->closed_) return;
+                       if (ec) return self->Fail(ec.message());
+                       self->ReadSome();
+                     });
+}
+
+void LineSocket::ReadSome() {
+  std::array<char, kReadBytes> bytes;
+  error_code ec;
+  const std::size_t n = socket_.read_some(asio::buffer(bytes), ec);
+  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+    return WaitReadable();
+  }
+  if (ec) return Fail(ec == asio::error::eof ? "closed" : ec.message());
+  if (!Consume({bytes.data(), n})) return;
+  WaitReadable();
+}
+
+/// Hands over whole lines. Returns false once closed.
+bool LineSocket::Consume(std::string_view bytes) {
+  const auto self = shared_from_this();
+  while (!bytes.empty()) {
+    const std::size_t end = bytes.find('\n');
+    if (end == std::string_view::npos) {
+      if (partial_.size() + bytes.size() > limits_.longest_line) {
+        Fail("line too long");
+        return false;
+      }
+      partial_.append(bytes);
+      return true;
+    }
+    std::string_view line = bytes.substr(0, end);
+    bytes.remove_prefix(end + 1);
+    std::string whole;
+    if (!partial_.empty()) {
+      whole = std::exchange(partial_, {});
+      whole.append(line);
+      line = whole;
+    }
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.size() > limits_.longest_line) {
+      Fail("line too long");
+      return false;
+    }
+    on_line_(line);
+    if (closed_) return false;
+  }
+  return true;
+}
+
+void LineSocket::Flush() {
+  if (closed_ || unsent_.empty() || waiting_writable_) return;
+  error_code ec;
+  const std::size_t n = socket_.write_some(asio::buffer(unsent_), ec);
+  if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
+    // The reader reports the close, so that callers see it in one place.
+    unsent_.clear();
+    return;
+  }
+  unsent_.erase(0, n);
+  if (unsent_.empty()) return;
+  if (unsent_.size() > limits_.most_unsent) return Fail("peer does not read");
+  WaitWritable();
+}
+
+void LineSocket::WaitWritable() {
+  waiting_writable_ = true;
+  socket_.async_wait(tcp::socket::wait_write,
+                     [self = shared_from_this()](error_code ec) {
+                       self->waiting_writable_ = false;
+                       if (!ec) self->Flush();
+                     });
+}
+
+void LineSocket::Close() {
+  if (closed_) return;
+  Flush();
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void LineSocket::Fail(const std::string& reason) {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  const OnClosed on_closed = std::exchange(on_closed_, {});
+  if (on_closed) on_closed(reason);
+}
+
+}  // namespace corianderdock::net
--- /dev/null
+++ b/src/session/connection_state.cc
@@ -0,0 +1,61 @@
+#include "corianderdock/session/connection_state.h"
+
+#include <algorithm>
+
+namespace corianderdock::session {
+
+namespace {
+
+ServerCommand Command(Verb verb, std::string name, std::string text) {
+  ServerCommand command;
+  command.statement = {verb, std::move(name), std::move(text)};
+  return command;
+}
+
+}  // namespace
+
+std::string ConnectionState::ServerName(const PreparedShape& shape) {
+  return (shape.writes ? "w_" : "r_") + shape.shape;
+}
+
+bool ConnectionState::HoldsForeignValue(const SessionValues& values) const {
+  return std::any_of(values_.begin(), values_.end(), [&](const auto& it) {
+    return !values.contains(it.first);
+  });
+}
+
+std::vector<ServerCommand> ConnectionState::Synchronize(
+    const SessionValues& values, const std::optional<PreparedShape>& shape) {
+  std::vector<ServerCommand> commands;
+  if (HoldsForeignValue(values)) {
+    commands.push_back(Command(Verb::kReset, {}, {}));
+    values_.clear();
+    prepared_.clear();
+  }
+  for (const auto& [name, value] : values) {
+    const auto it = values_.find(name);
+    if (it != values_.end() && it->second == value) continue;
+    commands.push_back(Command(Verb::kSet, name, value));
+    values_[name] = value;
+  }
+  if (shape && prepared_.insert(*shape).second) {
+    const Verb verb = shape->writes ? Verb::kPrepareWrite : Verb::kPrepareRead;
+    commands.push_back(Command(verb, ServerName(*shape), shape->shape));
+  }
+  return commands;
+}
+
+std::size_t ConnectionState::Distance(
+    const SessionValues& values,
+    const std::optional<PreparedShape>& shape) const {
+  if (HoldsForeignValue(values)) return 1 + values.size() + (shape ? 1 : 0);
+  std::size_t n = 0;
+  for (const auto& [name, value] : values) {
+    const auto it = values_.find(name);
+    if (it == values_.end() || it->second != value) ++n;
+  }
+  if (shape && !prepared_.contains(*shape)) ++n;
+  return n;
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/failover.cc
@@ -0,0 +1,125 @@
+#include "corianderdock/session/failover.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace corianderdock::session {
+
+namespace {
+
+bool Ahead(Position a, Position b) {
+  return std::tie(a.term, a.index) > std::tie(b.term, b.index);
+}
+
+}  // namespace
+
+void Failover::Enter(Phase phase, TimePoint now) {
+  phase_ = phase;
+  since_ = now;
+}
+
+Failover::Actions Failover::Step(const Situation& situation) {
+  const TimePoint now = situation.now;
+  switch (phase_) {
+    case Phase::kIdle:
+      if (!situation.primary_lost || now < next_claim_ ||
+          situation.replicas.empty() || !situation.reachable) {
+        return {};
+      }
+      Enter(Phase::kClaiming, now);
+      return {Claim{}};
+    case Phase::kClaiming:
+      if (now - since_ >= options_.claim_timeout) return Abandon(situation);
+      return {};
+    case Phase::kHolding:
+      if (now - since_ >= options_.hold_timeout) return Abandon(situation);
+      if (now >= next_retry_) return HoldMissing(situation);
+      return {};
+    case Phase::kOrdering:
+      if (now - since_ >= options_.lead_timeout) return Abandon(situation);
+      if (now < next_retry_) return {};
+      next_retry_ = now + options_.order_retry;
+      return {Order{candidate_, token_}};
+    case Phase::kStarting:
+      if (now - since_ >= options_.lead_timeout) return Abandon(situation);
+      return {};
+  }
+  return {};
+}
+
+Failover::Actions Failover::OnClaim(const Situation& situation,
+                                    std::uint64_t token) {
+  if (phase_ != Phase::kClaiming) return {};
+  if (token == 0 || !situation.primary_lost) return Abandon(situation);
+  token_ = token;
+  hold_term_ = situation.newest_term + 1;
+  held_.clear();
+  Enter(Phase::kHolding, situation.now);
+  return HoldMissing(situation);
+}
+
+Failover::Actions Failover::HoldMissing(const Situation& situation) {
+  next_retry_ = situation.now + options_.hold_retry;
+  Actions actions;
+  for (const auto& [id, leaving] : situation.replicas) {
+    if (!held_.contains(id)) actions.push_back(Hold{id, hold_term_});
+  }
+  return actions;
+}
+
+Failover::Actions Failover::OnHeld(const Situation& situation,
+                                   const ServerId& server,
+                                   const ServerStatus& status) {
+  if (phase_ != Phase::kHolding) return {};
+  if (status.held < hold_term_) {
+    hold_term_ = std::max(hold_term_, status.term + 1);
+    return {};
+  }
+  held_[server] = status.received;
+  return TryOrder(situation);
+}
+
+Failover::Actions Failover::TryOrder(const Situation& situation) {
+  const auto& replicas = situation.replicas;
+  const bool complete =
+      std::all_of(replicas.begin(), replicas.end(),
+                  [&](const auto& it) { return held_.contains(it.first); });
+  if (!complete || replicas.empty()) return {};
+  candidate_.clear();
+  for (const auto& [id, leaving] : replicas) {
+    const bool better =
+        candidate_.empty() || Ahead(held_[id], held_[candidate_]) ||
+        (held_[id] == held_[candidate_] && replicas.at(candidate_) && !leaving);
+    if (better) candidate_ = id;
+  }
+  Enter(Phase::kOrdering, situation.now);
+  next_retry_ = situation.now + options_.order_retry;
+  return {Order{candidate_, token_}};
+}
+
+Failover::Actions Failover::OnOrdered(const Situation& situation,
+                                      PromotionResult result) {
+  if (phase_ != Phase::kOrdering) return {};
+  if (result == PromotionResult::kRefused) return Abandon(situation);
+  if (result == PromotionResult::kAccepted) {
+    Enter(Phase::kStarting, situation.now);
+  }
+  return {};
+}
+
+void Failover::OnLeader(const ServerId& server) {
+  const bool started = phase_ == Phase::kStarting || phase_ == Phase::kOrdering;
+  if (started && server == candidate_) phase_ = Phase::kIdle;
+}
+
+Failover::Actions Failover::Abandon(const Situation& situation) {
+  Actions actions;
+  for (const auto& [id, position] : held_) actions.push_back(Resume{id});
+  held_.clear();
+  candidate_.clear();
+  Enter(Phase::kIdle, situation.now);
+  next_claim_ = situation.now + options_.claim_pause;
+  return actions;
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/outcome.cc
@@ -0,0 +1,51 @@
+#include "corianderdock/session/outcome.h"
+
+#include <array>
+
+namespace corianderdock::session {
+
+namespace {
+
+constexpr std::size_t kKinds = 6;
+constexpr std::size_t kEnds = 4;
+
+using Row = std::array<Verdict, kEnds>;
+
+/// By `AttemptKind`, then by `AttemptEnd`.
+constexpr std::array<Row, kKinds> kTable = {{
+    // kNotRun, kFailed, kTimedOut, kLost
+    Row{Verdict::kRetry, Verdict::kRetry, Verdict::kRetry, Verdict::kRetry},
+    Row{Verdict::kRetry, Verdict::kFailed, Verdict::kTimeout, Verdict::kUnsure},
+    Row{Verdict::kRetry, Verdict::kAbort, Verdict::kAbort, Verdict::kAbort},
+    Row{Verdict::kAbort, Verdict::kAbort, Verdict::kAbort, Verdict::kAbort},
+    Row{Verdict::kAbort, Verdict::kAbort, Verdict::kAbort, Verdict::kAbort},
+    Row{Verdict::kAbort, Verdict::kFailed, Verdict::kTimeout, Verdict::kUnsure},
+}};
+
+}  // namespace
+
+Verdict Judge(AttemptKind kind, AttemptEnd end) noexcept {
+  return kTable[static_cast<std::size_t>(kind)][static_cast<std::size_t>(end)];
+}
+
+AttemptEnd EndOf(ErrorCode code) noexcept {
+  switch (code) {
+    case ErrorCode::kFailed:
+      return AttemptEnd::kFailed;
+    case ErrorCode::kTimeout:
+      return AttemptEnd::kTimedOut;
+    case ErrorCode::kBusy:
+    case ErrorCode::kBehind:
+    case ErrorCode::kReadOnly:
+    case ErrorCode::kNoStatement:
+    case ErrorCode::kMisrouted:
+    case ErrorCode::kTooMany:
+    case ErrorCode::kAborted:
+    case ErrorCode::kBad:
+      return AttemptEnd::kNotRun;
+    default:
+      return AttemptEnd::kLost;
+  }
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/proxy.cc
@@ -0,0 +1,136 @@
+#include "corianderdock/session/proxy.h"
+
+#include <json/json.h>
+
+#include <utility>
+
+namespace corianderdock::session {
+
+using detail::Timer;
+using detail::TimerKind;
+
+Proxy::Proxy(ProxyIdentity self, ProxyOptions options, std::uint64_t seed)
+    : self_(std::move(self)), options_(options), random_(seed) {}
+
+Effects Proxy::Reduce(TimePoint now, const Event& event) {
+  now_ = now;
+  if (!ticking_) {
+    ticking_ = true;
+    After(options_.tick, {TimerKind::kServiceCheck, {}, 0});
+  }
+  std::visit([this](const auto& it) { On(it); }, event);
+  FireTimers();
+  while (!to_pump_.empty()) {
+    const ServiceId service = *to_pump_.begin();
+    to_pump_.erase(to_pump_.begin());
+    Pump(service);
+  }
+  return std::exchange(effects_, {});
+}
+
+void Proxy::On(const TimerFired& /*event*/) {}
+
+void Proxy::FireTimers() {
+  while (auto timer = timers_.TakeDue(now_)) {
+    switch (timer->kind) {
+      case TimerKind::kStatementDeadline:
+        OnDeadline(timer->id, std::stoull(timer->key));
+        break;
+      case TimerKind::kAttemptLimit:
+        OnAttemptLimit(timer->id, std::stoull(timer->key));
+        break;
+      case TimerKind::kRetryStatement: {
+        const auto it = sessions_.find(timer->id);
+        if (it == sessions_.end() || !it->second.pending) break;
+        if (std::to_string(it->second.pending->timer) != timer->key) break;
+        if (!it->second.pending->sent && !it->second.pending->queued) {
+          Enqueue(timer->id, it->second);
+        }
+        break;
+      }
+      case TimerKind::kSessionIdle:
+        OnTransactionIdle(timer->id);
+        break;
+      case TimerKind::kConnectLimit: {
+        const auto it = connections_.find(timer->id);
+        if (it == connections_.end() || it->second.open) break;
+        Emit(CloseServerConnection{timer->id});
+        On(ServerConnected{timer->id, ErrorCode::kOther, std::nullopt});
+        break;
+      }
+      case TimerKind::kServiceCheck:
+        CheckLanes();
+        CheckServices();
+        CheckStopped();
+        After(options_.tick, {TimerKind::kServiceCheck, {}, 0});
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+bool Proxy::Ready() const { return config_ && servers_known_ && !stop_at_; }
+
+void Proxy::Count(std::string_view name) {
+  const auto it = counters_.find(name);
+  if (it == counters_.end()) {
+    counters_.emplace(name, 1);
+  } else {
+    ++it->second;
+  }
+}
+
+void Proxy::On(const ConfigRead& event) {
+  if (config_ && event.config->version <= config_->version) return;
+  Log("config installed version=" + std::to_string(event.config->version) +
+      " previous=" + std::to_string(config_ ? config_->version : 0) +
+      " routes=" + std::to_string(event.config->routes.size()));
+  config_ = event.config;
+  for (auto& [id, service] : services_) service.wants_samples = false;
+  for (const auto& [name, limits] : config_->services) {
+    services_[name].limits = limits;
+  }
+  for (const auto& [database, route] : config_->routes) {
+    if (route->freshness == Freshness::kPrimary) continue;
+    services_[route->service].wants_samples = true;
+  }
+}
+
+void Proxy::On(const InstancesCounted& event) {
+  if (event.instances == instances_) return;
+  Log("instances counted=" + std::to_string(event.instances) +
+      " previous=" + std::to_string(instances_));
+  instances_ = event.instances;
+}
+
+std::string Proxy::DumpState() const {
+  Json::Value root;
+  root["instance"] = self_.id;
+  root["ready"] = Ready();
+  root["config_version"] = Json::UInt64(config_ ? config_->version : 0);
+  root["sessions"] = Json::UInt64(sessions_.size());
+  root["connections"] = Json::UInt64(connections_.size());
+  for (const auto& [id, service] : services_) {
+    Json::Value& out = root["services"][id];
+    out["primary"] = service.leader;
+    out["term"] = Json::UInt64(service.newest_term);
+    out["queued_primary"] = Json::UInt64(service.primary_queue.size());
+    out["queued_reads"] = Json::UInt64(service.read_queue.size());
+    out["failover_phase"] = static_cast<int>(service.failover.phase());
+  }
+  for (const auto& [id, lane] : lanes_) {
+    Json::Value& out = root["servers"][id];
+    out["service"] = lane.entry.service;
+    out["running"] = lane.running;
+    out["connections"] = Json::UInt64(lane.connections.size());
+    out["idle"] = Json::UInt64(lane.idle.size());
+    out["failing"] = lane.failing;
+    out["draining"] = lane.entry.draining;
+  }
+  Json::StreamWriterBuilder writer;
+  writer["indentation"] = "";
+  return Json::writeString(writer, root);
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/proxy_leadership.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <utility>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::session {
+
+namespace {
+
+/// Time after the last statement for which a service's samples are kept fresh.
+constexpr Duration kSampleUse = std::chrono::seconds(3);
+/// Age at which samples are forgotten.
+constexpr Duration kSampleAge = std::chrono::seconds(30);
+/// Unanswered or lost commits in a row that show a primary without replicas.
+constexpr int kStalledCommits = 3;
+/// Time after which an unanswered commit counts as stalled.
+constexpr Duration kCommitStall = std::chrono::milliseconds(400);
+
+std::string Show(Position position) {
+  return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
+}  // namespace
+
+void Proxy::NoteLeader(Lane& lane, std::optional<Position> position,
+                       TimePoint sent) {
+  Service& service = services_[lane.entry.service];
+  if (position) {
+    if (position->term < service.newest_term) return;
+    service.newest_term = position->term;
+    lane.lead_term = position->term;
+    service.samples.Add(*position, sent);
+    service.samples.Forget(now_ - kSampleAge);
+  }
+  service.failover.OnLeader(lane.entry.id);
+  if (service.leader == lane.entry.id) return;
+  Log("primary found service=" + lane.entry.service + " id=" + lane.entry.id +
+      " previous=" + service.leader +
+      " position=" + (position ? Show(*position) : "-"));
+  service.leader = lane.entry.id;
+  lane.commits_lost = 0;
+  to_pump_.insert(lane.entry.service);
+}
+
+void Proxy::NoteNotLeader(Lane& lane) {
+  Service& service = services_[lane.entry.service];
+  if (service.leader != lane.entry.id) return;
+  Log("primary lost service=" + lane.entry.service + " id=" + lane.entry.id +
+      " reason=it does not lead");
+  service.leader.clear();
+  service.leaderless_since = now_;
+  service.searched = {};
+}
+
+/// Asks a server whether it leads.
+void Proxy::ProbeLead(Lane& lane) {
+  ServerCommand begin;
+  begin.statement.verb = Verb::kBegin;
+  ServerCommand end;
+  end.statement.verb = Verb::kRollback;
+  SendControl(lane.entry.id, std::move(begin), Step::kProbe);
+  SendControl(lane.entry.id, std::move(end), Step::kEnd);
+}
+
+/// Sends a command over an idle connection, or one opened for it.
+void Proxy::SendControl(const ServerId& server, ServerCommand command,
+                        Step step) {
+  Lane& lane = lanes_.at(server);
+  if (lane.control != 0 && connections_.contains(lane.control)) {
+    Connection& at = connections_.at(lane.control);
+    if (!at.open) {
+      at.on_open.emplace_back(step, std::move(command));
+      return;
+    }
+    if (at.bound == 0) {
+      std::erase(lane.idle, lane.control);
+      return SendOne(lane.control, std::move(command), step,
+                     step == Step::kProbe);
+    }
+  }
+  if (!lane.idle.empty()) {
+    lane.control = lane.idle.back();
+    lane.idle.pop_back();
+    return SendOne(lane.control, std::move(command), step,
+                   step == Step::kProbe);
+  }
+  lane.control = Open(lane);
+  connections_.at(lane.control).on_open.emplace_back(step, std::move(command));
+}
+
+bool Proxy::CommitsStall(const Lane& lane) const {
+  int stalled = lane.commits_lost;
+  for (const ConnectionId id : lane.connections) {
+    const auto& expected = connections_.at(id).expected;
+    if (expected.empty() || !expected.front().commits) continue;
+    if (now_ - expected.front().sent >= kCommitStall) ++stalled;
+  }
+  return stalled >= kStalledCommits;
+}
+
+bool Proxy::PrimaryLost(const Service& service) const {
+  const Duration silence = options_.failover.silence;
+  if (service.leader.empty()) {
+    return now_ - service.leaderless_since >= 2 * silence;
+  }
+  const Lane& lane = lanes_.at(service.leader);
+  if (!lane.listed || lane.entry.draining) return true;
+  if (lane.failing && now_ - lane.failing_since >= silence) return true;
+  return CommitsStall(lane);
+}
+
+Failover::Situation Proxy::SituationOf(const Service& service) const {
+  Failover::Situation situation;
+  situation.now = now_;
+  situation.primary_lost = PrimaryLost(service);
+  situation.newest_term = service.newest_term;
+  situation.reachable = false;
+  for (const ServerId& id : service.servers) {
+    const Lane& lane = lanes_.at(id);
+    if (id == service.leader || !lane.listed) continue;
+    situation.replicas[id] = lane.entry.draining;
+    if (!lane.failing) situation.reachable = true;
+  }
+  return situation;
+}
+
+/// Keeps samples fresh, searches lost primaries and drives failovers.
+void Proxy::CheckServices() {
+  for (auto& [id, service] : services_) {
+    if (service.servers.empty()) continue;
+    const bool in_use = now_ - service.used < kSampleUse;
+    const auto lane = lanes_.find(service.leader);
+    const bool led = lane != lanes_.end();
+    const bool in_doubt = !led || lane->second.failing ||
+                          service.failover.phase() != Failover::Phase::kIdle;
+    if (in_doubt && now_ - service.searched >= options_.search_interval) {
+      service.searched = now_;
+      SearchLeader(service);
+    }
+    const auto newest = service.samples.Newest();
+    const bool stale = !newest || now_ - *newest >= options_.sample_interval;
+    const bool may_probe =
+        led && !lane->second.failing &&
+        now_ - lane->second.probed >= options_.sample_interval;
+    if (service.wants_samples && in_use && stale && may_probe) {
+      lane->second.probed = now_;
+      ProbeLead(lane->second);
+    }
+    if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
+    Perform(id, service.failover.Step(SituationOf(service)));
+  }
+}
+
+/// Asks every reachable server of a service whether it leads.
+void Proxy::SearchLeader(Service& service) {
+  for (const ServerId& id : service.servers) {
+    Lane& lane = lanes_.at(id);
+    if (!lane.listed || lane.failing || lane.opening > 0) continue;
+    if (now_ - lane.probed < options_.search_interval) continue;
+    lane.probed = now_;
+    ProbeLead(lane);
+  }
+}
+
+void Proxy::Perform(const ServiceId& id, const Failover::Actions& actions) {
+  for (const auto& action : actions) {
+    if (std::holds_alternative<Failover::Claim>(action)) {
+      Log("promotion claimed service=" + id +
+          " primary=" + services_[id].leader);
+      Count("promotion_claims");
+      Emit(ClaimPromotion{id});
+    } else if (const auto* hold = std::get_if<Failover::Hold>(&action)) {
+      ServerCommand command;
+      command.statement.verb = Verb::kHold;
+      command.term = hold->term;
+      SendControl(hold->server, std::move(command), Step::kHold);
+    } else if (const auto* resume = std::get_if<Failover::Resume>(&action)) {
+      ServerCommand command;
+      command.statement.verb = Verb::kResume;
+      SendControl(resume->server, std::move(command), Step::kResume);
+    } else if (const auto* order = std::get_if<Failover::Order>(&action)) {
+      Log("promotion ordered service=" + id + " id=" + order->server +
+          " token=" + std::to_string(order->token));
+      Count("promotion_orders");
+      Emit(PromoteServer{id, order->server, order->token});
+    }
+  }
+}
+
+void Proxy::On(const ClaimAnswered& event) {
+  const auto it = services_.find(event.service);
+  if (it == services_.end()) return;
+  Log("promotion claim answered service=" + event.service +
+      " token=" + std::to_string(event.token));
+  Perform(it->first,
+          it->second.failover.OnClaim(SituationOf(it->second), event.token));
+}
+
+void Proxy::On(const PromotionAnswered& event) {
+  const auto it = services_.find(event.service);
+  if (it == services_.end()) return;
+  Log("promotion answered service=" + event.service + " id=" + event.server +
+      " result=" + std::to_string(static_cast<int>(event.result)));
+  Perform(it->first,
+          it->second.failover.OnOrdered(SituationOf(it->second), event.result));
+}
+
+void Proxy::OnHoldAnswer(Lane& lane, const Reply& reply) {
+  Service& service = services_[lane.entry.service];
+  const auto& status = reply.status;
+  if (reply.error != ErrorCode::kNone || !status) {
+    Log("hold refused id=" + lane.entry.id + " detail=" + reply.detail);
+    return;
+  }
+  Log("replica held id=" + lane.entry.id + " received=" +
+      Show(status->received) + " held=" + std::to_string(status->held));
+  Perform(lane.entry.service, service.failover.OnHeld(SituationOf(service),
+                                                      lane.entry.id, *status));
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/proxy_servers.cc
@@ -0,0 +1,326 @@
+#include <algorithm>
+#include <utility>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::session {
+
+using detail::TimerKind;
+
+namespace {
+
+/// Connections to one server that may be opening at once.
+constexpr int kMostOpening = 2;
+/// Pause between attempts to reach a failing server.
+constexpr Duration kProbePause = std::chrono::milliseconds(200);
+/// How long the limit learned from a full server holds.
+constexpr Duration kFullPause = std::chrono::milliseconds(500);
+
+bool UsesSlot(Verb verb) {
+  return verb == Verb::kRead || verb == Verb::kWrite ||
+         verb == Verb::kExecute || verb == Verb::kCommit ||
+         verb == Verb::kStatus;
+}
+
+}  // namespace
+
+void Proxy::On(const ServersRead& event) {
+  for (auto& [id, lane] : lanes_) {
+    if (event.servers.contains(id)) continue;
+    if (lane.listed) Log("server unlisted id=" + id);
+    lane.listed = false;
+  }
+  for (const auto& [id, entry] : event.servers) {
+    Lane& lane = lanes_[id];
+    const bool fresh = lane.entry.id.empty();
+    const bool moved = !fresh && (lane.entry.address != entry.address ||
+                                  lane.entry.born != entry.born);
+    if (fresh || !(lane.entry == entry)) {
+      Log("server listed id=" + id + " service=" + entry.service +
+          " zone=" + entry.zone +
+          " draining=" + std::to_string(static_cast<int>(entry.draining)) +
+          " primary=" + std::to_string(static_cast<int>(entry.claims_primary)));
+    }
+    lane.entry = entry;
+    lane.listed = true;
+    if (moved) {
+      const auto connections = lane.connections;
+      for (const ConnectionId it : connections) Drop(it, true);
+      lane.failing = false;
+    }
+    Service& service = services_[entry.service];
+    service.servers.insert(id);
+    if (service.leader.empty() && entry.claims_primary && !entry.draining) {
+      service.leader = id;
+    }
+    to_pump_.insert(entry.service);
+  }
+  servers_known_ = servers_known_ || !event.servers.empty();
+}
+
+int Proxy::ShareOf(const Lane& lane) const {
+  const auto it = services_.find(lane.entry.service);
+  const int limit =
+      it == services_.end() ? 1 : it->second.limits.max_connections;
+  const int share =
+      std::max(1, (limit - options_.spare_connections) / instances_);
+  return lane.most_connections > 0 ? std::min(share, lane.most_connections)
+                                   : share;
+}
+
+void Proxy::OpenIfUseful(Lane& lane, std::size_t wanted) {
+  if (now_ < lane.connect_after || !lane.listed) return;
+  const auto most = std::min<std::size_t>(wanted, kMostOpening);
+  if (static_cast<std::size_t>(lane.opening) >= most) return;
+  if (static_cast<int>(lane.connections.size()) >= ShareOf(lane)) return;
+  Open(lane);
+}
+
+ConnectionId Proxy::Open(Lane& lane) {
+  const ConnectionId id = next_connection_++;
+  Connection& connection = connections_[id];
+  connection.server = lane.entry.id;
+  connection.service = lane.entry.service;
+  connection.opened = now_;
+  lane.connections.insert(id);
+  ++lane.opening;
+  Count("connections_opened");
+  Emit(OpenServerConnection{id, lane.entry.id, lane.entry.service,
+                            lane.entry.address});
+  After(options_.connect_limit, {TimerKind::kConnectLimit, {}, id});
+  return id;
+}
+
+void Proxy::On(const ServerConnected& event) {
+  const auto it = connections_.find(event.connection);
+  if (it == connections_.end()) return;
+  Connection& connection = it->second;
+  Lane& lane = lanes_.at(connection.server);
+  if (event.error != ErrorCode::kNone) {
+    Log("connection refused server=" + connection.server +
+        " code=" + std::to_string(static_cast<int>(event.error)) +
+        " connections=" + std::to_string(lane.connections.size()));
+    Count("connections_refused");
+    lane.connect_after = now_ + options_.connect_pause;
+    const bool reached = event.error != ErrorCode::kOther;
+    if (event.error == ErrorCode::kTooMany) {
+      lane.most_connections =
+          std::max<int>(1, static_cast<int>(lane.connections.size()) - 1);
+      lane.full_until = now_ + kFullPause;
+    }
+    Drop(event.connection, false);
+    if (!reached) NoteFailing(lane);
+    return;
+  }
+  connection.open = true;
+  --lane.opening;
+  NoteHeard(lane);
+  auto commands = std::exchange(connection.on_open, {});
+  for (auto& [step, command] : commands) {
+    SendOne(event.connection, std::move(command), step, step == Step::kProbe);
+  }
+  MakeIdle(event.connection);
+}
+
+/// Takes the idle connection that needs the fewest commands; 0 if none.
+ConnectionId Proxy::TakeIdle(Lane& lane, const SessionValues& values,
+                             const std::optional<PreparedShape>& shape) {
+  std::size_t best = 0;
+  std::size_t best_distance = SIZE_MAX;
+  for (std::size_t n = lane.idle.size(); n-- > 0;) {
+    const auto& state = connections_.at(lane.idle[n]).state;
+    const std::size_t distance = state.Distance(values, shape);
+    if (distance >= best_distance) continue;
+    best = n;
+    best_distance = distance;
+    if (distance == 0) break;
+  }
+  if (best_distance == SIZE_MAX) return 0;
+  const ConnectionId id = lane.idle[best];
+  lane.idle.erase(lane.idle.begin() + static_cast<std::ptrdiff_t>(best));
+  return id;
+}
+
+/// Lets others use a connection once nothing on it is unanswered or bound.
+void Proxy::MakeIdle(ConnectionId id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  const Connection& connection = it->second;
+  if (!connection.open || connection.bound != 0 ||
+      !connection.expected.empty()) {
+    return;
+  }
+  Lane& lane = lanes_.at(connection.server);
+  if (std::find(lane.idle.begin(), lane.idle.end(), id) != lane.idle.end()) {
+    return;
+  }
+  const bool over = static_cast<int>(lane.connections.size()) > ShareOf(lane);
+  if (over || !lane.listed) return Drop(id, false);
+  lane.idle.push_back(id);
+  to_pump_.insert(connection.service);
+}
+
+/// Closes a connection; `tell` fails the statement that it carries.
+void Proxy::Drop(ConnectionId id, bool tell) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  const Connection connection = std::move(it->second);
+  connections_.erase(it);
+  Lane& lane = lanes_.at(connection.server);
+  lane.connections.erase(id);
+  std::erase(lane.idle, id);
+  if (!connection.open) --lane.opening;
+  for (const Expected& expected : connection.expected) {
+    if (expected.uses_slot) --lane.running;
+  }
+  Emit(CloseServerConnection{id});
+  to_pump_.insert(connection.service);
+  if (!tell || connection.bound == 0) return;
+  const auto session = sessions_.find(connection.bound);
+  if (session == sessions_.end()) return;
+  LoseConnection(session->first, session->second, connection.server);
+}
+
+/// The connection that a session used is gone.
+void Proxy::LoseConnection(SessionId id, Session& session,
+                           const ServerId& server) {
+  session.bound = 0;
+  if (session.pending && session.pending->sent) {
+    session.pending->tried.insert(server);
+    Fail(id, session, AttemptEnd::kLost, ErrorCode::kOther, "connection lost");
+    return;
+  }
+  if (session.state == TransactionState::kOpen) {
+    EndTransaction(session);
+    session.state = TransactionState::kFailed;
+  }
+}
+
+void Proxy::On(const ServerConnectionLost& event) {
+  const auto it = connections_.find(event.connection);
+  if (it == connections_.end()) return;
+  if (!it->second.open) {
+    return On(ServerConnected{event.connection, ErrorCode::kOther, {}});
+  }
+  Lane& lane = lanes_.at(it->second.server);
+  Count("connections_lost");
+  Log("connection lost server=" + it->second.server);
+  NoteFailing(lane);
+  Drop(event.connection, true);
+}
+
+void Proxy::Send(ConnectionId id, std::vector<ServerCommand> commands,
+                 Step step) {
+  for (auto& it : commands) SendOne(id, std::move(it), step, false);
+}
+
+void Proxy::SendOne(ConnectionId id, ServerCommand command, Step step,
+                    bool proves_lead) {
+  Connection& connection = connections_.at(id);
+  Expected expected;
+  expected.step = step;
+  expected.sent = now_;
+  expected.uses_slot = UsesSlot(command.statement.verb);
+  expected.proves_lead = proves_lead;
+  expected.commits = step == Step::kStatement && proves_lead;
+  if (expected.uses_slot) ++lanes_.at(connection.server).running;
+  connection.expected.push_back(expected);
+  Emit(SendCommand{id, std::move(command)});
+}
+
+void Proxy::On(const ServerReplied& event) {
+  const auto it = connections_.find(event.connection);
+  if (it == connections_.end()) return;
+  Connection& connection = it->second;
+  Lane& lane = lanes_.at(connection.server);
+  if (connection.expected.empty()) {
+    Log("connection closed server=" + connection.server +
+        " reason=answer to nothing");
+    return Drop(event.connection, true);
+  }
+  const Expected expected = connection.expected.front();
+  connection.expected.pop_front();
+  if (expected.uses_slot) --lane.running;
+  NoteHeard(lane);
+  to_pump_.insert(connection.service);
+  const Reply& reply = event.reply;
+  switch (expected.step) {
+    case Step::kBegin:
+      OnBeginDone(event.connection, expected, reply);
+      break;
+    case Step::kStatement:
+      OnStatementDone(event.connection, expected, reply);
+      break;
+    case Step::kProbe:
+      if (reply.error == ErrorCode::kNone) {
+        NoteLeader(lane, reply.position, expected.sent);
+      } else if (reply.error == ErrorCode::kReadOnly) {
+        NoteNotLeader(lane);
+      }
+      break;
+    case Step::kHold:
+      OnHoldAnswer(lane, reply);
+      break;
+    case Step::kSetup:
+      if (reply.error == ErrorCode::kNone) break;
+      Log("connection closed server=" + connection.server +
+          " reason=setup failed detail=" + reply.detail);
+      return Drop(event.connection, true);
+    case Step::kEnd:
+    case Step::kResume:
+      break;
+  }
+  MakeIdle(event.connection);
+}
+
+void Proxy::NoteHeard(Lane& lane) {
+  lane.last_heard = now_;
+  if (!lane.failing) return;
+  lane.failing = false;
+  Log("server answers again id=" + lane.entry.id);
+  to_pump_.insert(lane.entry.service);
+}
+
+void Proxy::NoteFailing(Lane& lane) {
+  if (lane.failing) return;
+  lane.failing = true;
+  lane.failing_since = now_;
+  Log("server fails id=" + lane.entry.id);
+}
+
+bool Proxy::Suspect(const Lane& lane) const { return lane.failing; }
+
+std::optional<TimePoint> Proxy::OldestUnanswered(const Lane& lane) const {
+  std::optional<TimePoint> oldest;
+  for (const ConnectionId id : lane.connections) {
+    const Connection& connection = connections_.at(id);
+    if (connection.expected.empty()) continue;
+    const TimePoint sent = connection.expected.front().sent;
+    if (!oldest || sent < *oldest) oldest = sent;
+  }
+  return oldest;
+}
+
+/// Finds servers that fell silent and tries failing ones again.
+void Proxy::CheckLanes() {
+  for (auto& [id, lane] : lanes_) {
+    if (lane.most_connections > 0 && now_ >= lane.full_until) {
+      lane.most_connections = 0;
+    }
+    const auto oldest = OldestUnanswered(lane);
+    const bool silent = oldest && now_ - *oldest >= options_.suspect_after &&
+                        now_ - lane.last_heard >= options_.suspect_after;
+    if (silent && !lane.failing) {
+      NoteFailing(lane);
+      lane.failing_since = std::max(*oldest, lane.last_heard);
+      const auto idle = lane.idle;
+      for (const ConnectionId it : idle) Drop(it, false);
+    }
+    if (!lane.failing || !lane.listed) continue;
+    if (now_ - lane.probed < kProbePause || now_ < lane.connect_after) continue;
+    lane.probed = now_;
+    if (lane.opening == 0) Open(lane);
+  }
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/proxy_sessions.cc
@@ -0,0 +1,296 @@
+#include <algorithm>
+#include <utility>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::session {
+
+using detail::TimerKind;
+
+namespace {
+
+/// Share of the grace period in which open transactions may end.
+constexpr int kTransactionGraceDivisor = 2;
+/// Left of the grace period when the process ends by itself.
+constexpr Duration kExitMargin = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void Proxy::On(const SessionOpened& event) {
+  if (!config_) {
+    Count("sessions_refused");
+    Emit(CloseSession{event.session, ErrorCode::kBusy, "no configuration yet"});
+    return;
+  }
+  if (!config_->routes.contains(event.database)) {
+    Count("sessions_refused");
+    Log("session refused database=" + event.database + " reason=no route" +
+        " config_version=" + std::to_string(config_->version));
+    Emit(CloseSession{event.session, ErrorCode::kNoDatabase, event.database});
+    return;
+  }
+  Session& session = sessions_[event.session];
+  session.database = event.database;
+  session.active = now_;
+  Count("sessions_opened");
+  Answer(event.session, session, {});
+}
+
+void Proxy::On(const SessionClosed& event) {
+  const auto it = sessions_.find(event.session);
+  if (it == sessions_.end()) return;
+  Session& session = it->second;
+  if (session.bound != 0 && session.pending && session.pending->sent) {
+    // The answer is still to come; the connection can't be shared until then.
+    Drop(session.bound, false);
+    session.bound = 0;
+  }
+  if (session.pending && session.pending->queued) {
+    Service& service = services_[session.pending->route->service];
+    service.primary_queue.Remove(event.session);
+    service.read_queue.Remove(event.session);
+  }
+  EndTransaction(session);
+  sessions_.erase(event.session);
+}
+
+void Proxy::On(const StatementReceived& event) {
+  const auto it = sessions_.find(event.session);
+  if (it == sessions_.end()) return;
+  Session& session = it->second;
+  session.active = now_;
+  const Statement& statement = event.statement;
+  const bool ends =
+      statement.verb == Verb::kCommit || statement.verb == Verb::kRollback;
+  if (session.state == TransactionState::kFailed && !ends) {
+    return AnswerError(event.session, session, ErrorCode::kBad,
+                       "the transaction failed; end it first");
+  }
+  switch (statement.verb) {
+    case Verb::kBegin:
+    case Verb::kBeginRead:
+      return Begin(event.session, session, statement.verb == Verb::kBegin);
+    case Verb::kRollback:
+      return EndLocally(event.session, session, false);
+    case Verb::kCommit:
+      if (session.state != TransactionState::kOpen) {
+        return EndLocally(event.session, session, true);
+      }
+      return Accept(event.session, session, event);
+    case Verb::kSet:
+      return KeepValue(event.session, session, statement);
+    case Verb::kPrepareRead:
+    case Verb::kPrepareWrite:
+      return KeepPrepared(event.session, session, statement);
+    case Verb::kForget:
+      return ForgetPrepared(event.session, session, statement);
+    case Verb::kRead:
+    case Verb::kWrite:
+    case Verb::kExecute:
+      return Accept(event.session, session, event);
+    default:
+      return AnswerError(event.session, session, ErrorCode::kBad,
+                         "not a statement of a client");
+  }
+}
+
+std::shared_ptr<const Route> Proxy::RouteOf(const Session& session) const {
+  if (session.route) return session.route;
+  const auto it = config_->routes.find(session.database);
+  return it == config_->routes.end() ? nullptr : it->second;
+}
+
+void Proxy::Begin(SessionId id, Session& session, bool plain) {
+  if (session.state != TransactionState::kIdle) {
+    return AnswerError(id, session, ErrorCode::kBad,
+                       "already in a transaction");
+  }
+  const auto route = RouteOf(session);
+  if (!route) {
+    return AnswerError(id, session, ErrorCode::kNoDatabase, session.database);
+  }
+  session.route = route;
+  session.plain = plain;
+  session.wrote = false;
+  session.state = TransactionState::kOpen;
+  After(config_->transaction_idle, {TimerKind::kSessionIdle, {}, id});
+  AnswerOk(id, session);
+}
+
+void Proxy::EndLocally(SessionId id, Session& session, bool commit) {
+  if (session.state == TransactionState::kIdle && commit) {
+    return AnswerError(id, session, ErrorCode::kBad, "not in a transaction");
+  }
+  EndTransaction(session);
+  if (commit) {
+    return AnswerError(id, session, ErrorCode::kAborted,
+                       "the transaction had failed");
+  }
+  AnswerOk(id, session);
+}
+
+/// Rolls back what the session has open at a server and frees the connection.
+void Proxy::Unbind(Session& session) {
+  if (session.bound == 0) return;
+  const ConnectionId connection = std::exchange(session.bound, 0);
+  ServerCommand rollback;
+  rollback.statement.verb = Verb::kRollback;
+  SendOne(connection, std::move(rollback), Step::kEnd, false);
+  connections_.at(connection).bound = 0;
+}
+
+void Proxy::EndTransaction(Session& session) {
+  Unbind(session);
+  session.state = TransactionState::kIdle;
+  session.route = nullptr;
+  session.plain = false;
+  session.wrote = false;
+}
+
+void Proxy::KeepValue(SessionId id, Session& session,
+                      const Statement& statement) {
+  const bool known = session.values.contains(statement.name);
+  if (!known && session.values.size() >= options_.most_values) {
+    return AnswerError(id, session, ErrorCode::kBad, "too many values");
+  }
+  session.values[statement.name] = statement.text;
+  AnswerOk(id, session);
+}
+
+void Proxy::KeepPrepared(SessionId id, Session& session,
+                         const Statement& statement) {
+  const bool known = session.prepared.contains(statement.name);
+  if (!known && session.prepared.size() >= options_.most_prepared) {
+    return AnswerError(id, session, ErrorCode::kBad,
+                       "too many prepared statements");
+  }
+  session.prepared[statement.name] = {statement.verb == Verb::kPrepareWrite,
+                                      statement.text};
+  AnswerOk(id, session);
+}
+
+void Proxy::ForgetPrepared(SessionId id, Session& session,
+                           const Statement& statement) {
+  if (session.prepared.erase(statement.name) == 0) {
+    return AnswerError(id, session, ErrorCode::kNoStatement, statement.name);
+  }
+  AnswerOk(id, session);
+}
+
+void Proxy::Accept(SessionId id, Session& session,
+                   const StatementReceived& event) {
+  const auto route = RouteOf(session);
+  if (!route) {
+    Log("statement refused id=" + event.id +
+        " reason=no route config_version=" + std::to_string(config_->version));
+    return AnswerError(id, session, ErrorCode::kNoDatabase, session.database);
+  }
+  Pending pending;
+  pending.id = event.id;
+  pending.statement = event.statement;
+  pending.route = route;
+  pending.writes = event.statement.verb == Verb::kWrite;
+  if (event.statement.verb == Verb::kExecute) {
+    const auto it = session.prepared.find(event.statement.name);
+    if (it == session.prepared.end()) {
+      return AnswerError(id, session, ErrorCode::kNoStatement,
+                         event.statement.name);
+    }
+    pending.shape = it->second;
+    pending.writes = it->second.writes;
+  }
+  const bool inside = session.state == TransactionState::kOpen;
+  if (inside && pending.writes && !session.plain) {
+    return AnswerError(id, session, ErrorCode::kReadOnly, "read transaction");
+  }
+  pending.arrived = now_;
+  pending.deadline = now_ + route->timeout;
+  pending.timer = next_timer_++;
+  session.pending = std::move(pending);
+  After(route->timeout, {TimerKind::kStatementDeadline,
+                         std::to_string(session.pending->timer), id});
+  services_[route->service].used = now_;
+  if (session.bound != 0) return SendStatement(id, session, session.bound);
+  session.pending->first_inside = inside;
+  Enqueue(id, session);
+}
+
+void Proxy::Answer(SessionId id, Session& session, Reply reply) {
+  session.pending.reset();
+  session.active = now_;
+  reply.state = session.state;
+  Emit(AnswerSession{id, std::move(reply)});
+}
+
+void Proxy::AnswerOk(SessionId id, Session& session) {
+  Answer(id, session, {});
+}
+
+void Proxy::AnswerError(SessionId id, Session& session, ErrorCode code,
+                        std::string detail) {
+  Reply reply;
+  reply.error = code;
+  reply.detail = std::move(detail);
+  if (session.state == TransactionState::kOpen && code != ErrorCode::kBad) {
+    EndTransaction(session);
+    session.state = TransactionState::kFailed;
+  }
+  Count("statements_refused");
+  Answer(id, session, std::move(reply));
+}
+
+void Proxy::OnTransactionIdle(SessionId id) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end()) return;
+  Session& session = it->second;
+  if (session.state != TransactionState::kOpen) return;
+  const Duration limit = config_->transaction_idle;
+  const Duration idle = session.pending ? Duration(0) : now_ - session.active;
+  if (idle < limit) {
+    After(limit - idle, {TimerKind::kSessionIdle, {}, id});
+    return;
+  }
+  Log("transaction ended database=" + session.database + " reason=idle");
+  Count("transactions_idle");
+  EndTransaction(session);
+  session.state = TransactionState::kFailed;
+}
+
+void Proxy::On(const StopRequested& event) {
+  if (stop_at_) return;
+  stop_at_ = now_;
+  stop_grace_ = event.grace;
+  Log("stop requested sessions=" + std::to_string(sessions_.size()));
+}
+
+void Proxy::CheckStopped() {
+  if (!stop_at_ || finished_) return;
+  const Duration passed = now_ - *stop_at_;
+  if (passed >= stop_grace_ / kTransactionGraceDivisor) {
+    for (auto& [id, session] : sessions_) {
+      if (session.state != TransactionState::kOpen || session.pending) continue;
+      EndTransaction(session);
+      session.state = TransactionState::kFailed;
+    }
+  }
+  if (passed >= options_.leave_rotation) CloseAllIdle();
+  const bool over = passed >= stop_grace_ - kExitMargin;
+  if (!over && (passed < options_.leave_rotation || !sessions_.empty())) return;
+  finished_ = true;
+  Log("stopped sessions=" + std::to_string(sessions_.size()));
+  Emit(StopFinished{});
+}
+
+void Proxy::CloseAllIdle() {
+  std::vector<SessionId> closing;
+  for (const auto& [id, session] : sessions_) {
+    if (session.pending || session.state != TransactionState::kIdle) continue;
+    closing.push_back(id);
+  }
+  for (const SessionId id : closing) {
+    Emit(CloseSession{id, ErrorCode::kNone, "stopping"});
+    sessions_.erase(id);
+  }
+}
+
+}  // namespace corianderdock::session
--- /dev/null
+++ b/src/session/proxy_statements.cc
@@ -0,0 +1,421 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::session {
+
+using detail::TimerKind;
+
+namespace {
+
+/// Weight of a route in a server's queue by its priority; 0 is the highest.
+double WeightOf(int priority) { return 1.0 / (1.0 + std::max(priority, 0)); }
+
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string Show(const std::optional<Position>& position) {
+  if (!position) return "-";
+  return std::to_string(position->term) + "." + std::to_string(position->index);
+}
+
+/// Share of a new observation in a moving average.
+constexpr double kLatencyGain = 0.1;
+/// Cost of a choice, in running statements.
+constexpr double kOtherZoneCost = 0.6;
+constexpr double kPrimaryCost = 0.9;
+constexpr double kAvoidCost = 1000;
+
+}  // namespace
+
+bool Proxy::NeedsPrimary(const Session& session) const {
+  const Pending& pending = *session.pending;
+  if (pending.writes || pending.force_primary) return true;
+  if (session.state == TransactionState::kOpen && session.plain) return true;
+  if (pending.route->freshness == Freshness::kPrimary) return true;
+  const auto it = services_.find(pending.route->service);
+  return !RequiredPosition(session, it->second);
+}
+
+std::optional<Position> Proxy::RequiredPosition(const Session& session,
+                                                const Service& service) const {
+  const Route& route = *session.pending->route;
+  if (route.max_age <= options_.age_margin) return std::nullopt;
+  const Duration age = WithoutDrift(route.max_age - options_.age_margin);
+  const auto sample = service.samples.Covering(now_ - age);
+  if (!sample) return std::nullopt;
+  const bool own = route.freshness == Freshness::kOwnWrites &&
+                   session.own_service == route.service;
+  return own ? Later(sample, session.own) : sample;
+}
+
+void Proxy::Enqueue(SessionId id, Session& session) {
+  Pending& pending = *session.pending;
+  Service& service = services_[pending.route->service];
+  QueueItem item;
+  item.work = id;
+  item.service = pending.route->database;
+  item.cost = std::chrono::milliseconds(5);
+  item.enqueued = now_;
+  pending.queued = true;
+  const bool primary = NeedsPrimary(session);
+  (primary ? service.primary_queue : service.read_queue)
+      .Push(std::move(item), WeightOf(pending.route->priority));
+  to_pump_.insert(pending.route->service);
+}
+
+void Proxy::Pump(const ServiceId& service_id) {
+  Service& service = services_[service_id];
+  while (PumpQueue(service, service.primary_queue, true)) {
+  }
+  while (PumpQueue(service, service.read_queue, false)) {
+  }
+}
+
+bool Proxy::HasRoom(const Lane& lane) const {
+  return !lane.idle.empty() && lane.running < lane.entry.slots &&
+         now_ >= lane.busy_until;
+}
+
+/// Starts the next statement of a queue. Returns whether more may start.
+bool Proxy::PumpQueue(Service& service, ServerQueue& queue, bool primary) {
+  if (queue.size() == 0) return false;
+  Lane* lane = nullptr;
+  if (primary) {
+    const auto it = lanes_.find(service.leader);
+    if (it == lanes_.end()) return false;
+    if (!HasRoom(it->second)) {
+      OpenIfUseful(it->second, queue.size());
+      return false;
+    }
+    lane = &it->second;
+  } else if (ChooseForRead(service, nullptr) == nullptr) {
+    return false;
+  }
+  SlotState state;
+  state.slots = 1;
+  state.now = now_;
+  const auto item = queue.Pop(state);
+  if (!item) return false;
+  const auto it = sessions_.find(item->work);
+  if (it == sessions_.end() || !it->second.pending) return true;
+  Session& session = it->second;
+  session.pending->queued = false;
+  if (!primary && NeedsPrimary(session)) {
+    Enqueue(item->work, session);
+    return true;
+  }
+  if (!primary) {
+    lane = ChooseForRead(service, &*session.pending);
+    if (lane == nullptr) {
+      session.pending->force_primary = true;
+      Enqueue(item->work, session);
+      return true;
+    }
+  }
+  if (!Start(item->work, session, *lane)) Enqueue(item->work, session);
+  return true;
+}
+
+/// The cheapest server with room, or null. Without `pending` any will do.
+Proxy::Lane* Proxy::ChooseForRead(const Service& service,
+                                  const Pending* pending) {
+  Lane* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const ServerId& id : service.servers) {
+    const auto it = lanes_.find(id);
+    if (it == lanes_.end()) continue;
+    Lane& lane = it->second;
+    if (pending != nullptr && pending->tried.contains(id)) continue;
+    if (lane.entry.draining || !lane.listed || Suspect(lane)) continue;
+    if (!HasRoom(lane)) {
+      if (lane.idle.empty()) OpenIfUseful(lane, 1);
+      continue;
+    }
+    double cost = lane.running + lane.latency_ms / 100;
+    if (lane.entry.zone != self_.zone) cost += kOtherZoneCost;
+    if (id == service.leader) cost += kPrimaryCost;
+    if (now_ < lane.avoid_until) cost += kAvoidCost;
+    if (cost >= best_cost) continue;
+    best = &lane;
+    best_cost = cost;
+  }
+  return best;
+}
+
+bool Proxy::Start(SessionId id, Session& session, Lane& lane) {
+  Pending& pending = *session.pending;
+  const bool primary = NeedsPrimary(session);
+  const auto position =
+      primary ? std::nullopt
+              : RequiredPosition(session, services_[pending.route->service]);
+  const ConnectionId connection = TakeIdle(lane, session.values, pending.shape);
+  if (connection == 0) return false;
+  Connection& at = connections_.at(connection);
+  at.bound = id;
+  session.bound = connection;
+  ++pending.attempts;
+  pending.sent = true;
+  pending.sent_at = now_;
+  pending.wrapped = primary && !pending.writes && !pending.first_inside;
+  if (!pending.writes) {
+    After(options_.attempt_limit,
+          {TimerKind::kAttemptLimit, std::to_string(pending.timer), id});
+  }
+  Send(connection, at.state.Synchronize(session.values, pending.shape),
+       Step::kSetup);
+  if (pending.wrapped || pending.first_inside) {
+    const bool read_only = pending.first_inside && !session.plain && !primary;
+    ServerCommand begin;
+    begin.statement.verb = read_only ? Verb::kBeginRead : Verb::kBegin;
+    begin.after = position;
+    SendOne(connection, std::move(begin), Step::kBegin, !read_only);
+    return true;
+  }
+  ServerCommand command = CommandFor(session);
+  command.after = position;
+  SendOne(connection, std::move(command), Step::kStatement, pending.writes);
+  return true;
+}
+
+ServerCommand Proxy::CommandFor(const Session& session) const {
+  const Pending& pending = *session.pending;
+  ServerCommand command;
+  command.id = pending.id;
+  command.statement = pending.statement;
+  if (pending.shape) {
+    command.statement.name = ConnectionState::ServerName(*pending.shape);
+  }
+  return command;
+}
+
+/// Sends a statement of an open transaction, or the one that a proof covers.
+void Proxy::SendStatement(SessionId id, Session& session,
+                          ConnectionId connection) {
+  Pending& pending = *session.pending;
+  Connection& at = connections_.at(connection);
+  const bool commit = pending.statement.verb == Verb::kCommit;
+  if (!pending.sent) {
+    pending.sent = true;
+    pending.sent_at = now_;
+    ++pending.attempts;
+    if (!commit) {
+      After(options_.attempt_limit,
+            {TimerKind::kAttemptLimit, std::to_string(pending.timer), id});
+    }
+  }
+  Send(connection, at.state.Synchronize(session.values, pending.shape),
+       Step::kSetup);
+  if (pending.writes) session.wrote = true;
+  SendOne(connection, CommandFor(session), Step::kStatement,
+          commit && session.wrote);
+  if (!pending.wrapped) return;
+  ServerCommand end;
+  end.statement.verb = Verb::kRollback;
+  SendOne(connection, std::move(end), Step::kEnd, false);
+}
+
+void Proxy::OnBeginDone(ConnectionId id, const Expected& expected,
+                        const Reply& reply) {
+  Connection& at = connections_.at(id);
+  Lane& lane = lanes_.at(at.server);
+  const auto it = sessions_.find(at.bound);
+  if (reply.error == ErrorCode::kNone) {
+    if (expected.proves_lead) NoteLeader(lane, reply.position, expected.sent);
+    if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
+    return SendStatement(it->first, it->second, id);
+  }
+  if (reply.error == ErrorCode::kReadOnly) NoteNotLeader(lane);
+  if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
+  Session& session = it->second;
+  if (reply.error == ErrorCode::kBehind) {
+    Count("reads_behind");
+    lane.avoid_until = now_ + options_.behind_pause;
+    session.pending->tried.insert(at.server);
+  }
+  if (reply.error == ErrorCode::kBusy) {
+    lane.busy_until = now_ + options_.busy_pause;
+  }
+  session.bound = 0;
+  at.bound = 0;
+  if (reply.state == TransactionState::kIdle) {
+    MakeIdle(id);
+  } else {
+    Drop(id, false);
+  }
+  Fail(it->first, session, EndOf(reply.error), reply.error, reply.detail);
+}
+
+void Proxy::OnStatementDone(ConnectionId id, const Expected& expected,
+                            Reply reply) {
+  Connection& at = connections_.at(id);
+  Lane& lane = lanes_.at(at.server);
+  const auto it = sessions_.find(at.bound);
+  if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
+  Session& session = it->second;
+  if (reply.error == ErrorCode::kNone) {
+    const double ms = ToMs(now_ - expected.sent);
+    lane.latency_ms += kLatencyGain * (ms - lane.latency_ms);
+    if (expected.commits) lane.commits_lost = 0;
+    if (expected.proves_lead) NoteLeader(lane, reply.position, expected.sent);
+    return Succeed(it->first, session, id, expected, std::move(reply));
+  }
+  Pending& pending = *session.pending;
+  pending.tried.insert(at.server);
+  if (reply.error == ErrorCode::kReadOnly) NoteNotLeader(lane);
+  if (reply.error == ErrorCode::kBehind) {
+    Count("reads_behind");
+    lane.avoid_until = now_ + options_.behind_pause;
+  }
+  if (reply.error == ErrorCode::kBusy) {
+    lane.busy_until = now_ + options_.busy_pause;
+  }
+  const bool commit = pending.statement.verb == Verb::kCommit;
+  if (pending.wrapped) {
+    // The rollback is on its way; its answer frees the connection.
+    session.bound = 0;
+    at.bound = 0;
+  } else if (session.state == TransactionState::kIdle) {
+    session.bound = 0;
+    at.bound = 0;
+    if (reply.state == TransactionState::kIdle) {
+      MakeIdle(id);
+    } else {
+      Drop(id, false);
+    }
+  } else if (commit && reply.state == TransactionState::kIdle) {
+    session.bound = 0;
+    at.bound = 0;
+    MakeIdle(id);
+  }
+  Fail(it->first, session, EndOf(reply.error), reply.error, reply.detail);
+}
+
+void Proxy::Succeed(SessionId id, Session& session, ConnectionId connection,
+                    const Expected& /*expected*/, Reply reply) {
+  Pending& pending = *session.pending;
+  Connection& at = connections_.at(connection);
+  const bool commit = pending.statement.verb == Verb::kCommit;
+  const bool single = session.state == TransactionState::kIdle;
+  if ((commit && session.wrote) || (single && pending.writes)) {
+    session.own = reply.position;
+    session.own_service = pending.route->service;
+  }
+  if (single && !pending.writes) {
+    Count(at.server == services_[pending.route->service].leader
+              ? "reads_primary"
+              : "reads_replica");
+  }
+  Count("statements_done");
+  if (pending.wrapped) {
+    session.bound = 0;
+    at.bound = 0;
+  } else if (single || commit) {
+    session.bound = 0;
+    at.bound = 0;
+    MakeIdle(connection);
+  }
+  if (commit) EndTransaction(session);
+  Answer(id, session, std::move(reply));
+}
+
+AttemptKind Proxy::KindOf(const Session& session) const {
+  const Pending& pending = *session.pending;
+  if (session.state == TransactionState::kOpen) {
+    if (pending.statement.verb == Verb::kCommit && !pending.first_inside) {
+      return session.wrote ? AttemptKind::kCommitWrites
+                           : AttemptKind::kCommitReadOnly;
+    }
+    return pending.first_inside ? AttemptKind::kFirstInside
+                                : AttemptKind::kLaterInside;
+  }
+  return pending.writes ? AttemptKind::kWrite : AttemptKind::kRead;
+}
+
+/// Ends or repeats the outstanding statement after an attempt failed. The
+/// session must not be bound any more, unless its transaction goes on.
+void Proxy::Fail(SessionId id, Session& session, AttemptEnd end, ErrorCode code,
+                 const std::string& detail) {
+  Pending& pending = *session.pending;
+  pending.sent = false;
+  const Verdict verdict = Judge(KindOf(session), end);
+  const bool may_retry =
+      pending.attempts < options_.most_attempts && now_ < pending.deadline;
+  Log("attempt failed id=" + pending.id + " database=" + session.database +
+      " end=" + std::to_string(static_cast<int>(end)) +
+      " code=" + std::to_string(static_cast<int>(code)) +
+      " attempts=" + std::to_string(pending.attempts) +
+      " verdict=" + std::to_string(static_cast<int>(verdict)) +
+      " own=" + Show(session.own) + " detail=" + detail);
+  Count("attempts_failed");
+  if (verdict == Verdict::kRetry && may_retry) {
+    Unbind(session);
+    return Retry(id, session,
+                 code == ErrorCode::kBusy ? options_.busy_pause : Duration(0));
+  }
+  switch (verdict) {
+    case Verdict::kRetry:
+      return AnswerError(id, session, ErrorCode::kBusy, detail);
+    case Verdict::kAbort:
+      return AnswerError(id, session, ErrorCode::kAborted, detail);
+    case Verdict::kFailed:
+      return AnswerError(id, session, ErrorCode::kFailed, detail);
+    case Verdict::kTimeout:
+      return AnswerError(id, session, ErrorCode::kTimeout, detail);
+    case Verdict::kUnsure:
+      return AnswerError(id, session, ErrorCode::kUnsure, detail);
+  }
+}
+
+void Proxy::Retry(SessionId id, Session& session, Duration pause) {
+  Count("retries");
+  if (pause == Duration(0)) return Enqueue(id, session);
+  After(pause, {TimerKind::kRetryStatement,
+                std::to_string(session.pending->timer), id});
+}
+
+void Proxy::OnAttemptLimit(SessionId id, std::uint64_t timer) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end() || !it->second.pending) return;
+  Session& session = it->second;
+  Pending& pending = *session.pending;
+  if (pending.timer != timer || !pending.sent) return;
+  const TimePoint due = pending.sent_at + options_.attempt_limit;
+  if (now_ < due) {
+    After(due - now_, {TimerKind::kAttemptLimit, std::to_string(timer), id});
+    return;
+  }
+  pending.tried.insert(connections_.at(session.bound).server);
+  const ConnectionId connection = std::exchange(session.bound, 0);
+  Drop(connection, false);
+  Count("attempts_timed_out");
+  Fail(id, session, AttemptEnd::kLost, ErrorCode::kOther, "no answer in time");
+}
+
+void Proxy::OnDeadline(SessionId id, std::uint64_t timer) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end() || !it->second.pending) return;
+  Session& session = it->second;
+  Pending& pending = *session.pending;
+  if (pending.timer != timer) return;
+  if (pending.queued) {
+    Service& service = services_[pending.route->service];
+    service.primary_queue.Remove(id);
+    service.read_queue.Remove(id);
+    pending.queued = false;
+  }
+  const bool was_sent = pending.sent;
+  if (was_sent && session.bound != 0) {
+    const ConnectionId connection = std::exchange(session.bound, 0);
+    Drop(connection, false);
+  }
+  pending.attempts = options_.most_attempts;
+  Count("deadlines_passed");
+  Fail(id, session, was_sent ? AttemptEnd::kLost : AttemptEnd::kNotRun,
+       ErrorCode::kTimeout, "the statement's time is over");
+}
+
+}  // namespace corianderdock::session
