Claims only on fresh evidence; waits bounded by the objective

(3) 1,281 reads in 6 s were sent to copies known to lag. (4) statements waited to their deadline where no promotion was possible.

Changed: a replica counts as evidence for 6 s after it vanished from the list, refused or not; no claim unless every such replica answers; no claim by an instance that is or within 1.5 s was isolated; holds are released when a claim is abandoned; a copy that stays behind is asked ever less often; statements wait for a primary only while a promotion is under way, and at most 1.5 objectives in a queue.

Without every replica's answer a failover waits; word of what each instance acknowledged could shorten that, and is not built.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -36,7 +36,6 @@
 struct ServerConnected {
   ConnectionId connection = 0;
   ErrorCode error = ErrorCode::kNone;  ///< `kOther`: not reachable
-  bool refused = false;  ///< its machine answers and no process listens
   std::optional<Position> position;
 };
 
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -24,6 +24,8 @@
   Duration claim_timeout = std::chrono::milliseconds(600);
   /// Longest wait for the replicas to stop receiving.
   Duration hold_timeout = std::chrono::milliseconds(2500);
+  /// How long the claim of another instance counts as under way.
+  Duration claim_elsewhere = std::chrono::milliseconds(1500);
   /// Pause between repeated commands to a replica.
   Duration hold_retry = std::chrono::milliseconds(300);
   /// Pause between repeated promotion orders.
@@ -98,6 +100,11 @@
   /// `server` proved to lead.
   void OnLeader(const ServerId& server);
 
+  /// Whether a promotion, by this instance or another, is under way.
+  [[nodiscard]] bool UnderWay(TimePoint now) const {
+    return phase_ != Phase::kIdle || now < claimed_elsewhere_until_;
+  }
+
   [[nodiscard]] Phase phase() const noexcept { return phase_; }
   [[nodiscard]] const ServerId& candidate() const noexcept {
     return candidate_;
@@ -115,8 +122,10 @@
   TimePoint since_;
   TimePoint next_claim_;
   TimePoint next_retry_;
+  TimePoint claimed_elsewhere_until_;
   std::uint64_t token_ = 0;
   Term hold_term_ = 0;
+  std::set<ServerId> asked_;  ///< to stop receiving
   std::map<ServerId, Position> held_;
   ServerId candidate_;
 };
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -40,6 +40,12 @@
   /// How long a replica that vanished from the list may still hold the only
   /// copy of an acknowledged commit: behind a partition it goes on serving.
   Duration vanished_evidence = std::chrono::milliseconds(6000);
+  /// Time after a partition healed before its view of primaries is trusted.
+  Duration after_isolation = std::chrono::milliseconds(1500);
+  /// Refused connections in a row, and time, that show a primary's process
+  /// gone without waiting for its silence.
+  int refusals_of_dead = 2;
+  Duration refused_after = std::chrono::milliseconds(200);
   /// Idle time after which a connection is given back to other instances.
   Duration connection_idle = std::chrono::milliseconds(4000);
   /// Idle connections to one server that are kept all the same.
@@ -48,16 +54,19 @@
   Duration connect_pause = std::chrono::milliseconds(150);
   /// Pause after a server refused a statement for lack of room.
   Duration busy_pause = std::chrono::milliseconds(10);
-  /// How long a copy that lacked a position is avoided.
-  Duration behind_pause = std::chrono::milliseconds(150);
+  /// How long a copy that lacked a position is avoided at first, and at most.
+  Duration behind_pause = std::chrono::milliseconds(100);
+  Duration longest_behind_pause = std::chrono::milliseconds(1600);
+  /// Longest wait in a queue, in parts of the route's latency objective.
+  double queue_limit = 1.5;
   /// Longest wait for a primary that is being replaced before a statement is
   /// refused.
   Duration failover_wait = std::chrono::milliseconds(400);
   /// Time for which every server of other zones must have been silent before
   /// the instance counts as isolated.
-  Duration isolated_after = std::chrono::milliseconds(200);
+  Duration isolated_after = std::chrono::milliseconds(50);
   /// Part of a promised age kept for the way to the server.
-  Duration age_margin = std::chrono::milliseconds(300);
+  Duration age_margin = std::chrono::milliseconds(150);
   /// Age of the newest sample at which the primary is asked for another.
   Duration sample_interval = std::chrono::milliseconds(400);
   /// Interval of the regular check of servers and services.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -62,6 +62,7 @@
     kStatementDeadline,
     kAttemptLimit,
     kRetryStatement,
+    kQueueLimit,
     kTransactionIdle,
     kConnectLimit,
     kCheck,
@@ -115,6 +116,7 @@
     int most_connections = 0;  ///< while the server is full; 0: no limit
     TimePoint full_until;
     ConnectionId control = 0;  ///< last used for a command of the proxy
+    int refusals = 0;          ///< of connections, in a row
     int commits_lost = 0;      ///< in a row
     TimePoint last_heard;
     TimePoint connect_after;
@@ -125,9 +127,9 @@
     bool failing = false;
     bool listed = true;
     TimePoint vanished;     ///< when it was last listed, if it is not
-    bool refused = false;   ///< no process listens at its address
     double latency_ms = 5;  ///< moving average of statements
     std::optional<Position> position;  ///< last known end of its log
+    Duration behind_pause{0};          ///< doubles while it stays behind
   };
 
   struct Service {
@@ -239,6 +241,8 @@
   void OnDeadline(SessionId id, std::uint64_t statement);
   void OnAttemptLimit(SessionId id, std::uint64_t statement);
   void OnTransactionIdle(SessionId id);
+  void OnQueueLimit(SessionId id, std::uint64_t statement);
+  void NoteBehind(Lane& lane);
   [[nodiscard]] AttemptKind KindOf(const Session& session) const;
   [[nodiscard]] ServerCommand CommandFor(const Session& session) const;
 
@@ -257,6 +261,7 @@
   void NoteHeard(Lane& lane);
   void NoteFailing(Lane& lane);
   void CheckSilence(Lane& lane);
+  void ProbeAll();
   void TrimIdle(Lane& lane);
   void CheckIsolation();
   [[nodiscard]] std::optional<TimePoint> OldestUnanswered(
@@ -307,6 +312,7 @@
   bool servers_known_ = false;
   bool servers_settled_ = false;
   std::optional<TimePoint> isolated_since_;
+  std::optional<TimePoint> isolated_until_;
   bool ticking_ = false;
   bool finished_ = false;
   std::optional<TimePoint> stop_at_;  ///< told to leave
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -51,6 +51,9 @@
                                     const ClaimAnswered& answer) {
   if (phase_ != Phase::kClaiming) return {};
   const bool wanted = situation.primary_lost && situation.complete;
+  if (answer.token == 0 && !answer.store_away) {
+    claimed_elsewhere_until_ = situation.now + options_.claim_elsewhere;
+  }
   token_ = answer.store_away ? situation.standing_token : answer.token;
   if (token_ == 0 || !wanted) return Abandon(situation);
   return StartHolding(situation);
@@ -67,7 +70,9 @@
   next_retry_ = situation.now + options_.hold_retry;
   Actions actions;
   for (const auto& [id, leaving] : situation.replicas) {
-    if (!held_.contains(id)) actions.push_back(Hold{id, hold_term_});
+    if (held_.contains(id)) continue;
+    asked_.insert(id);
+    actions.push_back(Hold{id, hold_term_});
   }
   return actions;
 }
@@ -90,6 +95,7 @@
       std::all_of(replicas.begin(), replicas.end(),
                   [&](const auto& it) { return held_.contains(it.first); });
   if (!complete || replicas.empty()) return {};
+  if (!situation.primary_lost) return Abandon(situation);
   candidate_.clear();
   for (const auto& [id, leaving] : replicas) {
     const bool better =
@@ -115,12 +121,15 @@
 
 void Failover::OnLeader(const ServerId& server) {
   const bool started = phase_ == Phase::kStarting || phase_ == Phase::kOrdering;
-  if (started && server == candidate_) phase_ = Phase::kIdle;
+  if (!started || server != candidate_) return;
+  phase_ = Phase::kIdle;
+  asked_.clear();
 }
 
 Failover::Actions Failover::Abandon(const Situation& situation) {
   Actions actions;
-  for (const auto& [id, position] : held_) actions.push_back(Resume{id});
+  for (const ServerId& id : asked_) actions.push_back(Resume{id});
+  asked_.clear();
   held_.clear();
   candidate_.clear();
   Enter(Phase::kIdle, situation.now);
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -45,6 +45,9 @@
         }
         break;
       }
+      case TimerKind::kQueueLimit:
+        OnQueueLimit(timer->id, timer->statement);
+        break;
       case TimerKind::kTransactionIdle:
         OnTransactionIdle(timer->id);
         break;
@@ -52,7 +55,7 @@
         const auto it = connections_.find(timer->id);
         if (it == connections_.end() || it->second.open) break;
         Emit(CloseServerConnection{timer->id});
-        On(ServerConnected{timer->id, ErrorCode::kOther, false, {}});
+        On(ServerConnected{timer->id, ErrorCode::kOther, {}});
         break;
       }
       case TimerKind::kCheck:
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -105,22 +105,26 @@
   }
   const Lane& lane = lanes_.at(service.leader);
   if (lane.entry.draining) return true;
-  if (lane.failing && now_ - lane.failing_since >= silence) return true;
+  const Duration limit = lane.refusals >= options_.refusals_of_dead
+                             ? std::min(silence, options_.refused_after)
+                             : silence;
+  if (lane.failing && now_ - lane.failing_since >= limit) return true;
   return CommitsStall(lane);
 }
 
 /// Whether a commit may have been acknowledged because this server has it.
 bool Proxy::MayHoldCommits(const Lane& lane) const {
-  // A leaving server that ended took its log with it.
-  if (lane.entry.draining && lane.refused) return false;
   return lane.listed || now_ - lane.vanished < options_.vanished_evidence;
 }
 
 Failover::Situation Proxy::SituationOf(const Service& service) const {
   Failover::Situation situation;
   situation.now = now_;
-  situation.primary_lost = PrimaryLost(service);
   situation.newest_term = service.newest_term;
+  const bool view_is_fresh =
+      !isolated_since_ &&
+      (!isolated_until_ || now_ - *isolated_until_ >= options_.after_isolation);
+  situation.primary_lost = view_is_fresh && PrimaryLost(service);
   situation.complete = servers_settled_;
   situation.standing_token = standing_token_;
   situation.reachable = true;
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -112,9 +112,10 @@
           std::max<int>(1, static_cast<int>(lane.connections.size()) - 1);
       lane.full_until = now_ + kFullPause;
     }
-    lane.refused = event.refused;
     Drop(event.connection, false);
-    if (!reached) NoteFailing(lane);
+    if (reached) return;
+    ++lane.refusals;
+    NoteFailing(lane);
     return;
   }
   connection.open = true;
@@ -214,7 +215,7 @@
   const auto it = connections_.find(event.connection);
   if (it == connections_.end()) return;
   if (!it->second.open) {
-    return On(ServerConnected{event.connection, ErrorCode::kOther, false, {}});
+    return On(ServerConnected{event.connection, ErrorCode::kOther, {}});
   }
   Lane& lane = lanes_.at(it->second.server);
   Count("connections_lost");
@@ -290,7 +291,7 @@
 
 void Proxy::NoteHeard(Lane& lane) {
   lane.last_heard = now_;
-  lane.refused = false;
+  lane.refusals = 0;
   if (!lane.failing) return;
   lane.failing = false;
   Log("server answers again id=" + lane.entry.id);
@@ -348,10 +349,22 @@
   }
   NoteFailing(lane);
   lane.failing_since = since;
+  ProbeAll();
   const auto idle = lane.idle;
   for (const ConnectionId it : idle) Drop(it, false);
 }
 
+/// Finds out how far a failure reaches.
+void Proxy::ProbeAll() {
+  for (auto& [id, lane] : lanes_) {
+    if (!lane.listed || lane.failing || lane.opening > 0) continue;
+    if (now_ - lane.last_heard < options_.probe_after) continue;
+    if (now_ - lane.probed < options_.probe_after) continue;
+    lane.probed = now_;
+    ProbeLead(lane);
+  }
+}
+
 /// Gives back connections that were not needed lately.
 void Proxy::TrimIdle(Lane& lane) {
   while (lane.idle.size() > options_.kept_idle) {
@@ -374,6 +387,7 @@
   const bool isolated = any && all;
   if (isolated == isolated_since_.has_value()) return;
   Log(isolated ? "other zones lost" : "other zones regained");
+  if (!isolated) isolated_until_ = now_;
   isolated_since_ = isolated ? std::optional(now_) : std::nullopt;
 }
 
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -26,7 +26,6 @@
 constexpr double kOtherZoneCost = 0.6;
 constexpr double kPrimaryCost = 0.9;
 constexpr double kBehindCost = 1.2;
-constexpr double kAvoidCost = 1000;
 
 }  // namespace
 
@@ -60,6 +59,10 @@
   item.cost = std::chrono::milliseconds(5);
   item.enqueued = now_;
   pending.queued = true;
+  const auto limit = std::chrono::duration_cast<Duration>(
+      pending.route->objective * options_.queue_limit);
+  After(pending.arrived + limit - now_,
+        {TimerKind::kQueueLimit, id, pending.number});
   const bool primary = NeedsPrimary(session);
   (primary ? service.primary_queue : service.read_queue)
       .Push(std::move(item), WeightOf(pending.route->priority));
@@ -128,7 +131,8 @@
 /// instance may reach it, or its replacement is not near.
 void Proxy::RefuseWaiting(Service& service) {
   if (PrimaryUsable(service) || service.primary_queue.size() == 0) return;
-  const Duration limit = isolated_since_ ? Duration(0) : options_.failover_wait;
+  const bool hopeful = !isolated_since_ && service.failover.UnderWay(now_);
+  const Duration limit = hopeful ? options_.failover_wait : Duration(0);
   for (const SessionId id : service.primary_queue.Clear()) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || !it->second.pending) continue;
@@ -165,10 +169,10 @@
     double cost = lane.running + lane.latency_ms / 100;
     if (lane.entry.zone != self_.zone) cost += kOtherZoneCost;
     if (id == service.leader) cost += kPrimaryCost;
-    if (now_ < lane.avoid_until) cost += kAvoidCost;
-    if (position && !Contains(lane.position.value_or(Position{}), *position)) {
-      cost += kBehindCost;
-    }
+    const bool behind =
+        position && !Contains(lane.position.value_or(Position{}), *position);
+    if (behind && now_ < lane.avoid_until) continue;
+    if (behind) cost += kBehindCost;
     if (cost >= best_cost) continue;
     best = &lane;
     best_cost = cost;
@@ -262,8 +266,7 @@
   if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
   Session& session = it->second;
   if (reply.error == ErrorCode::kBehind) {
-    Count("reads_behind");
-    lane.avoid_until = now_ + options_.behind_pause;
+    NoteBehind(lane);
     session.pending->tried.insert(at.server);
   }
   if (reply.error == ErrorCode::kBusy) {
@@ -290,6 +293,7 @@
     const double ms = ToMs(now_ - expected.sent);
     lane.latency_ms += kLatencyGain * (ms - lane.latency_ms);
     if (expected.commits) lane.commits_lost = 0;
+    lane.behind_pause = Duration(0);
     if (expected.proves_lead) NoteLeader(lane, reply.position, expected.sent);
     return Succeed(it->first, session, id, expected, std::move(reply));
   }
@@ -297,8 +301,7 @@
   pending.tried.insert(at.server);
   if (reply.error == ErrorCode::kReadOnly) NoteNotLeader(lane);
   if (reply.error == ErrorCode::kBehind) {
-    Count("reads_behind");
-    lane.avoid_until = now_ + options_.behind_pause;
+    NoteBehind(lane);
   }
   if (reply.error == ErrorCode::kBusy) {
     lane.busy_until = now_ + options_.busy_pause;
@@ -400,6 +403,33 @@
   }
 }
 
+/// A copy that stays behind is asked ever less often.
+void Proxy::NoteBehind(Lane& lane) {
+  Count("reads_behind");
+  lane.behind_pause = std::clamp(lane.behind_pause * 2, options_.behind_pause,
+                                 options_.longest_behind_pause);
+  lane.avoid_until = now_ + lane.behind_pause;
+}
+
+/// What has waited so long would be late, and delays what is not.
+void Proxy::OnQueueLimit(SessionId id, std::uint64_t statement) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end() || !it->second.pending) return;
+  Session& session = it->second;
+  Pending& pending = *session.pending;
+  if (pending.number != statement || !pending.queued) return;
+  Service& service = services_[pending.route->service];
+  service.primary_queue.Remove(id);
+  service.read_queue.Remove(id);
+  pending.queued = false;
+  Count("refused_queue");
+  Log("statement refused id=" + pending.id + " database=" + session.database +
+      " reason=queue queued_primary=" +
+      std::to_string(service.primary_queue.size()) +
+      " queued_reads=" + std::to_string(service.read_queue.size()));
+  AnswerError(id, session, ErrorCode::kBusy, "no room in time");
+}
+
 void Proxy::Retry(SessionId id, Session& session, Duration pause) {
   Count("retries");
   if (pause == Duration(0)) return Enqueue(id, session);
