Random schedules of sessions, servers and faults in virtual time

Changed: an order is repeated until answered, and fenced by an order of the present primary under a higher token before anything else; holds end only after 4 s of a healthy primary; reads of a session with a write in doubt go to the primary for the promised age.

Ruled out as faults of the fake: rolled-back entries of a returning server, replication of an older term going on when its server leads again.

Each of seven decisions left out breaks its promise.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -11,11 +11,13 @@
 
 #include "corianderdock/session/events.h"
 #include "corianderdock/session/model.h"
+#include "corianderdock/session/safety.h"
 
 namespace corianderdock::session {
 
 /// Times of a failover.
 struct FailoverOptions {
+  const Safety* safety = &DefaultSafety();  ///< outlives the failover
   /// Silence of a primary with unanswered work before it is replaced.
   Duration silence = std::chrono::milliseconds(400);
   /// Pause after a claim that came to nothing.
@@ -28,6 +30,9 @@
   Duration claim_elsewhere = std::chrono::milliseconds(1500);
   /// Pause between repeated commands to a replica.
   Duration hold_retry = std::chrono::milliseconds(300);
+  /// Health of the primary after which an abandoned claim's holds end; longer
+  /// than a promotion ordered meanwhile takes.
+  Duration release_after = std::chrono::milliseconds(4000);
   /// Pause between repeated promotion orders.
   Duration order_retry = std::chrono::milliseconds(600);
   /// Longest time until the promoted server leads.
@@ -73,6 +78,7 @@
     TimePoint now;
     bool primary_lost = false;  ///< silent, gone or leaving
     bool complete = true;       ///< every replica that lives is listed
+    ServerId primary;           ///< empty when not known
     Term newest_term = 0;
     std::uint64_t standing_token = 0;   ///< 0 when there is none
     std::map<ServerId, bool> replicas;  ///< whether each is leaving
@@ -111,9 +117,11 @@
   }
 
  private:
+  Actions OnRefused(const Situation& situation);
   Actions StartHolding(const Situation& situation);
   Actions HoldMissing(const Situation& situation);
   Actions TryOrder(const Situation& situation);
+  Actions Release(const Situation& situation);
   Actions Abandon(const Situation& situation);
   void Enter(Phase phase, TimePoint now);
 
@@ -125,9 +133,11 @@
   TimePoint claimed_elsewhere_until_;
   std::uint64_t token_ = 0;
   Term hold_term_ = 0;
+  std::optional<TimePoint> healthy_since_;
   std::set<ServerId> asked_;  ///< to stop receiving
   std::map<ServerId, Position> held_;
   ServerId candidate_;
+  bool unanswered_order_ = false;  ///< it may be carried out yet
 };
 
 }  // namespace corianderdock::session
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -18,6 +18,7 @@
 
 /// Limits and times; the defaults suit a system in one region.
 struct ProxyOptions {
+  const Safety* safety = &DefaultSafety();  ///< outlives the proxy
   FailoverOptions failover;
   /// Instances that share a server's connections until their list is read.
   int assumed_instances = 5;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -31,12 +30,12 @@
 /// clock. Not thread-safe; times must not decrease.
 ///
 /// \code
-/// Proxy proxy({"a", "zone-1"}, {}, seed);
+/// Proxy proxy({"a", "zone-1"}, {});
 /// auto effects = proxy.Reduce(now, SessionOpened{1, "stock"});
 /// \endcode
 class Proxy {
  public:
-  Proxy(ProxyIdentity self, ProxyOptions options, std::uint64_t seed);
+  Proxy(ProxyIdentity self, ProxyOptions options);
 
   /// Handles one event and all timers due at `now`.
   [[nodiscard]] Effects Reduce(TimePoint now, const Event& event);
@@ -133,6 +132,7 @@
   };
 
   struct Service {
+    explicit Service(const FailoverOptions& options) : failover(options) {}
     ServiceLimits limits;
     std::set<ServerId> servers;
     ServerId leader;  ///< empty when not known
@@ -176,8 +176,9 @@
     bool wrote = false;                  ///< it sent a write
     std::shared_ptr<const Route> route;  ///< of the open transaction
     ConnectionId bound = 0;
-    ServiceId own_service;        ///< to which `own` belongs
-    std::optional<Position> own;  ///< its last acknowledged commit
+    ServiceId own_service;              ///< to which `own` belongs
+    std::optional<Position> own;        ///< its last acknowledged commit
+    std::optional<TimePoint> in_doubt;  ///< when a write's answer was missing
     std::optional<Pending> pending;
     TimePoint active;
   };
@@ -244,6 +245,8 @@
   void OnQueueLimit(SessionId id, std::uint64_t statement);
   void NoteBehind(Lane& lane);
   [[nodiscard]] AttemptKind KindOf(const Session& session) const;
+  [[nodiscard]] std::vector<ServerCommand> Setup(const Session& session,
+                                                 Connection& connection) const;
   [[nodiscard]] ServerCommand CommandFor(const Session& session) const;
 
   // Servers (proxy_servers.cc).
@@ -288,13 +291,15 @@
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   void Log(std::string text) { Emit(LogDecision{std::move(text)}); }
   void Count(std::string_view name);
+  Service& ServiceOf(const ServiceId& id) {
+    return services_.try_emplace(id, options_.failover).first->second;
+  }
   void After(Duration delay, Timer timer) {
     timers_.Schedule(now_ + delay, timer);
   }
 
   ProxyIdentity self_;
   ProxyOptions options_;
-  std::mt19937_64 random_;
   TimePoint now_;
   detail::TimerHeap<Timer> timers_;
   Effects effects_;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -22,6 +22,7 @@
   const TimePoint now = situation.now;
   switch (phase_) {
     case Phase::kIdle:
+      if (auto actions = Release(situation); !actions.empty()) return actions;
       if (!situation.primary_lost || !situation.complete || now < next_claim_ ||
           situation.replicas.empty() || !situation.reachable) {
         return {};
@@ -30,15 +31,24 @@
       return {Claim{}};
     case Phase::kClaiming:
       if (now - since_ < options_.claim_timeout) return {};
+      if (unanswered_order_ && now - since_ >= options_.claim_pause) {
+        Enter(Phase::kClaiming, now);
+        return {Claim{}};
+      }
+      if (unanswered_order_) return {};
       return OnClaim(situation, ClaimAnswered{{}, 0, true});
     case Phase::kHolding:
-      if (now - since_ >= options_.hold_timeout) return Abandon(situation);
+      if (now - since_ >= options_.hold_timeout && !unanswered_order_) {
+        return Abandon(situation);
+      }
       if (now >= next_retry_) return HoldMissing(situation);
       return {};
     case Phase::kOrdering:
-      if (now - since_ >= options_.lead_timeout) return Abandon(situation);
+      // The order may still be carried out, so the replicas stay held and the
+      // same order is repeated until its outcome is known.
       if (now < next_retry_) return {};
       next_retry_ = now + options_.order_retry;
+      unanswered_order_ = true;
       return {Order{candidate_, token_}};
     case Phase::kStarting:
       if (now - since_ >= options_.lead_timeout) return Abandon(situation);
@@ -50,12 +60,24 @@
 Failover::Actions Failover::OnClaim(const Situation& situation,
                                     const ClaimAnswered& answer) {
   if (phase_ != Phase::kClaiming) return {};
-  const bool wanted = situation.primary_lost && situation.complete;
+  const bool wanted =
+      unanswered_order_ || (situation.primary_lost && situation.complete);
   if (answer.token == 0 && !answer.store_away) {
     claimed_elsewhere_until_ = situation.now + options_.claim_elsewhere;
   }
   token_ = answer.store_away ? situation.standing_token : answer.token;
+  if (token_ == 0 && unanswered_order_) {
+    Enter(Phase::kClaiming, situation.now);
+    return {};
+  }
   if (token_ == 0 || !wanted) return Abandon(situation);
+  if (!situation.primary_lost) {
+    // The order changes nothing at the present primary but fences older ones.
+    candidate_ = situation.primary;
+    Enter(Phase::kOrdering, situation.now);
+    next_retry_ = situation.now + options_.order_retry;
+    return {Order{candidate_, token_}};
+  }
   return StartHolding(situation);
 }
 
@@ -91,13 +113,16 @@
 
 Failover::Actions Failover::TryOrder(const Situation& situation) {
   const auto& replicas = situation.replicas;
-  const bool complete =
-      std::all_of(replicas.begin(), replicas.end(),
-                  [&](const auto& it) { return held_.contains(it.first); });
-  if (!complete || replicas.empty()) return {};
-  if (!situation.primary_lost) return Abandon(situation);
+  const auto held = static_cast<std::size_t>(
+      std::count_if(replicas.begin(), replicas.end(),
+                    [&](const auto& it) { return held_.contains(it.first); }));
+  if (held == 0 || !options_.safety->EvidenceComplete(held, replicas.size())) {
+    return {};
+  }
+  if (!situation.primary_lost && !unanswered_order_) return Abandon(situation);
   candidate_.clear();
   for (const auto& [id, leaving] : replicas) {
+    if (!held_.contains(id)) continue;
     const bool better =
         candidate_.empty() || Ahead(held_[id], held_[candidate_]) ||
         (held_[id] == held_[candidate_] && replicas.at(candidate_) && !leaving);
@@ -111,25 +136,42 @@
 Failover::Actions Failover::OnOrdered(const Situation& situation,
                                       PromotionResult result) {
   if (phase_ != Phase::kOrdering) return {};
+  if (result == PromotionResult::kUnknown) {
+    unanswered_order_ = true;
+    return {};
+  }
   // Another instance used a higher token, or the server does not run.
-  if (result == PromotionResult::kRefused) return Abandon(situation);
+  if (result == PromotionResult::kRefused) return OnRefused(situation);
+  unanswered_order_ = false;
   if (result == PromotionResult::kAccepted) {
     Enter(Phase::kStarting, situation.now);
   }
   return {};
 }
 
+/// An earlier order without an answer may be carried out once the server runs
+/// again. Only a call under a higher token rules that out.
+Failover::Actions Failover::OnRefused(const Situation& situation) {
+  if (!unanswered_order_) return Abandon(situation);
+  Enter(Phase::kClaiming, situation.now);
+  return {Claim{}};
+}
+
 void Failover::OnLeader(const ServerId& server) {
   const bool started = phase_ == Phase::kStarting || phase_ == Phase::kOrdering;
   if (!started || server != candidate_) return;
   phase_ = Phase::kIdle;
+  unanswered_order_ = false;
   asked_.clear();
 }
 
+/// The replicas stay held: another instance's promotion may rely on it, and
+/// only a promotion or `Release` lets them go.
 Failover::Actions Failover::Abandon(const Situation& situation) {
   Actions actions;
-  for (const ServerId& id : asked_) actions.push_back(Resume{id});
-  asked_.clear();
+  if (!options_.safety->KeepHolding()) {
+    for (const ServerId& id : asked_) actions.push_back(Resume{id});
+  }
   held_.clear();
   candidate_.clear();
   Enter(Phase::kIdle, situation.now);
@@ -137,4 +179,21 @@
   return actions;
 }
 
+/// Lets replicas go that an abandoned claim held, once no promotion that needs
+/// them held can still be under way.
+Failover::Actions Failover::Release(const Situation& situation) {
+  if (asked_.empty()) return {};
+  if (situation.primary_lost) {
+    healthy_since_.reset();
+    return {};
+  }
+  if (!healthy_since_) healthy_since_ = situation.now;
+  if (situation.now - *healthy_since_ < options_.release_after) return {};
+  healthy_since_.reset();
+  Actions actions;
+  for (const ServerId& id : asked_) actions.push_back(Resume{id});
+  asked_.clear();
+  return actions;
+}
+
 }  // namespace corianderdock::session
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -6,8 +6,10 @@
 
 namespace corianderdock::session {
 
-Proxy::Proxy(ProxyIdentity self, ProxyOptions options, std::uint64_t seed)
-    : self_(std::move(self)), options_(options), random_(seed) {}
+Proxy::Proxy(ProxyIdentity self, ProxyOptions options)
+    : self_(std::move(self)), options_(options) {
+  options_.failover.safety = options_.safety;
+}
 
 Effects Proxy::Reduce(TimePoint now, const Event& event) {
   now_ = now;
@@ -93,11 +95,11 @@
   config_ = event.config;
   for (auto& [id, service] : services_) service.wants_samples = false;
   for (const auto& [name, limits] : config_->services) {
-    services_[name].limits = limits;
+    ServiceOf(name).limits = limits;
   }
   for (const auto& [database, route] : config_->routes) {
     if (route->freshness == Freshness::kPrimary) continue;
-    services_[route->service].wants_samples = true;
+    ServiceOf(route->service).wants_samples = true;
   }
 }
 
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -24,7 +24,7 @@
 
 void Proxy::NoteLeader(Lane& lane, std::optional<Position> position,
                        TimePoint sent) {
-  Service& service = services_[lane.entry.service];
+  Service& service = ServiceOf(lane.entry.service);
   if (position) {
     if (position->term < service.newest_term) return;
     service.newest_term = position->term;
@@ -43,7 +43,7 @@
 }
 
 void Proxy::NoteNotLeader(Lane& lane) {
-  Service& service = services_[lane.entry.service];
+  Service& service = ServiceOf(lane.entry.service);
   if (service.leader != lane.entry.id) return;
   Log("primary lost service=" + lane.entry.service + " id=" + lane.entry.id +
       " reason=it does not lead");
@@ -120,6 +120,7 @@
 Failover::Situation Proxy::SituationOf(const Service& service) const {
   Failover::Situation situation;
   situation.now = now_;
+  situation.primary = service.leader;
   situation.newest_term = service.newest_term;
   const bool view_is_fresh =
       !isolated_since_ &&
@@ -180,7 +181,7 @@
   for (const auto& action : actions) {
     if (std::holds_alternative<Failover::Claim>(action)) {
       Log("promotion claimed service=" + id +
-          " primary=" + services_[id].leader);
+          " primary=" + ServiceOf(id).leader);
       Count("promotion_claims");
       Emit(ClaimPromotion{id});
     } else if (const auto* hold = std::get_if<Failover::Hold>(&action)) {
@@ -226,7 +227,7 @@
 }
 
 void Proxy::OnHoldAnswer(Lane& lane, const Reply& reply) {
-  Service& service = services_[lane.entry.service];
+  Service& service = ServiceOf(lane.entry.service);
   const auto& status = reply.status;
   if (reply.error != ErrorCode::kNone || !status) {
     Log("hold refused id=" + lane.entry.id + " detail=" + reply.detail);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -48,7 +48,7 @@
       for (const ConnectionId it : connections) Drop(it, true);
       lane.failing = false;
     }
-    Service& service = services_[entry.service];
+    Service& service = ServiceOf(entry.service);
     service.servers.insert(id);
     if (service.leader.empty() && entry.claims_primary && !entry.draining) {
       service.leader = id;
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -44,7 +44,7 @@
     session.bound = 0;
   }
   if (session.pending && session.pending->queued) {
-    Service& service = services_[session.pending->route->service];
+    Service& service = ServiceOf(session.pending->route->service);
     service.primary_queue.Remove(event.session);
     service.read_queue.Remove(event.session);
   }
@@ -207,7 +207,7 @@
   session.pending = std::move(pending);
   After(route->timeout,
         {TimerKind::kStatementDeadline, id, session.pending->number});
-  services_[route->service].used = now_;
+  ServiceOf(route->service).used = now_;
   if (session.bound != 0) return SendStatement(id, session, session.bound);
   session.pending->first_inside = inside;
   Enqueue(id, session);
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -33,7 +33,12 @@
   const Pending& pending = *session.pending;
   if (pending.writes || pending.force_primary) return true;
   if (session.state == TransactionState::kOpen && session.plain) return true;
-  if (pending.route->freshness == Freshness::kPrimary) return true;
+  const Route& route = *pending.route;
+  if (route.freshness == Freshness::kPrimary) return true;
+  // A write in doubt may be a commit of the session at a position unknown.
+  const bool in_doubt =
+      session.in_doubt && now_ - *session.in_doubt < route.max_age;
+  if (in_doubt && route.freshness == Freshness::kOwnWrites) return true;
   const auto it = services_.find(pending.route->service);
   return !RequiredPosition(session, it->second);
 }
@@ -43,16 +48,18 @@
   const Route& route = *session.pending->route;
   if (route.max_age <= options_.age_margin) return std::nullopt;
   const Duration age = WithoutDrift(route.max_age - options_.age_margin);
-  const auto sample = service.samples.Covering(now_ - age);
+  auto sample = service.samples.Covering(now_ - age);
+  if (!options_.safety->RequirePosition()) sample = Position{};
   if (!sample) return std::nullopt;
   const bool own = route.freshness == Freshness::kOwnWrites &&
                    session.own_service == route.service;
-  return own ? Later(sample, session.own) : sample;
+  if (!own || !options_.safety->RequireOwnCommits()) return sample;
+  return Later(sample, session.own);
 }
 
 void Proxy::Enqueue(SessionId id, Session& session) {
   Pending& pending = *session.pending;
-  Service& service = services_[pending.route->service];
+  Service& service = ServiceOf(pending.route->service);
   QueueItem item;
   item.work = id;
   item.service = pending.route->database;
@@ -70,7 +77,7 @@
 }
 
 void Proxy::Pump(const ServiceId& service_id) {
-  Service& service = services_[service_id];
+  Service& service = ServiceOf(service_id);
   while (PumpQueue(service, service.primary_queue, true)) {
   }
   while (PumpQueue(service, service.read_queue, false)) {
@@ -185,7 +192,7 @@
   const bool primary = NeedsPrimary(session);
   const auto position =
       primary ? std::nullopt
-              : RequiredPosition(session, services_[pending.route->service]);
+              : RequiredPosition(session, ServiceOf(pending.route->service));
   const ConnectionId connection = TakeIdle(lane, session.values, pending.shape);
   if (connection == 0) return false;
   Connection& at = connections_.at(connection);
@@ -194,13 +201,13 @@
   ++pending.attempts;
   pending.sent = true;
   pending.sent_at = now_;
-  pending.wrapped = primary && !pending.writes && !pending.first_inside;
+  pending.wrapped = primary && !pending.writes && !pending.first_inside &&
+                    options_.safety->ProveLead();
   if (!pending.writes) {
     After(options_.attempt_limit,
           {TimerKind::kAttemptLimit, id, pending.number});
   }
-  Send(connection, at.state.Synchronize(session.values, pending.shape),
-       Step::kSetup);
+  Send(connection, Setup(session, at), Step::kSetup);
   if (pending.wrapped || pending.first_inside) {
     const bool read_only = pending.first_inside && !session.plain && !primary;
     ServerCommand begin;
@@ -215,6 +222,13 @@
   return true;
 }
 
+std::vector<ServerCommand> Proxy::Setup(const Session& session,
+                                        Connection& connection) const {
+  const bool match = options_.safety->MatchValues();
+  return connection.state.Synchronize(match ? session.values : SessionValues{},
+                                      session.pending->shape);
+}
+
 ServerCommand Proxy::CommandFor(const Session& session) const {
   const Pending& pending = *session.pending;
   ServerCommand command;
@@ -241,8 +255,7 @@
             {TimerKind::kAttemptLimit, id, pending.number});
     }
   }
-  Send(connection, at.state.Synchronize(session.values, pending.shape),
-       Step::kSetup);
+  Send(connection, Setup(session, at), Step::kSetup);
   if (pending.writes) session.wrote = true;
   SendOne(connection, CommandFor(session), Step::kStatement,
           commit && session.wrote);
@@ -338,7 +351,7 @@
     session.own_service = pending.route->service;
   }
   if (single && !pending.writes) {
-    Count(at.server == services_[pending.route->service].leader
+    Count(at.server == ServiceOf(pending.route->service).leader
               ? "reads_primary"
               : "reads_replica");
   }
@@ -374,7 +387,10 @@
                  const std::string& detail) {
   Pending& pending = *session.pending;
   pending.sent = false;
-  const Verdict verdict = Judge(KindOf(session), end);
+  Verdict verdict = Judge(KindOf(session), end);
+  if (verdict == Verdict::kUnsure && !options_.safety->LostWriteInDoubt()) {
+    verdict = Verdict::kRetry;
+  }
   const bool may_retry =
       pending.attempts < options_.most_attempts && now_ < pending.deadline;
   Log("attempt failed id=" + pending.id + " database=" + session.database +
@@ -395,10 +411,13 @@
     case Verdict::kAbort:
       return AnswerError(id, session, ErrorCode::kAborted, detail);
     case Verdict::kFailed:
+      session.in_doubt = now_;
       return AnswerError(id, session, ErrorCode::kFailed, detail);
     case Verdict::kTimeout:
+      session.in_doubt = now_;
       return AnswerError(id, session, ErrorCode::kTimeout, detail);
     case Verdict::kUnsure:
+      session.in_doubt = now_;
       return AnswerError(id, session, ErrorCode::kUnsure, detail);
   }
 }
@@ -418,7 +437,7 @@
   Session& session = it->second;
   Pending& pending = *session.pending;
   if (pending.number != statement || !pending.queued) return;
-  Service& service = services_[pending.route->service];
+  Service& service = ServiceOf(pending.route->service);
   service.primary_queue.Remove(id);
   service.read_queue.Remove(id);
   pending.queued = false;
@@ -461,7 +480,7 @@
   Pending& pending = *session.pending;
   if (pending.number != statement) return;
   if (pending.queued) {
-    Service& service = services_[pending.route->service];
+    Service& service = ServiceOf(pending.route->service);
     service.primary_queue.Remove(id);
     service.read_queue.Remove(id);
     pending.queued = false;
--- /dev/null
+++ b/tests/session_ablation_test.cc
@@ -0,0 +1,92 @@
+/// Each safety decision of the session proxy, left out, must break the promise
+/// that it upholds.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "corianderdock/session/safety.h"
+#include "support/session_world.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+constexpr std::uint64_t kMostSchedules = 300;
+
+/// Whether some schedule breaks `promise` without a decision.
+bool Breaks(const session::Safety& safety, const std::string& promise) {
+  for (std::uint64_t seed = 1; seed <= kMostSchedules; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.proxy.safety = &safety;
+    const auto broken = PlaySessions(options).broken;
+    const bool found = std::any_of(
+        broken.begin(), broken.end(),
+        [&](const std::string& it) { return it.rfind(promise, 0) == 0; });
+    if (found) return true;
+  }
+  return false;
+}
+
+struct OneReplicaSuffices : session::Safety {
+  [[nodiscard]] bool EvidenceComplete(std::size_t held,
+                                      std::size_t /*all*/) const override {
+    return held >= 1;
+  }
+};
+
+struct ReleaseAtOnce : session::Safety {
+  [[nodiscard]] bool KeepHolding() const override { return false; }
+};
+
+struct NoProof : session::Safety {
+  [[nodiscard]] bool ProveLead() const override { return false; }
+};
+
+struct AnyPosition : session::Safety {
+  [[nodiscard]] bool RequirePosition() const override { return false; }
+};
+
+struct ForgetOwnCommits : session::Safety {
+  [[nodiscard]] bool RequireOwnCommits() const override { return false; }
+};
+
+struct RepeatLostWrites : session::Safety {
+  [[nodiscard]] bool LostWriteInDoubt() const override { return false; }
+};
+
+struct ShareValues : session::Safety {
+  [[nodiscard]] bool MatchValues() const override { return false; }
+};
+
+}  // namespace
+
+TEST_CASE("a promotion on one replica's evidence loses commits") {
+  CHECK(Breaks(OneReplicaSuffices{}, "LOST"));
+}
+
+TEST_CASE("releasing replicas at once loses commits of another's promotion") {
+  CHECK(Breaks(ReleaseAtOnce{}, "LOST"));
+}
+
+TEST_CASE("reads of the latest data are stale without a proof of the lead") {
+  CHECK(Breaks(NoProof{}, "STALE claims"));
+}
+
+TEST_CASE("reads are too old without a position") {
+  CHECK(Breaks(AnyPosition{}, "STALE"));
+}
+
+TEST_CASE("sessions miss their own commits") {
+  CHECK(Breaks(ForgetOwnCommits{}, "STALE updates"));
+}
+
+TEST_CASE("a repeated lost write takes effect twice") {
+  CHECK(Breaks(RepeatLostWrites{}, "TWICE"));
+}
+
+TEST_CASE("sessions see each other's values") {
+  CHECK(Breaks(ShareValues{}, "PINNED values"));
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/session_schedules_test.cc
@@ -0,0 +1,58 @@
+/// Random schedules of sessions, servers and faults in virtual time.
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "support/session_world.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+constexpr std::uint64_t kSchedules = 100;
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+}  // namespace
+
+TEST_CASE("no random schedule breaks a promise") {
+  const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
+  const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
+  WorldResult all;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    const WorldResult result = PlaySessions(options);
+    for (const auto& it : result.broken) {
+      std::cout << it << "\n";
+      break;
+    }
+    CHECK(result.broken.empty());
+    all.done += result.done;
+    all.refused += result.refused;
+    all.unsure += result.unsure;
+    all.promotions += result.promotions;
+    all.replica_reads += result.replica_reads;
+  }
+  std::cout << "done " << all.done << ", refused " << all.refused << ", unsure "
+            << all.unsure << ", promotions " << all.promotions
+            << ", reads at replicas " << all.replica_reads << "\n";
+  CHECK(all.promotions > 0);
+  CHECK(all.replica_reads > 0);
+}
+
+TEST_CASE("without faults every statement is served") {
+  WorldOptions options;
+  options.faults_per_second = 0;
+  options.lost_answers = 0;
+  const WorldResult result = PlaySessions(options);
+  CHECK(result.broken.empty());
+  CHECK(result.done > 1000);
+  CHECK(result.refused == 0);
+  CHECK(result.promotions == 0);
+}
+
+}  // namespace corianderdock::test
