A repeated promotion order looks at the held replicas again

Changed: an order without an answer is repeated only after every replica was asked to hold again; if another is ahead, it is ordered under a new token.

Ruled out: ten STALE seeds were the fake's, which delivered later answers on a connection that had lost one.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -120,6 +120,7 @@
   Actions OnRefused(const Situation& situation);
   Actions StartHolding(const Situation& situation);
   Actions HoldMissing(const Situation& situation);
+  [[nodiscard]] ServerId MostAdvanced(const std::map<ServerId, bool>& replicas);
   Actions TryOrder(const Situation& situation);
   Actions Release(const Situation& situation);
   Actions Abandon(const Situation& situation);
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace corianderdock::session {
 
@@ -47,9 +48,8 @@
       // The order may still be carried out, so the replicas stay held and the
       // same order is repeated until its outcome is known.
       if (now < next_retry_) return {};
-      next_retry_ = now + options_.order_retry;
       unanswered_order_ = true;
-      return {Order{candidate_, token_}};
+      return StartHolding(situation);
     case Phase::kStarting:
       if (now - since_ >= options_.lead_timeout) return Abandon(situation);
       return {};
@@ -111,6 +111,19 @@
   return TryOrder(situation);
 }
 
+/// A server that stays goes before one that leaves with the same log.
+ServerId Failover::MostAdvanced(const std::map<ServerId, bool>& replicas) {
+  ServerId best;
+  for (const auto& [id, leaving] : replicas) {
+    if (!held_.contains(id)) continue;
+    const bool better =
+        best.empty() || Ahead(held_[id], held_[best]) ||
+        (held_[id] == held_[best] && replicas.at(best) && !leaving);
+    if (better) best = id;
+  }
+  return best;
+}
+
 Failover::Actions Failover::TryOrder(const Situation& situation) {
   const auto& replicas = situation.replicas;
   const auto held = static_cast<std::size_t>(
@@ -120,13 +133,12 @@
     return {};
   }
   if (!situation.primary_lost && !unanswered_order_) return Abandon(situation);
-  candidate_.clear();
-  for (const auto& [id, leaving] : replicas) {
-    if (!held_.contains(id)) continue;
-    const bool better =
-        candidate_.empty() || Ahead(held_[id], held_[candidate_]) ||
-        (held_[id] == held_[candidate_] && replicas.at(candidate_) && !leaving);
-    if (better) candidate_ = id;
+  const ServerId ordered = std::exchange(candidate_, MostAdvanced(replicas));
+  if (unanswered_order_ && !ordered.empty() && ordered != candidate_) {
+    // Another server needs a higher token, which fences the earlier order.
+    candidate_.clear();
+    Enter(Phase::kClaiming, situation.now);
+    return {Claim{}};
   }
   Enter(Phase::kOrdering, situation.now);
   next_retry_ = situation.now + options_.order_retry;
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -346,7 +346,9 @@
   void RunAt(std::size_t n, const ServerId& id, const SendCommand& effect) {
     Server& server = servers_[id];
     const auto it = server.connections.find({n, effect.connection});
-    if (it == server.connections.end() || !Reachable(n, server)) return;
+    if (!Reachable(n, server)) muted_.insert({n, effect.connection});
+    if (it == server.connections.end()) return;
+    if (muted_.contains({n, effect.connection})) return;
     Reply reply = RunCommand(server, it->second, effect.command);
     reply.state = it->second.state;
     reply.position = server.End();
@@ -363,9 +365,10 @@
     }
     if (muted_.contains({n, connection})) return;
     At(kHop, [this, n, id, connection, reply] {
-      if (Reachable(n, servers_[id])) {
-        Feed(n, ServerReplied{connection, reply});
-      }
+      // A connection that lost a message delivers nothing more.
+      if (!Reachable(n, servers_[id])) muted_.insert({n, connection});
+      if (muted_.contains({n, connection})) return;
+      Feed(n, ServerReplied{connection, reply});
     });
   }
 
