--- a/include/corianderdock/net/line_socket.h
+++ b/include/corianderdock/net/line_socket.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -17,6 +18,8 @@
 struct LineLimits {
   std::size_t longest_line = 1 << 20;  ///< bytes
   std::size_t most_unsent = 4 << 20;   ///< bytes that the peer did not read
+  /// Longest time from a line's first byte to its end.
+  Duration whole_line = std::chrono::seconds(10);
   /// Unacknowledged bytes or unanswered keep-alive probes end a connection
   /// after this.
   Duration peer_silence = std::chrono::seconds(3);
@@ -65,6 +68,7 @@
   void ReadSome();
   bool Consume(std::string_view bytes);
   void WaitWritable();
+  void LimitPartialLine();
   void Fail(const std::string& reason);
 
   boost::asio::ip::tcp::socket socket_;
@@ -72,6 +76,7 @@
   OnLine on_line_;
   OnClosed on_closed_;
   std::string partial_;  ///< start of a line that has not ended
+  std::unique_ptr<boost::asio::steady_timer> partial_limit_;
   std::string unsent_;
   bool waiting_writable_ = false;
   bool closed_ = false;
--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -106,6 +106,7 @@
 struct AnswerSession {
   SessionId session = 0;
   Reply reply;
+  Duration took{0};  ///< since the statement arrived; 0 for local answers
 };
 
 /// Refuse the opening of a session and close it, or close it between answers.
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -47,6 +47,8 @@
   /// gone without waiting for its silence.
   int refusals_of_dead = 2;
   Duration refused_after = std::chrono::milliseconds(200);
+  /// Log lines about single requests in a second; more are counted instead.
+  int request_lines_per_second = 50;
   /// Idle time after which a connection is given back to other instances.
   Duration connection_idle = std::chrono::milliseconds(4000);
   /// Idle connections to one server that are kept all the same.
--- a/include/corianderdock/session/outcome.h
+++ b/include/corianderdock/session/outcome.h
@@ -37,6 +37,11 @@
 /// neither repeated nor promised.
 [[nodiscard]] Verdict Judge(AttemptKind kind, AttemptEnd end) noexcept;
 
+/// Words for logs and dumps.
+[[nodiscard]] const char* NameOf(AttemptEnd end) noexcept;
+[[nodiscard]] const char* NameOf(Verdict verdict) noexcept;
+[[nodiscard]] const char* NameOf(ErrorCode code) noexcept;
+
 /// How an answer with `code` ended the attempt.
 [[nodiscard]] AttemptEnd EndOf(ErrorCode code) noexcept;
 
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -289,7 +289,10 @@
 
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
+  /// Logs a change of what the instance believes.
   void Log(std::string text) { Emit(LogDecision{std::move(text)}); }
+  /// Logs a decision about one request, within the budget.
+  void LogRequest(const std::string& text);
   void Count(std::string_view name);
   Service& ServiceOf(const ServiceId& id) {
     return services_.try_emplace(id, options_.failover).first->second;
@@ -312,6 +315,9 @@
   std::map<std::string, std::uint64_t, std::less<>> counters_;
   ConnectionId next_connection_ = 1;
   std::uint64_t next_statement_ = 1;
+  TimePoint log_second_;
+  int log_lines_ = 0;
+  std::uint64_t log_dropped_ = 0;
   std::set<InstanceId> instances_;
   std::uint64_t standing_token_ = 0;
   bool servers_known_ = false;
--- a/src/adapters/line_socket.cc
+++ b/src/adapters/line_socket.cc
@@ -86,6 +86,7 @@
         Fail("line too long");
         return false;
       }
+      if (partial_.empty()) LimitPartialLine();
       partial_.append(bytes);
       return true;
     }
@@ -94,6 +95,7 @@
     std::string whole;
     if (!partial_.empty()) {
       whole = std::exchange(partial_, {});
+      partial_limit_.reset();
       whole.append(line);
       line = whole;
     }
@@ -108,6 +110,15 @@
   return true;
 }
 
+void LineSocket::LimitPartialLine() {
+  partial_limit_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+  partial_limit_->expires_after(limits_.whole_line);
+  partial_limit_->async_wait([weak = weak_from_this()](error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self) self->Fail("line not finished in time");
+  });
+}
+
 void LineSocket::Flush() {
   if (closed_ || unsent_.empty() || waiting_writable_) return;
   error_code ec;
--- a/src/session/outcome.cc
+++ b/src/session/outcome.cc
@@ -28,6 +28,26 @@
   return kTable[static_cast<std::size_t>(kind)][static_cast<std::size_t>(end)];
 }
 
+const char* NameOf(AttemptEnd end) noexcept {
+  constexpr std::array<const char*, 4> kNames = {"not_run", "failed",
+                                                 "timed_out", "lost"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+const char* NameOf(Verdict verdict) noexcept {
+  constexpr std::array<const char*, 5> kNames = {"retry", "abort", "failed",
+                                                 "timeout", "unsure"};
+  return kNames[static_cast<std::size_t>(verdict)];
+}
+
+const char* NameOf(ErrorCode code) noexcept {
+  constexpr std::array<const char*, 14> kNames = {
+      "none",      "busy", "aborted",     "behind",     "read_only",
+      "misrouted", "full", "no_name",     "failed",     "timeout",
+      "unsure",    "bad",  "no_database", "unreachable"};
+  return kNames[static_cast<std::size_t>(code)];
+}
+
 AttemptEnd EndOf(ErrorCode code) noexcept {
   switch (code) {
     case ErrorCode::kFailed:
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -87,6 +87,23 @@
   }
 }
 
+void Proxy::LogRequest(const std::string& text) {
+  if (now_ - log_second_ >= std::chrono::seconds(1)) {
+    if (log_dropped_ > 0) {
+      Log("request lines dropped count=" + std::to_string(log_dropped_));
+    }
+    log_second_ = now_;
+    log_lines_ = 0;
+    log_dropped_ = 0;
+  }
+  if (log_lines_ < options_.request_lines_per_second) {
+    ++log_lines_;
+    return Log(text);
+  }
+  ++log_dropped_;
+  Count("request_lines_dropped");
+}
+
 void Proxy::On(const ConfigRead& event) {
   if (config_ && event.config->version <= config_->version) return;
   Log("config installed version=" + std::to_string(event.config->version) +
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "corianderdock/session/proxy.h"
@@ -16,6 +17,12 @@
 /// Time after which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
+const char* NameOfResult(PromotionResult result) {
+  constexpr std::array<const char*, 3> kNames = {"accepted", "refused",
+                                                 "unknown"};
+  return kNames[static_cast<std::size_t>(result)];
+}
+
 std::string Show(Position position) {
   return std::to_string(position.term) + "." + std::to_string(position.index);
 }
@@ -221,7 +228,7 @@
   const auto it = services_.find(event.service);
   if (it == services_.end()) return;
   Log("promotion answered service=" + event.service + " id=" + event.server +
-      " result=" + std::to_string(static_cast<int>(event.result)));
+      " result=" + NameOfResult(event.result));
   Perform(it->first,
           it->second.failover.OnOrdered(SituationOf(it->second), event.result));
 }
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -101,9 +101,9 @@
   Connection& connection = it->second;
   Lane& lane = lanes_.at(connection.server);
   if (event.error != ErrorCode::kNone) {
-    Log("connection refused server=" + connection.server +
-        " code=" + std::to_string(static_cast<int>(event.error)) +
-        " connections=" + std::to_string(lane.connections.size()));
+    LogRequest("connection refused server=" + connection.server +
+               " code=" + NameOf(event.error) +
+               " connections=" + std::to_string(lane.connections.size()));
     Count("connections_refused");
     lane.connect_after = now_ + options_.connect_pause;
     const bool reached = event.error != ErrorCode::kOther;
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -22,8 +22,9 @@
   }
   if (!config_->routes.contains(event.database)) {
     Count("sessions_refused");
-    Log("session refused database=" + event.database + " reason=no route" +
-        " config_version=" + std::to_string(config_->version));
+    LogRequest("session refused database=" + event.database +
+               " reason=no route" +
+               " config_version=" + std::to_string(config_->version));
     Emit(CloseSession{event.session, ErrorCode::kNoDatabase, event.database});
     return;
   }
@@ -179,7 +180,8 @@
                    const StatementReceived& event) {
   const auto route = RouteOf(session);
   if (!route) {
-    Log("statement refused id=" + event.id +
+    LogRequest(
+        "statement refused id=" + event.id +
         " reason=no route config_version=" + std::to_string(config_->version));
     return AnswerError(id, session, ErrorCode::kNoDatabase, session.database);
   }
@@ -214,10 +216,12 @@
 }
 
 void Proxy::Answer(SessionId id, Session& session, Reply reply) {
+  const Duration took =
+      session.pending ? now_ - session.pending->arrived : Duration(0);
   session.pending.reset();
   session.active = now_;
   reply.state = session.state;
-  Emit(AnswerSession{id, std::move(reply)});
+  Emit(AnswerSession{id, std::move(reply), took});
 }
 
 void Proxy::AnswerOk(SessionId id, Session& session) {
@@ -248,7 +252,7 @@
     After(limit - idle, {TimerKind::kTransactionIdle, id, 0});
     return;
   }
-  Log("transaction ended database=" + session.database + " reason=idle");
+  LogRequest("transaction ended database=" + session.database + " reason=idle");
   Count("transactions_idle");
   EndTransaction(session);
   session.state = TransactionState::kFailed;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -15,6 +15,10 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+std::string Whole(Duration duration) {
+  return std::to_string(static_cast<int>(ToMs(duration)));
+}
+
 std::string Show(const std::optional<Position>& position) {
   if (!position) return "-";
   return std::to_string(position->term) + "." + std::to_string(position->index);
@@ -26,6 +30,8 @@
 constexpr double kOtherZoneCost = 0.6;
 constexpr double kPrimaryCost = 0.9;
 constexpr double kBehindCost = 1.2;
+/// Age at which what a copy was last known to hold says little of it now.
+constexpr Duration kPositionNews = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -150,8 +156,8 @@
       continue;
     }
     Count("refused_no_primary");
-    Log("statement refused id=" + session.pending->id +
-        " database=" + session.database + " reason=no primary");
+    LogRequest("statement refused id=" + session.pending->id +
+               " database=" + session.database + " reason=no primary");
     AnswerError(id, session, ErrorCode::kBusy, "no primary");
   }
 }
@@ -179,7 +185,8 @@
     const bool behind =
         position && !Contains(lane.position.value_or(Position{}), *position);
     if (behind && now_ < lane.avoid_until) continue;
-    if (behind) cost += kBehindCost;
+    const bool fresh_news = now_ - lane.last_heard < kPositionNews;
+    if (behind && fresh_news) cost += kBehindCost;
     if (cost >= best_cost) continue;
     best = &lane;
     best_cost = cost;
@@ -356,6 +363,14 @@
               : "reads_replica");
   }
   Count("statements_done");
+  if (now_ - pending.arrived > pending.route->objective) {
+    Count("statements_late");
+    LogRequest("statement late id=" + pending.id +
+               " database=" + session.database + " server=" + at.server +
+               " waited_ms=" + Whole(pending.sent_at - pending.arrived) +
+               " ran_ms=" + Whole(now_ - pending.sent_at) +
+               " attempts=" + std::to_string(pending.attempts));
+  }
   if (pending.wrapped) {
     session.bound = 0;
     at.bound = 0;
@@ -393,12 +408,12 @@
   }
   const bool may_retry =
       pending.attempts < options_.most_attempts && now_ < pending.deadline;
-  Log("attempt failed id=" + pending.id + " database=" + session.database +
-      " end=" + std::to_string(static_cast<int>(end)) +
-      " code=" + std::to_string(static_cast<int>(code)) +
-      " attempts=" + std::to_string(pending.attempts) +
-      " verdict=" + std::to_string(static_cast<int>(verdict)) +
-      " own=" + Show(session.own) + " detail=" + detail);
+  LogRequest("attempt failed id=" + pending.id +
+             " database=" + session.database + " end=" + NameOf(end) +
+             " code=" + NameOf(code) + " attempts=" +
+             std::to_string(pending.attempts) + " verdict=" + NameOf(verdict) +
+             " age_ms=" + Whole(now_ - pending.arrived) +
+             " own=" + Show(session.own) + " detail=" + detail);
   Count("attempts_failed");
   if (verdict == Verdict::kRetry && may_retry) {
     Unbind(session);
@@ -442,10 +457,10 @@
   service.read_queue.Remove(id);
   pending.queued = false;
   Count("refused_queue");
-  Log("statement refused id=" + pending.id + " database=" + session.database +
-      " reason=queue queued_primary=" +
-      std::to_string(service.primary_queue.size()) +
-      " queued_reads=" + std::to_string(service.read_queue.size()));
+  LogRequest("statement refused id=" + pending.id +
+             " database=" + session.database + " reason=queue queued_primary=" +
+             std::to_string(service.primary_queue.size()) +
+             " queued_reads=" + std::to_string(service.read_queue.size()));
   AnswerError(id, session, ErrorCode::kBusy, "no room in time");
 }
 
--- /dev/null
+++ b/tests/platform_process_test.cc
@@ -0,0 +1,338 @@
+/// The real daemon on loopback, before a fake store and a fake server.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "corianderdock/detail/base64.h"
+#include "corianderdock/net/http_server.h"
+#include "corianderdock/net/line_socket.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr Milliseconds kLongest{8000};
+
+/// Ports that were free a moment ago.
+std::vector<int> FreePorts(int n) {
+  asio::io_context io;
+  std::vector<std::unique_ptr<tcp::acceptor>> held;
+  std::vector<int> ports;
+  for (int i = 0; i < n; ++i) {
+    held.push_back(std::make_unique<tcp::acceptor>(
+        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+    ports.push_back(held.back()->local_endpoint().port());
+  }
+  return ports;
+}
+
+std::string Loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+/// Answers what the daemon asks of the store, always with the same state.
+class FakeStore {
+ public:
+  FakeStore(asio::io_context& io, int port, const std::string& server_address)
+      : io_(io),
+        config_(
+            R"({"version":3,"routes":[{"host":"db","type":"primary",)"
+            R"("backend":"books","timeout_ms":800,"goal_ms":200}],"backends":)"
+            R"([{"name":"books","max_conns":16,"sync_replicas":1}],)"
+            R"("limits":{"tx_idle_ms":3000}})"),
+        entry_(
+            R"({"backend":"books","addr":")" + server_address +
+            R"(","zone":"z","slots":2,"state":"ready","db_role":"primary"})"),
+        http_({&io}, net::ParseEndpoint(Loopback(port)), {},
+              [this](const net::HttpRequest& request, net::HttpRespond respond,
+                     std::function<void()>&) { Answer(request, respond); }) {}
+
+ private:
+  static std::string Item(const std::string& key, const std::string& value) {
+    return R"({"key":")" + key + R"(","value":")" +
+           detail::EncodeBase64(value) + R"(","rev":5,"current_rev":9})";
+  }
+
+  void Answer(const net::HttpRequest& request,
+              const net::HttpRespond& respond) {
+    net::HttpResponse response;
+    std::string body = R"({"items":[],"rev":5,"lease":4,"current_rev":9})";
+    if (request.target.starts_with("/kv-key?key=op/config")) {
+      body = Item("op/config", config_);
+    } else if (request.target.starts_with("/kv-range?prefix=servers/")) {
+      body = R"({"items":[)" + Item("servers/i-1", entry_) + "," +
+             Item("servers/i-2", "not json") + R"(],"current_rev":9})";
+    } else if (request.target.starts_with("/kv-watch")) {
+      return AnswerWatch(respond);
+    }
+    response.make_body = [body] { return body; };
+    respond(response);
+  }
+
+  void AnswerWatch(const net::HttpRespond& respond) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, Milliseconds(300));
+    timer->async_wait([timer, respond](boost::system::error_code) {
+      net::HttpResponse response;
+      response.make_body = [] {
+        return std::string(R"({"events":[],"current_rev":9})");
+      };
+      respond(response);
+    });
+  }
+
+  asio::io_context& io_;
+  std::string config_;
+  std::string entry_;
+  net::HttpServer http_;
+};
+
+/// A primary that runs everything and keeps what clients' statements it saw.
+class FakeServer {
+ public:
+  FakeServer(asio::io_context& io, int port)
+      : acceptor_(io, net::ParseEndpoint(Loopback(port))) {
+    Accept();
+  }
+
+  [[nodiscard]] std::vector<std::string> seen() const {
+    const std::lock_guard lock(mutex_);
+    return seen_;
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code ec,
+                                  tcp::socket socket) {
+      if (ec) return;
+      auto line = net::LineSocket::Make(std::move(socket), {});
+      sockets_.push_back(line);
+      line->Start(
+          [this, raw = line.get()](std::string_view it) { OnLine(*raw, it); },
+          [](const std::string&) {});
+      Accept();
+    });
+  }
+
+  void OnLine(net::LineSocket& socket, std::string_view line) {
+    if (line.starts_with("START")) {
+      socket.Write("READY I 1.5\r\n");
+    } else {
+      const bool own = line.starts_with("QUERY - ");
+      if (!own) {
+        const std::lock_guard lock(mutex_);
+        seen_.emplace_back(line);
+      }
+      const bool begins = line.find(" BEGIN") != std::string_view::npos;
+      socket.Write(own ? "DONE -\r\n" : "ROW value\r\nDONE receipt\r\n");
+      socket.Write(begins ? "READY T 1.5\r\n" : "READY I 1.5\r\n");
+    }
+    socket.Flush();
+  }
+
+  tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<net::LineSocket>> sockets_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> seen_;
+};
+
+/// A client's connection with blocking calls.
+class TestClient {
+ public:
+  explicit TestClient(int port) : socket_(io_) {
+    socket_.connect(net::ParseEndpoint(Loopback(port)));
+    timeval limit{5, 0};
+    (void)::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit,
+                       sizeof(limit));
+  }
+
+  /// Sends bytes; what the other end does not take is dropped.
+  void Send(const std::string& bytes) {
+    boost::system::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+
+  /// The next line, or nothing once the connection ended.
+  std::optional<std::string> Line() {
+    while (true) {
+      const auto end = read_.find("\r\n");
+      if (end != std::string::npos) {
+        std::string line = read_.substr(0, end);
+        read_.erase(0, end + 2);
+        return line;
+      }
+      char bytes[4096];
+      const ssize_t n =
+          ::recv(socket_.native_handle(), bytes, sizeof(bytes), 0);
+      if (n <= 0) return std::nullopt;
+      read_.append(bytes, static_cast<std::size_t>(n));
+    }
+  }
+
+  /// Lines up to `READY`.
+  std::vector<std::string> Answer() {
+    std::vector<std::string> lines;
+    while (auto line = Line()) {
+      lines.push_back(*line);
+      if (line->starts_with("READY")) break;
+    }
+    return lines;
+  }
+
+ private:
+  asio::io_context io_;
+  tcp::socket socket_;
+  std::string read_;
+};
+
+/// The daemon with its surroundings; ended by its id.
+class Fixture {
+ public:
+  Fixture()
+      : ports_(FreePorts(5)),
+        store_(io_, ports_[2], Loopback(ports_[4])),
+        server_(io_, ports_[4]),
+        thread_([this] { io_.run(); }) {
+    const std::string path = "platform_process_test.json";
+    std::ofstream(path) << R"({"instance":"a","zone":"z","client_address":")"
+                        << Loopback(ports_[0]) << R"(","ready_address":")"
+                        << Loopback(ports_[1]) << R"(","store_address":")"
+                        << Loopback(ports_[2]) << R"(","cloud_address":")"
+                        << Loopback(ports_[3]) << R"(","grace_seconds":4})";
+    std::string program = PROXY_PROGRAM;
+    std::string flag = "--settings";
+    std::string file = path;
+    char* arguments[] = {program.data(), flag.data(), file.data(), nullptr};
+    REQUIRE(posix_spawn(&process_, program.c_str(), nullptr, nullptr, arguments,
+                        environ) == 0);
+    AwaitReady();
+  }
+
+  ~Fixture() {
+    if (process_ > 0) {
+      ::kill(process_, SIGKILL);
+      ::waitpid(process_, nullptr, 0);
+    }
+    io_.stop();
+    thread_.join();
+  }
+
+  void AwaitReady() {
+    const TimePoint until = Clock::now() + kLongest;
+    while (Clock::now() < until) {
+      try {
+        TestClient client(ports_[0]);
+        client.Send("START db me\r\n");
+        const auto answer = client.Answer();
+        if (!answer.empty() && answer.back() == "READY I -") return;
+      } catch (const boost::system::system_error&) {
+        // It does not listen yet.
+      }
+      std::this_thread::sleep_for(Milliseconds(50));
+    }
+    FAIL("the daemon is not ready");
+  }
+
+  /// Ends the daemon by SIGTERM; returns its exit code.
+  int Stop() {
+    ::kill(process_, SIGTERM);
+    int status = 0;
+    ::waitpid(process_, &status, 0);
+    process_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  [[nodiscard]] int client_port() const { return ports_[0]; }
+  [[nodiscard]] const FakeServer& server() const { return server_; }
+
+ private:
+  std::vector<int> ports_;
+  asio::io_context io_;
+  FakeStore store_;
+  FakeServer server_;
+  std::thread thread_;
+  pid_t process_ = 0;
+};
+
+void CheckServed(const Fixture& fixture) {
+  TestClient client(fixture.client_port());
+  client.Send("START db me\r\n");
+  CHECK(client.Answer() == std::vector<std::string>{"READY I -"});
+  client.Send("QUERY q1 WRITE item data\r\n");
+  const auto answer = client.Answer();
+  REQUIRE(answer.size() == 3);
+  CHECK(answer[0] == "ROW value");
+  CHECK(answer[1] == "DONE receipt");
+}
+
+}  // namespace
+
+TEST_CASE("a session is served from client to server") {
+  Fixture fixture;
+  CheckServed(fixture);
+  TestClient client(fixture.client_port());
+  client.Send("START db me\r\n");
+  (void)client.Answer();
+  client.Send("QUERY q2 BEGIN\r\n");
+  CHECK(client.Answer().back() == "READY T -");
+  client.Send("QUERY q3 READ item\r\n");
+  CHECK(client.Answer().back().starts_with("READY T"));
+  client.Send("QUERY q4 COMMIT\r\n");
+  CHECK(client.Answer().back().starts_with("READY I"));
+  CHECK(fixture.server().seen() ==
+        std::vector<std::string>{"QUERY q1 WRITE item data",
+                                 "QUERY q3 READ item", "QUERY q4 COMMIT"});
+}
+
+TEST_CASE("bad input is refused and reaches no server") {
+  Fixture fixture;
+  const std::string start = "START db me\r\n";
+  const std::vector<std::string> inputs = {
+      "QUERY q READ item\r\n",
+      start + start,
+      "HELLO\r\n",
+      std::string("\0\x01\xff\xfe\r\n", 6),
+      "START\r\n",
+      start + "QUERY q1 AFTER 1.1 READ item\r\n",
+      start + "QUERY q1\r\n",
+      start + "QUERY - READ item\r\n",
+      start + "QUERY q1 RESUME\r\n",
+      start + "QUERY q1 WRITE item\r\n",
+      std::string(2 << 20, 'x'),
+  };
+  for (const auto& input : inputs) {
+    TestClient client(fixture.client_port());
+    client.Send(input);
+    std::vector<std::string> lines;
+    while (auto line = client.Line()) {
+      lines.push_back(*line);
+      if (line->starts_with("ERR")) break;
+    }
+    const bool refused = lines.empty() || lines.back().starts_with("ERR");
+    CHECK(refused);
+  }
+  CHECK(fixture.server().seen().empty());
+  CheckServed(fixture);
+}
+
+TEST_CASE("SIGTERM ends the process with its idle sessions") {
+  Fixture fixture;
+  TestClient client(fixture.client_port());
+  client.Send("START db me\r\n");
+  (void)client.Answer();
+  CHECK(fixture.Stop() == 0);
+  CHECK_FALSE(client.Line());
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/platform_wire_test.cc
@@ -0,0 +1,179 @@
+/// The line protocol and the store's documents, also malformed.
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "platform/documents.h"
+#include "platform/settings.h"
+#include "platform/wire.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+using platform::ClientLine;
+using platform::ParseClientLine;
+using session::ErrorCode;
+using session::Reply;
+using session::ServerCommand;
+using session::TransactionState;
+using session::Verb;
+
+Verb VerbOf(const std::string& text) {
+  return ParseClientLine("QUERY 1 " + text).statement.verb;
+}
+
+std::string Render(Verb verb, const std::string& name,
+                   const std::string& text) {
+  ServerCommand command;
+  command.id = "1";
+  command.statement = {verb, name, text};
+  std::string out;
+  platform::AppendCommand(out, command);
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("every statement of a client is understood") {
+  CHECK(VerbOf("BEGIN") == Verb::kBegin);
+  CHECK(VerbOf("BEGIN READ") == Verb::kBeginRead);
+  CHECK(VerbOf("COMMIT") == Verb::kCommit);
+  CHECK(VerbOf("ROLLBACK") == Verb::kRollback);
+  CHECK(VerbOf("READ 1a4") == Verb::kRead);
+  CHECK(VerbOf("WRITE 1a4 some data") == Verb::kWrite);
+  CHECK(VerbOf("SET a 1") == Verb::kSet);
+  CHECK(VerbOf("PREPARE s1 READ q1") == Verb::kPrepareRead);
+  CHECK(VerbOf("PREPARE s1 WRITE q1") == Verb::kPrepareWrite);
+  CHECK(VerbOf("EXEC s1 1a4 data") == Verb::kExecute);
+  CHECK(VerbOf("FORGET s1") == Verb::kForget);
+}
+
+TEST_CASE("what a client may not say is unknown") {
+  for (const char* text :
+       {"", "AFTER 1.2 READ a", "STATUS", "HOLD 3", "RESUME", "RESET",
+        "BEGIN X", "READ", "WRITE", "WRITE a", "SET", "PREPARE s1 BOTH q",
+        "EXEC s1", "begin", "DEMOTE 4"}) {
+    CHECK(VerbOf(text) == Verb::kUnknown);
+  }
+  CHECK(ParseClientLine("QUERY - READ a").word == ClientLine::Word::kUnknown);
+  CHECK(ParseClientLine("START").word == ClientLine::Word::kUnknown);
+  CHECK(ParseClientLine("GET / HTTP/1.1").word == ClientLine::Word::kUnknown);
+}
+
+TEST_CASE("a client's text reaches the server unchanged") {
+  CHECK(rc::check([](const std::string& seed) {
+    std::string data;
+    for (const char it : seed) {
+      if (it != '\r' && it != '\n') data.push_back(it);
+    }
+    const std::string text = "WRITE item x" + data;
+    const auto parsed = ParseClientLine("QUERY 1 " + text);
+    RC_ASSERT(parsed.statement.verb == Verb::kWrite);
+    const std::string out = Render(Verb::kWrite, {}, parsed.statement.text);
+    RC_ASSERT(out == "QUERY 1 " + text + "\r\n");
+  }));
+}
+
+TEST_CASE("no line of a client is more than a statement or a refusal") {
+  CHECK(rc::check([](const std::string& line) {
+    const auto parsed = ParseClientLine(line);
+    if (parsed.word == ClientLine::Word::kQuery) {
+      RC_ASSERT(!parsed.id.empty());
+    }
+  }));
+}
+
+TEST_CASE("a server's lines make one reply") {
+  platform::ReplyReader reader;
+  CHECK_FALSE(reader.Take("ROW qhz kwm"));
+  CHECK_FALSE(reader.Take("DONE 7.1f3.c"));
+  const auto reply = reader.Take("READY T 3.1209");
+  REQUIRE(reply);
+  CHECK(reply->rows == std::vector<std::string>{"qhz kwm"});
+  CHECK(reply->receipt == "7.1f3.c");
+  CHECK(reply->state == TransactionState::kOpen);
+  CHECK(reply->position == Position{3, 1209});
+  CHECK_FALSE(reader.Take("ERR READONLY i-7f"));
+  const auto refused = reader.Take("READY E -");
+  REQUIRE(refused);
+  CHECK(refused->error == ErrorCode::kReadOnly);
+  CHECK_FALSE(refused->position);
+}
+
+TEST_CASE("random bytes of a server end in a reply or a broken reader") {
+  CHECK(rc::check([](const std::vector<std::string>& lines) {
+    platform::ReplyReader reader;
+    for (const auto& it : lines) (void)reader.Take(it);
+  }));
+}
+
+TEST_CASE("a status row is read whole or not at all") {
+  const auto status = platform::ParseStatus("replica 3 3.1209 4 12 2 17");
+  REQUIRE(status);
+  CHECK_FALSE(status->primary);
+  CHECK(status->received == Position{3, 1209});
+  CHECK(status->held == 4);
+  CHECK_FALSE(platform::ParseStatus("replica 3 3.x 0 12 2 17"));
+  CHECK_FALSE(platform::ParseStatus("leader 3 3.1 0 12 2 17"));
+}
+
+TEST_CASE("an answer has rows, an end and the session's state") {
+  Reply reply;
+  reply.rows = {"a b"};
+  reply.receipt = "r";
+  std::string out;
+  platform::AppendAnswer(out, reply, false);
+  CHECK(out == "ROW a b\r\nDONE r\r\nREADY I -\r\n");
+  out.clear();
+  platform::AppendAnswer(out, {}, true);
+  CHECK(out == "READY I -\r\n");
+}
+
+TEST_CASE("an entry that can't be used names no server") {
+  const std::string good =
+      R"({"backend":"s","addr":"10.0.0.1:80","zone":"z","slots":2,)"
+      R"("state":"ready","db_role":"primary","seq":1,"born":17})";
+  const auto entry = platform::DecodeServer("i-1", good);
+  REQUIRE(entry);
+  CHECK(entry->claims_primary);
+  CHECK(entry->born == 17);
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"resting\""},
+           {"\"primary\"", "7"},
+           {"\"slots\":2", "\"slots\":\"2\""},
+           {"\"s\"", "null"},
+           {"{", "["}}) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    CHECK_FALSE(platform::DecodeServer("i-1", bad));
+  }
+  CHECK(rc::check([](const std::string& bytes) {
+    (void)platform::DecodeServer("i-1", bytes);
+    (void)platform::DecodeConfig(bytes);
+  }));
+}
+
+TEST_CASE("a configuration keeps its readable routes") {
+  const auto config = platform::DecodeConfig(
+      R"({"version":7,"routes":[{"host":"db","type":"bounded","backend":"s",)"
+      R"("timeout_ms":800,"goal_ms":200,"max_stale_ms":1500,"priority":2},)"
+      R"({"host":5},{"host":"x","type":"odd","backend":"s"}],)"
+      R"("backends":[{"name":"s","max_conns":16,"sync_replicas":1}],)"
+      R"("limits":{"tx_idle_ms":3000}})");
+  REQUIRE(config);
+  CHECK((*config)->version == 7);
+  REQUIRE((*config)->routes.size() == 1);
+  CHECK((*config)->routes.at("db")->max_age == Milliseconds(1500));
+  CHECK((*config)->services.at("s").max_connections == 16);
+  CHECK_FALSE(platform::DecodeConfig(R"({"routes":[]})"));
+}
+
+TEST_CASE("settings report every fault with its place") {
+  const auto settings = platform::ParseSettings(R"({"instance":"a"})");
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().size() == 6);
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/session_failover_test.cc
@@ -0,0 +1,157 @@
+/// Promotion of a new primary: evidence, tokens, late orders, release.
+#include <catch2/catch.hpp>
+
+#include "corianderdock/session/failover.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+using session::ClaimAnswered;
+using session::Failover;
+using session::PromotionResult;
+using session::ServerStatus;
+
+/// A failover whose primary "a" is lost, with replicas "b" and "c".
+struct Fixture {
+  Fixture() {
+    situation.now = TimePoint{std::chrono::seconds(50)};
+    situation.primary_lost = true;
+    situation.newest_term = 3;
+    situation.replicas = {{"b", false}, {"c", false}};
+  }
+
+  Failover::Actions Step(Duration after = Duration(0)) {
+    situation.now += after;
+    return failover.Step(situation);
+  }
+
+  Failover::Actions Claimed(std::uint64_t token, bool store_away = false) {
+    return failover.OnClaim(situation, ClaimAnswered{"s", token, store_away});
+  }
+
+  Failover::Actions Held(const ServerId& id, std::uint64_t index) {
+    return failover.OnHeld(situation, id,
+                           ServerStatus{false, 3, {3, index}, 4});
+  }
+
+  template <typename T>
+  static const T& Only(const Failover::Actions& actions) {
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::holds_alternative<T>(actions.front()));
+    return std::get<T>(actions.front());
+  }
+
+  Failover::Situation situation;
+  Failover failover;
+};
+
+}  // namespace
+
+TEST_CASE("the most advanced of all held replicas is promoted") {
+  Fixture it;
+  Fixture::Only<Failover::Claim>(it.Step());
+  CHECK(it.Claimed(7).size() == 2);
+  CHECK(it.Held("b", 10).empty());
+  const auto actions = it.Held("c", 12);
+  CHECK(Fixture::Only<Failover::Order>(actions).server == "c");
+  CHECK(Fixture::Only<Failover::Order>(actions).token == 7);
+}
+
+TEST_CASE("nothing is claimed while a replica does not answer") {
+  Fixture it;
+  it.situation.reachable = false;
+  CHECK(it.Step().empty());
+}
+
+TEST_CASE("nothing is claimed on a list that may lack servers") {
+  Fixture it;
+  it.situation.complete = false;
+  CHECK(it.Step().empty());
+}
+
+TEST_CASE("of equal logs one that stays is promoted") {
+  Fixture it;
+  it.situation.replicas = {{"b", true}, {"c", false}};
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  CHECK(Fixture::Only<Failover::Order>(it.Held("c", 10)).server == "c");
+}
+
+TEST_CASE("a primary that answers again is not replaced") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  it.situation.primary_lost = false;
+  CHECK(it.Held("c", 10).empty());
+  CHECK(it.failover.phase() == Failover::Phase::kIdle);
+}
+
+TEST_CASE("the standing token serves only while the store is away") {
+  Fixture it;
+  it.situation.standing_token = 5;
+  (void)it.Step();
+  CHECK(it.Claimed(0, false).empty());
+  CHECK(it.failover.UnderWay(it.situation.now));
+  (void)it.Step(std::chrono::seconds(2));
+  CHECK(it.Claimed(0, true).size() == 2);
+  (void)it.Held("b", 1);
+  CHECK(Fixture::Only<Failover::Order>(it.Held("c", 1)).token == 5);
+}
+
+TEST_CASE("an order without an answer is repeated on fresh evidence") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  CHECK(it.failover.OnOrdered(it.situation, PromotionResult::kUnknown).empty());
+  CHECK(it.Step(std::chrono::milliseconds(700)).size() == 2);
+  (void)it.Held("b", 10);
+  CHECK(Fixture::Only<Failover::Order>(it.Held("c", 12)).token == 7);
+}
+
+TEST_CASE("another server needs a new token after an unanswered order") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  (void)it.Step(std::chrono::milliseconds(700));
+  (void)it.Held("b", 15);
+  Fixture::Only<Failover::Claim>(it.Held("c", 12));
+}
+
+TEST_CASE("an unanswered order is fenced before the replicas are let go") {
+  Fixture it;
+  it.situation.primary = "a";
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  it.situation.primary_lost = false;
+  Fixture::Only<Failover::Claim>(
+      it.failover.OnOrdered(it.situation, PromotionResult::kRefused));
+  const auto fence = it.Claimed(9);
+  CHECK(Fixture::Only<Failover::Order>(fence).server == "a");
+  CHECK(Fixture::Only<Failover::Order>(fence).token == 9);
+}
+
+TEST_CASE("an abandoned claim lets replicas go only later") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  CHECK(it.failover.OnOrdered(it.situation, PromotionResult::kRefused).empty());
+  it.situation.primary_lost = false;
+  CHECK(it.Step(std::chrono::seconds(1)).empty());
+  CHECK(it.Step(std::chrono::seconds(3)).empty());
+  CHECK(it.Step(std::chrono::seconds(2)).size() == 2);
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/session_freshness_test.cc
@@ -0,0 +1,153 @@
+/// Freshness by position, and what becomes of attempts that fail.
+#include <catch2/catch.hpp>
+
+#include "corianderdock/session/freshness.h"
+#include "corianderdock/session/outcome.h"
+#include "support/proxy_driver.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+/// Lets the proxy learn a position of the primary.
+void Sample(ProxyDriver& driver) {
+  driver.Open(99, "claims");
+  driver.Query(99, Verb::kWrite, {}, "item data");
+  driver.Reply1(ErrorCode::kNone, {1, 10});
+  driver.Pass(Milliseconds(120));
+}
+
+}  // namespace
+
+TEST_CASE("the oldest sample that covers an age is taken") {
+  session::FreshnessSamples samples;
+  const TimePoint start{std::chrono::seconds(10)};
+  for (int n = 0; n < 5; ++n) {
+    samples.Add({1, static_cast<std::uint64_t>(n)},
+                start + std::chrono::milliseconds(100 * n));
+  }
+  const auto after = start + std::chrono::milliseconds(150);
+  CHECK(samples.Covering(after) == Position{1, 2});
+  CHECK(samples.Covering(start + std::chrono::seconds(1)) == std::nullopt);
+  samples.Forget(start + std::chrono::milliseconds(350));
+  CHECK(samples.Covering(start) == Position{1, 4});
+}
+
+TEST_CASE("a bounded read names a position and goes to a replica") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.Open(1, "lookups");
+  driver.Query(1, Verb::kRead, {}, "item");
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kRead});
+  CHECK(driver.sent.front().command.after == Position{1, 10});
+  CHECK(driver.at[driver.sent.front().connection] != "a");
+}
+
+TEST_CASE("without a sample a bounded read is proven at the primary") {
+  ProxyDriver driver;
+  driver.Open(1, "lookups");
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
+  CHECK(driver.at[driver.sent.front().connection] == "a");
+}
+
+TEST_CASE("a sample too old covers nothing") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.now += kMaxAge;
+  driver.Open(1, "lookups");
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.SentVerbs().back() == Verb::kBegin);
+}
+
+TEST_CASE("a copy that is behind is left for another, then the primary") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.Open(1, "lookups");
+  driver.Query(1, Verb::kRead, {}, "item");
+  const ServerId first = driver.at[driver.sent.front().connection];
+  driver.Reply1(ErrorCode::kBehind, {1, 3});
+  const ServerId second = driver.at[driver.sent.front().connection];
+  CHECK(second != first);
+}
+
+TEST_CASE("a session's reads hold its own commits") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.Open(1, "updates");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.Reply1(ErrorCode::kNone, {1, 20});
+  driver.Query(1, Verb::kRead, {}, "item");
+  REQUIRE(!driver.sent.empty());
+  const auto& command = driver.sent.front().command;
+  CHECK(command.after == Position{1, 20});
+}
+
+TEST_CASE("after a write in doubt a session reads at the primary") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.Open(1, "updates");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  const ConnectionId connection = driver.sent.front().connection;
+  driver.sent.clear();
+  driver.Feed(session::ServerConnectionLost{connection});
+  CHECK(driver.answers.back().reply.error == ErrorCode::kUnsure);
+  driver.Pass(Milliseconds(30));
+  driver.Connect();
+  driver.sent.clear();
+  driver.Query(1, Verb::kRead, {}, "item");
+  driver.Connect();
+  CHECK(driver.SentVerbs().back() == Verb::kBegin);
+}
+
+TEST_CASE("a read of the latest data is proven, then ended") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  CHECK(driver.SentVerbs() == std::vector{Verb::kRead, Verb::kRollback});
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  CHECK(driver.answers.back().reply.state == TransactionState::kIdle);
+}
+
+TEST_CASE("a lost read runs elsewhere; a lost write does not") {
+  ProxyDriver driver;
+  Sample(driver);
+  driver.Open(1, "lookups");
+  driver.Query(1, Verb::kRead, {}, "item");
+  const ConnectionId read = driver.sent.front().connection;
+  driver.sent.clear();
+  driver.Feed(session::ServerConnectionLost{read});
+  REQUIRE(!driver.sent.empty());
+  CHECK(driver.SentVerbs().front() == Verb::kRead);
+  driver.sent.clear();
+  const auto answered = driver.answers.size();
+  driver.Open(2, "claims");
+  driver.Query(2, Verb::kWrite, {}, "item data");
+  REQUIRE(!driver.sent.empty());
+  const ConnectionId write = driver.sent.back().connection;
+  driver.sent.clear();
+  driver.Feed(session::ServerConnectionLost{write});
+  CHECK(driver.answers.size() == answered + 2);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kUnsure);
+}
+
+TEST_CASE("the table of outcomes keeps its promises") {
+  using session::AttemptEnd;
+  using session::AttemptKind;
+  using session::Judge;
+  using session::Verdict;
+  for (const auto kind : {AttemptKind::kWrite, AttemptKind::kCommitWrites}) {
+    CHECK(Judge(kind, AttemptEnd::kLost) == Verdict::kUnsure);
+    CHECK(Judge(kind, AttemptEnd::kTimedOut) == Verdict::kTimeout);
+    CHECK(Judge(kind, AttemptEnd::kFailed) == Verdict::kFailed);
+  }
+  CHECK(Judge(AttemptKind::kWrite, AttemptEnd::kNotRun) == Verdict::kRetry);
+  CHECK(Judge(AttemptKind::kCommitWrites, AttemptEnd::kNotRun) ==
+        Verdict::kAbort);
+  CHECK(Judge(AttemptKind::kLaterInside, AttemptEnd::kLost) == Verdict::kAbort);
+  CHECK(session::EndOf(ErrorCode::kOther) == AttemptEnd::kLost);
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/session_statements_test.cc
@@ -0,0 +1,205 @@
+/// Sessions on shared connections: local answers, late binding, names, values.
+#include <catch2/catch.hpp>
+
+#include "support/proxy_driver.h"
+
+namespace corianderdock::test {
+
+TEST_CASE("what needs no server is answered here") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kSet, "a", "1");
+  driver.Query(1, Verb::kPrepareRead, "p", "q1");
+  driver.Query(1, Verb::kForget, "p");
+  driver.Query(1, Verb::kBegin);
+  CHECK(driver.answers.back().reply.state == TransactionState::kOpen);
+  driver.Query(1, Verb::kRollback);
+  CHECK(driver.answers.back().reply.state == TransactionState::kIdle);
+  CHECK(driver.answers.size() == 6);
+  CHECK(driver.sent.empty());
+  for (const auto& it : driver.answers) {
+    CHECK(it.reply.error == ErrorCode::kNone);
+  }
+}
+
+TEST_CASE("a statement never follows an unanswered BEGIN") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kBegin});
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  CHECK(driver.SentVerbs() == std::vector{Verb::kWrite});
+}
+
+TEST_CASE("a transaction keeps one connection until it ends") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kRead, {}, "item");
+  driver.ReplySetup();
+  const ConnectionId first = driver.sent.front().connection;
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.Pass(Milliseconds(100));
+  driver.Open(2, "claims");
+  driver.Query(2, Verb::kWrite, {}, "other data");
+  driver.Connect();
+  REQUIRE(!driver.sent.empty());
+  CHECK(driver.sent.front().connection != first);
+  driver.Reply1();
+  driver.Query(1, Verb::kCommit);
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kCommit});
+  CHECK(driver.sent.front().connection == first);
+}
+
+TEST_CASE("sessions with the same prepared name keep their own shapes") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Open(2, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q1");
+  driver.Query(2, Verb::kPrepareWrite, "p", "q2");
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  const std::string first = driver.sent.back().command.statement.name;
+  driver.ReplySetup();
+  driver.Reply1();
+  driver.Query(2, Verb::kExecute, "p", "item data");
+  const std::string second = driver.sent.back().command.statement.name;
+  CHECK(first != second);
+  CHECK(driver.SentVerbs() == std::vector{Verb::kPrepareWrite, Verb::kExecute});
+}
+
+TEST_CASE("a shape is prepared once a connection") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q1");
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  driver.ReplySetup();
+  driver.Reply1();
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kExecute});
+}
+
+TEST_CASE("a value that the session never set is reset") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kSet, "a", "1");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kSet, Verb::kWrite});
+  driver.ReplySetup();
+  driver.Reply1();
+  driver.Open(2, "claims");
+  driver.Query(2, Verb::kWrite, {}, "item data");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kReset, Verb::kWrite});
+}
+
+TEST_CASE("an unknown prepared name reaches no server") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kExecute, "nothing", "item");
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNoStatement);
+  CHECK(driver.sent.empty());
+}
+
+TEST_CASE("a failed transaction takes only its end") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kRead, {}, "item");
+  driver.ReplySetup();
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.Reply1(ErrorCode::kReadOnly, {1, 10}, TransactionState::kFailed);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
+  CHECK(driver.answers.back().reply.state == TransactionState::kFailed);
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.answers.back().reply.error == ErrorCode::kBad);
+  driver.Query(1, Verb::kRollback);
+  CHECK(driver.answers.back().reply.state == TransactionState::kIdle);
+}
+
+TEST_CASE("an idle transaction gives its connection back") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kRead, {}, "item");
+  driver.ReplySetup();
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.sent.clear();
+  const auto answered = driver.answers.size();
+  driver.Pass(Milliseconds(3100));
+  CHECK(driver.answers.size() == answered);
+  bool rolled_back = false;
+  for (const auto& it : driver.sent) {
+    rolled_back |= it.command.statement.verb == Verb::kRollback;
+  }
+  CHECK(rolled_back);
+  driver.Query(1, Verb::kCommit);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
+}
+
+TEST_CASE("a client that leaves inside a transaction rolls it back") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.ReplySetup();
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.Feed(session::SessionClosed{1});
+  CHECK(driver.SentVerbs() == std::vector{Verb::kRollback});
+}
+
+TEST_CASE("a database without a route is refused") {
+  ProxyDriver driver;
+  driver.Open(1, "nowhere");
+  REQUIRE(driver.closed.size() == 1);
+  CHECK(driver.closed.front().error == ErrorCode::kNoDatabase);
+}
+
+TEST_CASE("a changed route applies from the next transaction on") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  auto config = std::make_shared<session::RoutingConfig>();
+  config->version = 2;
+  config->services["books"] = {16, 1};
+  driver.Feed(session::ConfigRead{config});
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
+  driver.ReplySetup();
+  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.Query(1, Verb::kRollback);
+  driver.Query(1, Verb::kRead, {}, "item");
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNoDatabase);
+}
+
+TEST_CASE("an older configuration never replaces a newer one") {
+  ProxyDriver driver;
+  auto newer = std::make_shared<session::RoutingConfig>();
+  newer->version = 9;
+  driver.Feed(session::ConfigRead{newer});
+  auto older = std::make_shared<session::RoutingConfig>();
+  older->version = 5;
+  ProxyDriver::AddRoute(*older, "claims", Freshness::kPrimary);
+  driver.Feed(session::ConfigRead{older});
+  driver.Open(1, "claims");
+  CHECK(driver.closed.back().error == ErrorCode::kNoDatabase);
+}
+
+TEST_CASE("a stopping instance is not ready, closes idle sessions and ends") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  CHECK(driver.proxy.Ready());
+  driver.Feed(session::StopRequested{std::chrono::seconds(6)});
+  CHECK_FALSE(driver.proxy.Ready());
+  driver.Open(2, "claims");
+  driver.Query(2, Verb::kWrite, {}, "item data");
+  driver.Pass(Milliseconds(200));
+  CHECK(driver.closed.empty());
+  driver.Reply1();
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+  driver.Pass(Milliseconds(2500));
+  CHECK(driver.closed.size() == 2);
+  CHECK(driver.finished);
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/session_store_test.cc
@@ -0,0 +1,202 @@
+/// Following the store: configuration, lists, claims, through its troubles.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "corianderdock/session/store_follower.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+using session::ClaimAnswered;
+using session::ConfigRead;
+using session::Event;
+using session::ServersRead;
+using session::StoreCall;
+using session::StoreFollower;
+using session::StoreRequest;
+using session::StoreResult;
+using session::StoreStatus;
+using session::TokenObtained;
+
+/// Answers a follower's calls by hand.
+struct Fixture {
+  Fixture() { Keep(follower.Start(now)); }
+
+  void Keep(StoreFollower::Outputs outputs) {
+    for (auto& it : outputs) {
+      if (auto* call = std::get_if<StoreCall>(&it)) calls.push_back(*call);
+      if (auto* event = std::get_if<Event>(&it)) events.push_back(*event);
+    }
+  }
+
+  [[nodiscard]] bool Waits(StoreRequest request) const {
+    return std::any_of(calls.begin(), calls.end(),
+                       [&](const auto& it) { return it.request == request; });
+  }
+
+  StoreCall Take(StoreRequest request) {
+    const auto it =
+        std::find_if(calls.begin(), calls.end(),
+                     [&](const auto& call) { return call.request == request; });
+    REQUIRE(it != calls.end());
+    StoreCall call = *it;
+    calls.erase(it);
+    return call;
+  }
+
+  void Answer(StoreRequest request, StoreStatus status,
+              const std::function<void(StoreResult&)>& fill = {}) {
+    StoreResult result;
+    result.number = Take(request).number;
+    result.status = status;
+    if (fill) fill(result);
+    Keep(follower.OnResult(now, result));
+  }
+
+  void AnswerConfig(StoreRequest request, std::uint64_t version,
+                    std::uint64_t revision) {
+    Answer(request, StoreStatus::kOk, [&](StoreResult& result) {
+      auto config = std::make_shared<session::RoutingConfig>();
+      config->version = version;
+      result.config = config;
+      result.revision = revision;
+    });
+  }
+
+  void AnswerServers(const std::vector<ServerId>& ids) {
+    Answer(StoreRequest::kListServers, StoreStatus::kOk,
+           [&](StoreResult& result) {
+             for (const auto& id : ids) result.servers[id].id = id;
+           });
+  }
+
+  void Pass(Duration duration) {
+    now += duration;
+    Keep(follower.OnTimer(now));
+  }
+
+  template <typename T>
+  [[nodiscard]] T Last() const {
+    for (auto it = events.rbegin(); it != events.rend(); ++it) {
+      if (const auto* event = std::get_if<T>(&*it)) return *event;
+    }
+    FAIL("no such event");
+    return {};
+  }
+
+  TimePoint now{std::chrono::seconds(10)};
+  StoreFollower follower{"self", {}};
+  std::vector<StoreCall> calls;
+  std::vector<Event> events;
+};
+
+}  // namespace
+
+TEST_CASE("the configuration is read, then watched from there") {
+  Fixture it;
+  it.AnswerConfig(StoreRequest::kReadConfig, 3, 40);
+  CHECK(it.Last<ConfigRead>().config->version == 3);
+  CHECK(it.Take(StoreRequest::kWatchConfig).revision == 40);
+}
+
+TEST_CASE("a watch from a lagging store never goes back") {
+  Fixture it;
+  it.AnswerConfig(StoreRequest::kReadConfig, 3, 40);
+  it.AnswerConfig(StoreRequest::kWatchConfig, 4, 35);
+  CHECK(it.Take(StoreRequest::kWatchConfig).revision == 40);
+}
+
+TEST_CASE("after each trouble of a watch the configuration is read again") {
+  for (const auto status : {StoreStatus::kCompacted, StoreStatus::kUnavailable,
+                            StoreStatus::kNoAnswer}) {
+    Fixture it;
+    it.AnswerConfig(StoreRequest::kReadConfig, 3, 40);
+    it.Answer(StoreRequest::kWatchConfig, status);
+    it.Pass(std::chrono::milliseconds(300));
+    CHECK(it.Waits(StoreRequest::kReadConfig));
+    CHECK_FALSE(it.Waits(StoreRequest::kWatchConfig));
+  }
+}
+
+TEST_CASE("a list is settled only after a while of the store") {
+  Fixture it;
+  it.AnswerServers({"a", "b"});
+  CHECK_FALSE(it.Last<ServersRead>().settled);
+  for (int n = 0; n < 4; ++n) {
+    it.Pass(std::chrono::milliseconds(1000));
+    it.AnswerServers({"a", "b"});
+  }
+  CHECK(it.Last<ServersRead>().settled);
+  it.Pass(std::chrono::milliseconds(1000));
+  it.Answer(StoreRequest::kListServers, StoreStatus::kUnavailable);
+  it.Pass(std::chrono::milliseconds(1000));
+  it.AnswerServers({"a"});
+  CHECK_FALSE(it.Last<ServersRead>().settled);
+}
+
+TEST_CASE("servers that lapsed with the store are kept a while") {
+  Fixture it;
+  it.AnswerServers({"a", "b"});
+  it.Pass(std::chrono::milliseconds(1000));
+  it.Answer(StoreRequest::kListServers, StoreStatus::kNoAnswer);
+  it.Pass(std::chrono::milliseconds(5000));
+  it.AnswerServers({"a"});
+  CHECK(it.Last<ServersRead>().servers.size() == 2);
+  for (int n = 0; n < 4; ++n) {
+    it.Pass(std::chrono::milliseconds(1000));
+    it.AnswerServers({"a"});
+  }
+  CHECK(it.Last<ServersRead>().servers.size() == 1);
+}
+
+TEST_CASE("a claim is taken under a lease at the revision that was read") {
+  Fixture it;
+  it.Keep(it.follower.Claim(it.now, {"books"}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kOk, [](StoreResult& r) {
+    r.value = "self";
+    r.key_revision = 8;
+  });
+  it.Answer(StoreRequest::kGrantClaimLease, StoreStatus::kOk,
+            [](StoreResult& r) { r.lease = 77; });
+  const auto& call = it.calls.back();
+  CHECK(call.request == StoreRequest::kTakeClaim);
+  CHECK(call.revision == 8);
+  CHECK(call.lease == 77);
+  it.Answer(StoreRequest::kTakeClaim, StoreStatus::kOk,
+            [](StoreResult& r) { r.revision = 12; });
+  CHECK(it.Last<ClaimAnswered>().token == 12);
+}
+
+TEST_CASE("another's claim, a conflict and silence give no token") {
+  Fixture it;
+  it.Keep(it.follower.Claim(it.now, {"books"}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kOk,
+            [](StoreResult& r) { r.value = "other"; });
+  CHECK(it.Last<ClaimAnswered>().token == 0);
+  CHECK_FALSE(it.Last<ClaimAnswered>().store_away);
+  it.Keep(it.follower.Claim(it.now, {"books"}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kAbsent);
+  it.Answer(StoreRequest::kGrantClaimLease, StoreStatus::kOk);
+  it.Answer(StoreRequest::kTakeClaim, StoreStatus::kConflict);
+  CHECK(it.Last<ClaimAnswered>().token == 0);
+  CHECK_FALSE(it.Last<ClaimAnswered>().store_away);
+  it.Keep(it.follower.Claim(it.now, {"books"}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kNoAnswer);
+  CHECK(it.Last<ClaimAnswered>().store_away);
+}
+
+TEST_CASE("an ended lease is replaced and the instance announced again") {
+  Fixture it;
+  it.Answer(StoreRequest::kGrantLease, StoreStatus::kOk,
+            [](StoreResult& r) { r.lease = 5; });
+  it.Answer(StoreRequest::kAnnounce, StoreStatus::kOk,
+            [](StoreResult& r) { r.revision = 21; });
+  CHECK(it.Last<TokenObtained>().token == 21);
+  it.Pass(std::chrono::milliseconds(3100));
+  it.Answer(StoreRequest::kKeepLease, StoreStatus::kAbsent);
+  it.Pass(std::chrono::milliseconds(1100));
+  CHECK(it.Waits(StoreRequest::kGrantLease));
+}
+
+}  // namespace corianderdock::test
--- /dev/null
+++ b/tests/support/proxy_driver.h
@@ -0,0 +1,173 @@
+/// \file
+/// Drives one session proxy by hand and keeps what it asked for.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::test {
+
+using session::AnswerSession;
+using session::ErrorCode;
+using session::Freshness;
+using session::Reply;
+using session::SendCommand;
+using session::Statement;
+using session::TransactionState;
+using session::Verb;
+
+constexpr Milliseconds kMaxAge{1000};
+
+/// One proxy, one service with a primary "a" and replicas "b" and "c".
+class ProxyDriver {
+ public:
+  explicit ProxyDriver(session::ProxyOptions options = {})
+      : proxy({"self", "zone"}, options) {
+    auto config = std::make_shared<session::RoutingConfig>();
+    config->version = 1;
+    config->transaction_idle = std::chrono::seconds(3);
+    config->services["books"] = {16, 1};
+    AddRoute(*config, "claims", Freshness::kPrimary);
+    AddRoute(*config, "lookups", Freshness::kBounded);
+    AddRoute(*config, "updates", Freshness::kOwnWrites);
+    Feed(session::ConfigRead{config});
+    Feed(session::InstancesRead{{"self"}});
+    List({"a", "b", "c"});
+    Pass(Milliseconds(30));
+    Connect();
+  }
+
+  static void AddRoute(session::RoutingConfig& config, const char* name,
+                       Freshness freshness) {
+    auto route = std::make_shared<session::Route>();
+    route->database = name;
+    route->service = "books";
+    route->freshness = freshness;
+    route->timeout = Milliseconds(800);
+    route->objective = Milliseconds(400);
+    route->max_age = kMaxAge;
+    config.routes[name] = route;
+  }
+
+  void List(const std::vector<std::string>& ids) {
+    session::ServersRead read;
+    read.settled = true;
+    for (const auto& id : ids) {
+      session::ServerEntry entry;
+      entry.id = id;
+      entry.service = "books";
+      entry.address = id;
+      entry.zone = "zone";
+      entry.slots = 2;
+      entry.claims_primary = id == "a";
+      read.servers[id] = entry;
+    }
+    Feed(read);
+  }
+
+  void Feed(const session::Event& event) {
+    for (auto& effect : proxy.Reduce(now, event)) Take(std::move(effect));
+  }
+
+  void Pass(Duration duration) {
+    const TimePoint until = now + duration;
+    while (proxy.NextTimer() && *proxy.NextTimer() <= until) {
+      now = std::max(now, *proxy.NextTimer());
+      Feed(session::TimerFired{});
+    }
+    now = until;
+  }
+
+  /// Opens every connection that was asked for.
+  void Connect() {
+    while (!opening.empty()) {
+      const auto [id, server] = opening.back();
+      opening.pop_back();
+      at[id] = server;
+      Feed(session::ServerConnected{id, ErrorCode::kNone, Position{1, 0}});
+    }
+  }
+
+  void Open(session::SessionId id, const std::string& database) {
+    Feed(session::SessionOpened{id, database});
+  }
+
+  /// Sends a statement; a local answer is in `answers` at once.
+  void Query(session::SessionId id, Verb verb, const std::string& name = {},
+             const std::string& text = {}) {
+    Feed(session::StatementReceived{id, std::to_string(++statements),
+                                    Statement{verb, name, text}});
+    Connect();
+  }
+
+  /// Answers the oldest command that was sent.
+  void Reply1(ErrorCode error = ErrorCode::kNone, Position position = {1, 10},
+              TransactionState state = TransactionState::kIdle) {
+    REQUIRE(!sent.empty());
+    const ConnectionId connection = sent.front().connection;
+    Reply reply;
+    reply.error = error;
+    reply.position = position;
+    reply.state = state;
+    if (error == ErrorCode::kNone) reply.receipt = "r";
+    sent.erase(sent.begin());
+    Feed(session::ServerReplied{connection, reply});
+    Connect();
+  }
+
+  /// Answers commands of the proxy itself until one of a client, or none, is
+  /// next.
+  void ReplySetup() {
+    while (!sent.empty() && sent.front().command.id.empty()) {
+      const bool begin = sent.front().command.statement.verb == Verb::kBegin;
+      Reply1(ErrorCode::kNone, {1, 10},
+             begin ? TransactionState::kOpen : TransactionState::kIdle);
+    }
+  }
+
+  [[nodiscard]] std::vector<Verb> SentVerbs() const {
+    std::vector<Verb> verbs;
+    for (const auto& it : sent) verbs.push_back(it.command.statement.verb);
+    return verbs;
+  }
+
+  session::Proxy proxy;
+  TimePoint now{std::chrono::seconds(100)};
+  std::vector<SendCommand> sent;  ///< not answered
+  std::vector<AnswerSession> answers;
+  std::vector<session::CloseSession> closed;
+  std::vector<session::PromoteServer> orders;
+  std::vector<session::ClaimPromotion> claims;
+  std::vector<std::pair<ConnectionId, ServerId>> opening;
+  std::map<ConnectionId, ServerId> at;
+  int statements = 0;
+  bool finished = false;
+
+ private:
+  void Take(session::Effect effect) {
+    std::visit([this](auto& it) { Keep(it); }, effect);
+  }
+  void Keep(const AnswerSession& it) { answers.push_back(it); }
+  void Keep(const session::CloseSession& it) { closed.push_back(it); }
+  void Keep(const session::OpenServerConnection& it) {
+    opening.emplace_back(it.connection, it.server);
+  }
+  void Keep(const session::CloseServerConnection& it) {
+    std::erase_if(sent, [&](const SendCommand& command) {
+      return command.connection == it.connection;
+    });
+  }
+  void Keep(const SendCommand& it) { sent.push_back(it); }
+  void Keep(const session::ClaimPromotion& it) { claims.push_back(it); }
+  void Keep(const session::RenewToken& /*it*/) {}
+  void Keep(const session::PromoteServer& it) { orders.push_back(it); }
+  void Keep(const session::LogDecision& /*it*/) {}
+  void Keep(const session::StopFinished& /*it*/) { finished = true; }
+};
+
+}  // namespace corianderdock::test
