--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -49,6 +49,8 @@
   Duration refused_after = std::chrono::milliseconds(200);
   /// Log lines about single requests in a second; more are counted instead.
   int request_lines_per_second = 50;
+  /// From the listing of a leaving server until it gets no new work.
+  Duration leaving_limit = std::chrono::milliseconds(5000);
   /// Idle time after which a connection is given back to other instances.
   Duration connection_idle = std::chrono::milliseconds(4000);
   /// Idle connections to one server that are kept all the same.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -125,6 +125,7 @@
     TimePoint probed;
     bool failing = false;
     bool listed = true;
+    TimePoint draining_since;
     TimePoint vanished;     ///< when it was last listed, if it is not
     double latency_ms = 5;  ///< moving average of statements
     std::optional<Position> position;  ///< last known end of its log
@@ -270,6 +271,8 @@
   [[nodiscard]] std::optional<TimePoint> OldestUnanswered(
       const Lane& lane) const;
   [[nodiscard]] bool InUse(const Lane& lane) const;
+  [[nodiscard]] bool Leaving(const Lane& lane) const;
+  [[nodiscard]] ServerId ServiceLeader(const Lane& lane) const;
   [[nodiscard]] bool MayHoldCommits(const Lane& lane) const;
   [[nodiscard]] int ShareOf(const Lane& lane) const;
   void CheckLanes();
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -119,9 +119,20 @@
   return CommitsStall(lane);
 }
 
+ServerId Proxy::ServiceLeader(const Lane& lane) const {
+  const auto it = services_.find(lane.entry.service);
+  return it == services_.end() ? ServerId() : it->second.leader;
+}
+
 /// Whether a commit may have been acknowledged because this server has it.
 bool Proxy::MayHoldCommits(const Lane& lane) const {
-  return lane.listed || now_ - lane.vanished < options_.vanished_evidence;
+  if (lane.listed) return true;
+  // A leaving server is expected to vanish. Only behind a partition that hides
+  // the primary as well may the two go on together.
+  const auto leader = lanes_.find(ServiceLeader(lane));
+  const bool hidden = leader == lanes_.end() || leader->second.failing;
+  if (lane.entry.draining && !hidden) return false;
+  return now_ - lane.vanished < options_.vanished_evidence;
 }
 
 Failover::Situation Proxy::SituationOf(const Service& service) const {
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -41,6 +41,7 @@
           " draining=" + std::to_string(static_cast<int>(entry.draining)) +
           " primary=" + std::to_string(static_cast<int>(entry.claims_primary)));
     }
+    if (entry.draining && !lane.entry.draining) lane.draining_since = now_;
     lane.entry = entry;
     lane.listed = true;
     if (moved) {
@@ -128,6 +129,12 @@
   MakeIdle(event.connection);
 }
 
+/// Whether a server that leaves must get no new work, although it leads.
+bool Proxy::Leaving(const Lane& lane) const {
+  return lane.entry.draining &&
+         now_ - lane.draining_since >= options_.leaving_limit;
+}
+
 /// A primary is used until it is replaced, whatever the list says.
 bool Proxy::InUse(const Lane& lane) const {
   if (lane.listed) return true;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -137,7 +137,7 @@
 
 bool Proxy::PrimaryUsable(const Service& service) const {
   const auto it = lanes_.find(service.leader);
-  return it != lanes_.end() && !it->second.failing;
+  return it != lanes_.end() && !it->second.failing && !Leaving(it->second);
 }
 
 /// Refuses what waits too long for a primary that can't be reached: another
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -209,7 +209,8 @@
                         << Loopback(ports_[0]) << R"(","ready_address":")"
                         << Loopback(ports_[1]) << R"(","store_address":")"
                         << Loopback(ports_[2]) << R"(","cloud_address":")"
-                        << Loopback(ports_[3]) << R"(","grace_seconds":4})";
+                        << Loopback(ports_[3])
+                        << R"(","grace_seconds":4,"drain_milliseconds":7000})";
     std::string program = PROXY_PROGRAM;
     std::string flag = "--settings";
     std::string file = path;
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -172,6 +172,33 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kNoDatabase);
 }
 
+TEST_CASE("a leaving primary gets no new work after its limit") {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  session::ServersRead read;
+  read.settled = false;
+  for (const char* id : {"a", "b", "c"}) {
+    session::ServerEntry entry;
+    entry.id = id;
+    entry.service = "books";
+    entry.address = id;
+    entry.zone = "zone";
+    entry.slots = 2;
+    entry.claims_primary = entry.id == "a";
+    entry.draining = entry.id == "a";
+    read.servers[id] = entry;
+  }
+  driver.Feed(read);
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  CHECK(driver.SentVerbs() == std::vector{Verb::kWrite});
+  driver.Reply1();
+  driver.Pass(std::chrono::milliseconds(5100));
+  driver.sent.clear();
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.Pass(std::chrono::milliseconds(100));
+  CHECK(driver.answers.back().reply.error == ErrorCode::kBusy);
+}
+
 TEST_CASE("an older configuration never replaces a newer one") {
   ProxyDriver driver;
   auto newer = std::make_shared<session::RoutingConfig>();
