An isolated instance lets idle sessions go after 1.2 s

Cause: sessions stayed 2.5 s at an instance that a zone cut had isolated, and were refused, although reconnecting brings them to other zones.

--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -41,6 +41,9 @@
   /// How long a replica that vanished from the list may still hold the only
   /// copy of an acknowledged commit: behind a partition it goes on serving.
   Duration vanished_evidence = std::chrono::milliseconds(6000);
+  /// Time from not being ready until an isolated instance closes idle
+  /// sessions, which then reconnect to other zones.
+  Duration isolated_leave = std::chrono::milliseconds(1200);
   /// Time after a partition healed before its view of primaries is trusted.
   Duration after_isolation = std::chrono::milliseconds(1500);
   /// Refused connections in a row, and time, that show a primary's process
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -268,7 +268,7 @@
 void Proxy::CheckStopped() {
   const bool elsewhere =
       isolated_since_ && now_ - *isolated_since_ >=
-                             options_.isolated_after + options_.leave_rotation;
+                             options_.isolated_after + options_.isolated_leave;
   if (elsewhere) CloseAllIdle("isolated");
   if (!stop_at_ || finished_) return;
   const Duration passed = now_ - *stop_at_;
