--- a/include/corianderdock/session/connection_state.h
+++ b/include/corianderdock/session/connection_state.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "corianderdock/session/statement.h"
@@ -20,7 +21,9 @@
   bool writes = false;
   std::string shape;
 
-  auto operator<=>(const PreparedShape&) const = default;
+  bool operator<(const PreparedShape& other) const {
+    return std::tie(writes, shape) < std::tie(other.writes, other.shape);
+  }
 };
 
 /// Knows what a connection holds, so that it can be brought to a session's
