--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -164,9 +164,9 @@
 }
 
 void HttpClient::Send(HttpCall call, Duration timeout, Callback callback) {
-  std::make_shared<Exchange>(io_, pool_, call.address, timeout,
-                             std::move(callback))
-      ->Run(std::move(call));
+  const auto exchange = std::make_shared<Exchange>(
+      io_, pool_, call.address, timeout, std::move(callback));
+  exchange->Run(std::move(call));
 }
 
 }  // namespace corianderdock::net
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -131,23 +131,25 @@
   Json::Value root;
   root["instance"] = self_.id;
   root["ready"] = Ready();
-  root["config_version"] = Json::UInt64(config_ ? config_->version : 0);
-  root["sessions"] = Json::UInt64(sessions_.size());
-  root["connections"] = Json::UInt64(connections_.size());
+  root["config_version"] =
+      static_cast<Json::UInt64>(config_ ? config_->version : 0);
+  root["sessions"] = static_cast<Json::UInt64>(sessions_.size());
+  root["connections"] = static_cast<Json::UInt64>(connections_.size());
   for (const auto& [id, service] : services_) {
     Json::Value& out = root["services"][id];
     out["primary"] = service.leader;
-    out["term"] = Json::UInt64(service.newest_term);
-    out["queued_primary"] = Json::UInt64(service.primary_queue.size());
-    out["queued_reads"] = Json::UInt64(service.read_queue.size());
+    out["term"] = static_cast<Json::UInt64>(service.newest_term);
+    out["queued_primary"] =
+        static_cast<Json::UInt64>(service.primary_queue.size());
+    out["queued_reads"] = static_cast<Json::UInt64>(service.read_queue.size());
     out["failover_phase"] = static_cast<int>(service.failover.phase());
   }
   for (const auto& [id, lane] : lanes_) {
     Json::Value& out = root["servers"][id];
     out["service"] = lane.entry.service;
     out["running"] = lane.running;
-    out["connections"] = Json::UInt64(lane.connections.size());
-    out["idle"] = Json::UInt64(lane.idle.size());
+    out["connections"] = static_cast<Json::UInt64>(lane.connections.size());
+    out["idle"] = static_cast<Json::UInt64>(lane.idle.size());
     out["failing"] = lane.failing;
     out["draining"] = lane.entry.draining;
   }
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "corianderdock/session/failover.h"
+#include "support/proxy_driver.h"
 
 namespace corianderdock::test {
 
@@ -180,4 +181,31 @@
   CHECK(it.Step(std::chrono::seconds(2)).size() == 2);
 }
 
+TEST_CASE("an isolated instance refuses at once and claims nothing") {
+  ProxyDriver driver;
+  driver.List({"a", "b", "c"}, "elsewhere");
+  driver.Open(1, "claims");
+  driver.LoseAll();
+  driver.PassWith({}, std::chrono::milliseconds(200));
+  CHECK_FALSE(driver.proxy.Ready());
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.PassWith({}, std::chrono::milliseconds(50));
+  CHECK(driver.answers.back().reply.error == ErrorCode::kBusy);
+  driver.PassWith({}, std::chrono::seconds(4));
+  CHECK(driver.claims.empty());
+}
+
+TEST_CASE("an instance that was isolated looks before it claims") {
+  ProxyDriver driver;
+  driver.List({"a", "b", "c"}, "elsewhere");
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.LoseAll();
+  driver.PassWith({}, std::chrono::seconds(1));
+  driver.PassWith({"b", "c"}, std::chrono::milliseconds(1300));
+  CHECK(driver.claims.empty());
+  driver.PassWith({"b", "c"}, std::chrono::milliseconds(600));
+  CHECK(driver.claims.size() == 1);
+}
+
 }  // namespace corianderdock::test
--- a/tests/session_freshness_test.cc
+++ b/tests/session_freshness_test.cc
@@ -13,7 +13,7 @@
 void Sample(ProxyDriver& driver) {
   driver.Open(99, "claims");
   driver.Query(99, Verb::kWrite, {}, "item data");
-  driver.Reply1(ErrorCode::kNone, {1, 10});
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10});
   driver.Pass(Milliseconds(120));
 }
 
@@ -66,7 +66,7 @@
   driver.Open(1, "lookups");
   driver.Query(1, Verb::kRead, {}, "item");
   const ServerId first = driver.at[driver.sent.front().connection];
-  driver.Reply1(ErrorCode::kBehind, {1, 3});
+  driver.AnswerFirst(ErrorCode::kBehind, {1, 3});
   const ServerId second = driver.at[driver.sent.front().connection];
   CHECK(second != first);
 }
@@ -76,7 +76,7 @@
   Sample(driver);
   driver.Open(1, "updates");
   driver.Query(1, Verb::kWrite, {}, "item data");
-  driver.Reply1(ErrorCode::kNone, {1, 20});
+  driver.AnswerFirst(ErrorCode::kNone, {1, 20});
   driver.Query(1, Verb::kRead, {}, "item");
   REQUIRE(!driver.sent.empty());
   const auto& command = driver.sent.front().command;
@@ -105,9 +105,9 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   CHECK(driver.SentVerbs() == std::vector{Verb::kRead, Verb::kRollback});
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   CHECK(driver.answers.back().reply.state == TransactionState::kIdle);
 }
 
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -28,7 +28,7 @@
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kWrite, {}, "item data");
   REQUIRE(driver.SentVerbs() == std::vector{Verb::kBegin});
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   CHECK(driver.SentVerbs() == std::vector{Verb::kWrite});
 }
 
@@ -37,16 +37,16 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kRead, {}, "item");
-  driver.ReplySetup();
+  driver.AnswerSetup();
   const ConnectionId first = driver.sent.front().connection;
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   driver.Pass(Milliseconds(100));
   driver.Open(2, "claims");
   driver.Query(2, Verb::kWrite, {}, "other data");
   driver.Connect();
   REQUIRE(!driver.sent.empty());
   CHECK(driver.sent.front().connection != first);
-  driver.Reply1();
+  driver.AnswerFirst();
   driver.Query(1, Verb::kCommit);
   REQUIRE(driver.SentVerbs() == std::vector{Verb::kCommit});
   CHECK(driver.sent.front().connection == first);
@@ -60,8 +60,8 @@
   driver.Query(2, Verb::kPrepareWrite, "p", "q2");
   driver.Query(1, Verb::kExecute, "p", "item data");
   const std::string first = driver.sent.back().command.statement.name;
-  driver.ReplySetup();
-  driver.Reply1();
+  driver.AnswerSetup();
+  driver.AnswerFirst();
   driver.Query(2, Verb::kExecute, "p", "item data");
   const std::string second = driver.sent.back().command.statement.name;
   CHECK(first != second);
@@ -73,8 +73,8 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kPrepareWrite, "p", "q1");
   driver.Query(1, Verb::kExecute, "p", "item data");
-  driver.ReplySetup();
-  driver.Reply1();
+  driver.AnswerSetup();
+  driver.AnswerFirst();
   driver.Query(1, Verb::kExecute, "p", "item data");
   CHECK(driver.SentVerbs() == std::vector{Verb::kExecute});
 }
@@ -85,8 +85,8 @@
   driver.Query(1, Verb::kSet, "a", "1");
   driver.Query(1, Verb::kWrite, {}, "item data");
   CHECK(driver.SentVerbs() == std::vector{Verb::kSet, Verb::kWrite});
-  driver.ReplySetup();
-  driver.Reply1();
+  driver.AnswerSetup();
+  driver.AnswerFirst();
   driver.Open(2, "claims");
   driver.Query(2, Verb::kWrite, {}, "item data");
   CHECK(driver.SentVerbs() == std::vector{Verb::kReset, Verb::kWrite});
@@ -105,10 +105,10 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kRead, {}, "item");
-  driver.ReplySetup();
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerSetup();
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   driver.Query(1, Verb::kWrite, {}, "item data");
-  driver.Reply1(ErrorCode::kReadOnly, {1, 10}, TransactionState::kFailed);
+  driver.AnswerFirst(ErrorCode::kReadOnly, {1, 10}, TransactionState::kFailed);
   CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
   CHECK(driver.answers.back().reply.state == TransactionState::kFailed);
   driver.Query(1, Verb::kRead, {}, "item");
@@ -122,8 +122,8 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kRead, {}, "item");
-  driver.ReplySetup();
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerSetup();
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   driver.sent.clear();
   const auto answered = driver.answers.size();
   driver.Pass(Milliseconds(3100));
@@ -142,8 +142,8 @@
   driver.Open(1, "claims");
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kWrite, {}, "item data");
-  driver.ReplySetup();
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerSetup();
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   driver.Feed(session::SessionClosed{1});
   CHECK(driver.SentVerbs() == std::vector{Verb::kRollback});
 }
@@ -165,8 +165,8 @@
   driver.Feed(session::ConfigRead{config});
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
-  driver.ReplySetup();
-  driver.Reply1(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerSetup();
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
   driver.Query(1, Verb::kRollback);
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.answers.back().reply.error == ErrorCode::kNoDatabase);
@@ -191,7 +191,7 @@
   driver.Feed(read);
   driver.Query(1, Verb::kWrite, {}, "item data");
   CHECK(driver.SentVerbs() == std::vector{Verb::kWrite});
-  driver.Reply1();
+  driver.AnswerFirst();
   driver.Pass(std::chrono::milliseconds(5100));
   driver.sent.clear();
   driver.Query(1, Verb::kWrite, {}, "item data");
@@ -222,7 +222,7 @@
   driver.Query(2, Verb::kWrite, {}, "item data");
   driver.Pass(Milliseconds(200));
   CHECK(driver.closed.empty());
-  driver.Reply1();
+  driver.AnswerFirst();
   CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
   driver.Pass(Milliseconds(2500));
   CHECK(driver.closed.size() == 2);
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -54,7 +55,7 @@
     config.routes[name] = route;
   }
 
-  void List(const std::vector<std::string>& ids) {
+  void List(const std::vector<std::string>& ids, const ZoneId& zone = "zone") {
     session::ServersRead read;
     read.settled = true;
     for (const auto& id : ids) {
@@ -62,7 +63,7 @@
       entry.id = id;
       entry.service = "books";
       entry.address = id;
-      entry.zone = "zone";
+      entry.zone = zone;
       entry.slots = 2;
       entry.claims_primary = id == "a";
       read.servers[id] = entry;
@@ -93,6 +94,34 @@
     }
   }
 
+  /// Answers every opening: those of `reachable` open, others fail.
+  void ConnectOnly(const std::set<ServerId>& reachable) {
+    for (const auto& [id, server] : std::exchange(opening, {})) {
+      const bool opens = reachable.contains(server);
+      if (opens) at[id] = server;
+      Feed(session::ServerConnected{
+          id, opens ? ErrorCode::kNone : ErrorCode::kOther, {}});
+    }
+  }
+
+  /// Lets time pass while only `reachable` servers, which do not lead, answer.
+  void PassWith(const std::set<ServerId>& reachable, Duration duration) {
+    const TimePoint until = now + duration;
+    while (now < until) {
+      Pass(Milliseconds(25));
+      ConnectOnly(reachable);
+      while (!sent.empty()) AnswerFirst(ErrorCode::kReadOnly);
+    }
+  }
+
+  /// Ends every connection.
+  void LoseAll() {
+    for (const auto& [id, server] : std::exchange(at, {})) {
+      Feed(session::ServerConnectionLost{id});
+    }
+    sent.clear();
+  }
+
   void Open(session::SessionId id, const std::string& database) {
     Feed(session::SessionOpened{id, database});
   }
@@ -106,8 +135,9 @@
   }
 
   /// Answers the oldest command that was sent.
-  void Reply1(ErrorCode error = ErrorCode::kNone, Position position = {1, 10},
-              TransactionState state = TransactionState::kIdle) {
+  void AnswerFirst(ErrorCode error = ErrorCode::kNone,
+                   Position position = {1, 10},
+                   TransactionState state = TransactionState::kIdle) {
     REQUIRE(!sent.empty());
     const ConnectionId connection = sent.front().connection;
     Reply reply;
@@ -122,11 +152,11 @@
 
   /// Answers commands of the proxy itself until one of a client, or none, is
   /// next.
-  void ReplySetup() {
+  void AnswerSetup() {
     while (!sent.empty() && sent.front().command.id.empty()) {
       const bool begin = sent.front().command.statement.verb == Verb::kBegin;
-      Reply1(ErrorCode::kNone, {1, 10},
-             begin ? TransactionState::kOpen : TransactionState::kIdle);
+      AnswerFirst(ErrorCode::kNone, {1, 10},
+                  begin ? TransactionState::kOpen : TransactionState::kIdle);
     }
   }
 
