Stuck connections are closed; releases under a claim; turns without the store

Changed: a connection on which a command of the proxy has no answer for 0.4 s is closed; release needs the claim; standing tokens serve one instance after the other, 1.5 s apart; a fence is ordered only of a known primary.

--- a/apps/corianderdockd.cc
+++ b/apps/corianderdockd.cc
@@ -7,20 +7,17 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
-#include <boost/program_options.hpp>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 
 #include "corianderdock/node.h"
+#include "daemon_main.h"
 
 namespace {
 
-namespace po = boost::program_options;
-
-constexpr int kExitOk = 0;
-constexpr int kExitBadInput = 2;
-constexpr int kExitFailed = 3;
+using apps::kExitBadInput;
+using apps::kExitOk;
 
 void StartLog(const corianderdock::Settings& settings) {
   log4cplus::SharedAppenderPtr appender;
@@ -66,29 +63,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  std::string path;
-  po::options_description flags("corianderdockd: database proxy instance");
-  flags.add_options()("help", "show this text")("settings", po::value(&path),
-                                                "settings file (JSON)")(
-      "check", "check the settings and exit");
-  try {
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, flags), values);
-    po::notify(values);
-    if (values.count("help") != 0) {
-      std::cout << flags;
-      return kExitOk;
-    }
-    if (path.empty()) {
-      std::cerr << "corianderdockd: --settings FILE is required\n";
-      return kExitBadInput;
-    }
-    return Run(path, values.count("check") != 0);
-  } catch (const po::error& error) {
-    std::cerr << "corianderdockd: " << error.what() << "\n";
-    return kExitBadInput;
-  } catch (const std::exception& error) {
-    std::cerr << "corianderdockd: " << error.what() << "\n";
-    return kExitFailed;
-  }
+  return apps::DaemonMain(argc, argv, "corianderdockd", {}, Run);
 }
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -49,9 +49,9 @@
 /// server under the same token.
 ///
 /// The token comes from the store, where one claim at a time succeeds. While
-/// the store is away, the instance's standing token serves: the platform
-/// refuses it if a higher one was used before. Not thread-safe;
-/// times must not decrease.
+/// the store is away, the instance's standing token serves, one instance after
+/// the other: the platform refuses it if a higher one was used before. Not
+/// thread-safe; times must not decrease.
 class Failover {
  public:
   /// Asks for a fencing token.
@@ -88,6 +88,7 @@
     ServerId primary;           ///< empty when not known
     Term newest_term = 0;
     std::uint64_t standing_token = 0;   ///< 0 when there is none
+    Duration standing_turn{0};          ///< when this instance may use it
     std::map<ServerId, bool> replicas;  ///< whether each is leaving
     bool reachable = true;              ///< all replicas answer
   };
@@ -131,6 +132,8 @@
   [[nodiscard]] ServerId MostAdvanced(const std::map<ServerId, bool>& replicas);
   Actions TryOrder(const Situation& situation);
   Actions Release(const Situation& situation);
+  Actions OnReleaseClaim(const Situation& situation,
+                         const ClaimAnswered& answer);
   Actions Abandon(const Situation& situation);
   void Enter(Phase phase, TimePoint now);
 
@@ -144,6 +147,8 @@
   Term hold_term_ = 0;
   std::optional<TimePoint> reachable_since_;
   std::optional<TimePoint> healthy_since_;
+  std::optional<TimePoint> lost_since_;
+  bool releasing_ = false;    ///< the claim serves to release replicas
   std::set<ServerId> asked_;  ///< to stop receiving
   std::map<ServerId, Position> held_;
   ServerId candidate_;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -245,6 +245,8 @@
   void OnTransactionIdle(SessionId id);
   void OnQueueLimit(SessionId id, std::uint64_t statement);
   void NoteBehind(Lane& lane);
+  void NoteRefusal(Lane& lane, ErrorCode code);
+  void Free(ConnectionId id, Session& session, TransactionState state);
   [[nodiscard]] AttemptKind KindOf(const Session& session) const;
   [[nodiscard]] std::vector<ServerCommand> Setup(const Session& session,
                                                  Connection& connection) const;
@@ -266,12 +268,14 @@
   void NoteFailing(Lane& lane);
   void CheckSilence(Lane& lane);
   void ProbeAll();
+  void DropStuck(Lane& lane);
   void TrimIdle(Lane& lane);
   void CheckIsolation();
   [[nodiscard]] std::optional<TimePoint> OldestUnanswered(
       const Lane& lane) const;
   [[nodiscard]] bool InUse(const Lane& lane) const;
   [[nodiscard]] bool Leaving(const Lane& lane) const;
+  [[nodiscard]] Duration StandingTurn(const Service& service) const;
   [[nodiscard]] ServerId ServiceLeader(const Lane& lane) const;
   [[nodiscard]] bool MayHoldCommits(const Lane& lane) const;
   [[nodiscard]] int ShareOf(const Lane& lane) const;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -23,6 +23,8 @@
   const TimePoint now = situation.now;
   if (!situation.reachable) reachable_since_.reset();
   if (situation.reachable && !reachable_since_) reachable_since_ = now;
+  if (!situation.primary_lost) lost_since_.reset();
+  if (situation.primary_lost && !lost_since_) lost_since_ = now;
   switch (phase_) {
     case Phase::kIdle:
       if (auto actions = Release(situation); !actions.empty()) return actions;
@@ -71,6 +73,14 @@
 Failover::Actions Failover::OnClaim(const Situation& situation,
                                     const ClaimAnswered& answer) {
   if (phase_ != Phase::kClaiming) return {};
+  if (std::exchange(releasing_, false))
+    return OnReleaseClaim(situation, answer);
+  if (answer.store_away && !unanswered_order_ && lost_since_ &&
+      situation.now - *lost_since_ < situation.standing_turn) {
+    Enter(Phase::kIdle, situation.now);
+    next_claim_ = *lost_since_ + situation.standing_turn;
+    return {};
+  }
   const bool wanted =
       unanswered_order_ || (situation.primary_lost && situation.complete);
   if (answer.token == 0 && !answer.store_away) {
@@ -82,7 +92,7 @@
     return {};
   }
   if (token_ == 0 || !wanted) return Abandon(situation);
-  if (!situation.primary_lost) {
+  if (!situation.primary_lost && !situation.primary.empty()) {
     // The order changes nothing at the present primary but fences older ones.
     candidate_ = situation.primary;
     Enter(Phase::kOrdering, situation.now);
@@ -186,7 +196,9 @@
 }
 
 void Failover::OnLeader(const ServerId& server) {
-  const bool started = phase_ == Phase::kStarting || phase_ == Phase::kOrdering;
+  const bool ordered = phase_ == Phase::kHolding && unanswered_order_;
+  const bool started =
+      phase_ == Phase::kStarting || phase_ == Phase::kOrdering || ordered;
   if (!started || server != candidate_) return;
   phase_ = Phase::kIdle;
   unanswered_order_ = false;
@@ -207,8 +219,8 @@
   return actions;
 }
 
-/// Lets replicas go that an abandoned claim held, once no promotion that needs
-/// them held can still be under way.
+/// Lets replicas go that an abandoned claim held. The claim that this needs
+/// keeps others from holding them meanwhile.
 Failover::Actions Failover::Release(const Situation& situation) {
   if (asked_.empty()) return {};
   if (situation.primary_lost) {
@@ -218,6 +230,15 @@
   if (!healthy_since_) healthy_since_ = situation.now;
   if (situation.now - *healthy_since_ < options_.release_after) return {};
   healthy_since_.reset();
+  releasing_ = true;
+  Enter(Phase::kClaiming, situation.now);
+  return {Claim{}};
+}
+
+Failover::Actions Failover::OnReleaseClaim(const Situation& situation,
+                                           const ClaimAnswered& answer) {
+  Enter(Phase::kIdle, situation.now);
+  if (answer.token == 0 || situation.primary_lost) return {};
   Actions actions;
   for (const ServerId& id : asked_) actions.push_back(Resume{id});
   asked_.clear();
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -14,6 +14,8 @@
 constexpr Duration kSampleAge = std::chrono::seconds(30);
 /// Unanswered or lost commits in a row that show a primary without replicas.
 constexpr int kStalledCommits = 3;
+/// Time in which a promotion is ordered, done and noticed.
+constexpr Duration kTurn = std::chrono::milliseconds(1500);
 /// Time after which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
@@ -124,6 +126,20 @@
   return it == services_.end() ? ServerId() : it->second.leader;
 }
 
+/// Without the store, instances take turns in an order that all know: two
+/// promotions at once could undo each other's evidence.
+Duration Proxy::StandingTurn(const Service& service) const {
+  const std::string salt =
+      service.servers.empty() ? std::string() : *service.servers.begin();
+  const auto weight = [&](const InstanceId& it) {
+    return std::hash<std::string>{}(it + "/" + salt);
+  };
+  const auto before = std::count_if(
+      instances_.begin(), instances_.end(),
+      [&](const InstanceId& it) { return weight(it) < weight(self_.id); });
+  return kTurn * before;
+}
+
 /// Whether a commit may have been acknowledged because this server has it.
 bool Proxy::MayHoldCommits(const Lane& lane) const {
   if (lane.listed) return true;
@@ -146,6 +162,7 @@
   situation.primary_lost = view_is_fresh && PrimaryLost(service);
   situation.complete = servers_settled_;
   situation.standing_token = standing_token_;
+  situation.standing_turn = StandingTurn(service);
   situation.reachable = true;
   for (const ServerId& id : service.servers) {
     const Lane& lane = lanes_.at(id);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -329,6 +329,7 @@
     if (lane.most_connections > 0 && now_ >= lane.full_until) {
       lane.most_connections = 0;
     }
+    DropStuck(lane);
     CheckSilence(lane);
     TrimIdle(lane);
     if (!InUse(lane) || now_ < lane.connect_after || lane.opening > 0) continue;
@@ -372,6 +373,22 @@
   }
 }
 
+/// Closes connections on which a command of the proxy has no answer: nobody
+/// waits for it, and the connection may have fallen silent for good.
+void Proxy::DropStuck(Lane& lane) {
+  std::vector<ConnectionId> stuck;
+  for (const ConnectionId id : lane.connections) {
+    const Connection& connection = connections_.at(id);
+    if (connection.bound != 0 || connection.expected.empty()) continue;
+    const TimePoint sent = connection.expected.front().sent;
+    if (now_ - sent >= options_.attempt_limit) stuck.push_back(id);
+  }
+  for (const ConnectionId id : stuck) {
+    Count("connections_stuck");
+    Drop(id, false);
+  }
+}
+
 /// Gives back connections that were not needed lately.
 void Proxy::TrimIdle(Lane& lane) {
   while (lane.idle.size() > options_.kept_idle) {
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -272,6 +272,21 @@
   SendOne(connection, std::move(end), Step::kEnd, false);
 }
 
+/// What a server's refusal says about the server.
+void Proxy::NoteRefusal(Lane& lane, ErrorCode code) {
+  if (code == ErrorCode::kReadOnly) NoteNotLeader(lane);
+  if (code == ErrorCode::kBehind) NoteBehind(lane);
+  if (code == ErrorCode::kBusy) lane.busy_until = now_ + options_.busy_pause;
+}
+
+/// Takes a connection from its session, for others if nothing is open on it.
+void Proxy::Free(ConnectionId id, Session& session, TransactionState state) {
+  session.bound = 0;
+  connections_.at(id).bound = 0;
+  if (state == TransactionState::kIdle) return MakeIdle(id);
+  Drop(id, false);
+}
+
 void Proxy::OnBeginDone(ConnectionId id, const Expected& expected,
                         const Reply& reply) {
   Connection& at = connections_.at(id);
@@ -282,23 +297,13 @@
     if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
     return SendStatement(it->first, it->second, id);
   }
-  if (reply.error == ErrorCode::kReadOnly) NoteNotLeader(lane);
+  NoteRefusal(lane, reply.error);
   if (it == sessions_.end() || !it->second.pending) return Drop(id, false);
   Session& session = it->second;
   if (reply.error == ErrorCode::kBehind) {
-    NoteBehind(lane);
     session.pending->tried.insert(at.server);
   }
-  if (reply.error == ErrorCode::kBusy) {
-    lane.busy_until = now_ + options_.busy_pause;
-  }
-  session.bound = 0;
-  at.bound = 0;
-  if (reply.state == TransactionState::kIdle) {
-    MakeIdle(id);
-  } else {
-    Drop(id, false);
-  }
+  Free(id, session, reply.state);
   Fail(it->first, session, EndOf(reply.error), reply.error, reply.detail);
 }
 
@@ -319,30 +324,16 @@
   }
   Pending& pending = *session.pending;
   pending.tried.insert(at.server);
-  if (reply.error == ErrorCode::kReadOnly) NoteNotLeader(lane);
-  if (reply.error == ErrorCode::kBehind) {
-    NoteBehind(lane);
-  }
-  if (reply.error == ErrorCode::kBusy) {
-    lane.busy_until = now_ + options_.busy_pause;
-  }
+  NoteRefusal(lane, reply.error);
   const bool commit = pending.statement.verb == Verb::kCommit;
+  const bool single = session.state == TransactionState::kIdle;
+  const bool ended = commit && reply.state == TransactionState::kIdle;
   if (pending.wrapped) {
     // The rollback is on its way; its answer frees the connection.
     session.bound = 0;
     at.bound = 0;
-  } else if (session.state == TransactionState::kIdle) {
-    session.bound = 0;
-    at.bound = 0;
-    if (reply.state == TransactionState::kIdle) {
-      MakeIdle(id);
-    } else {
-      Drop(id, false);
-    }
-  } else if (commit && reply.state == TransactionState::kIdle) {
-    session.bound = 0;
-    at.bound = 0;
-    MakeIdle(id);
+  } else if (single || ended) {
+    Free(id, session, reply.state);
   }
   Fail(it->first, session, EndOf(reply.error), reply.error, reply.detail);
 }
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -5,6 +5,19 @@
 
 namespace corianderdock::test {
 
+namespace {
+
+/// Session 1 in a transaction that has run one read.
+void OpenTransaction(ProxyDriver& driver) {
+  driver.Open(1, "claims");
+  driver.Query(1, Verb::kBegin);
+  driver.Query(1, Verb::kRead, {}, "item");
+  driver.AnswerSetup();
+  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+}
+
+}  // namespace
+
 TEST_CASE("what needs no server is answered here") {
   ProxyDriver driver;
   driver.Open(1, "claims");
@@ -102,11 +115,7 @@
 
 TEST_CASE("a failed transaction takes only its end") {
   ProxyDriver driver;
-  driver.Open(1, "claims");
-  driver.Query(1, Verb::kBegin);
-  driver.Query(1, Verb::kRead, {}, "item");
-  driver.AnswerSetup();
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  OpenTransaction(driver);
   driver.Query(1, Verb::kWrite, {}, "item data");
   driver.AnswerFirst(ErrorCode::kReadOnly, {1, 10}, TransactionState::kFailed);
   CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
@@ -119,11 +128,7 @@
 
 TEST_CASE("an idle transaction gives its connection back") {
   ProxyDriver driver;
-  driver.Open(1, "claims");
-  driver.Query(1, Verb::kBegin);
-  driver.Query(1, Verb::kRead, {}, "item");
-  driver.AnswerSetup();
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  OpenTransaction(driver);
   driver.sent.clear();
   const auto answered = driver.answers.size();
   driver.Pass(Milliseconds(3100));
@@ -137,6 +142,20 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
 }
 
+TEST_CASE("a connection without the answer to a rollback is replaced") {
+  ProxyDriver driver;
+  OpenTransaction(driver);
+  driver.Query(1, Verb::kRollback);
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kRollback});
+  const ConnectionId stuck = driver.sent.front().connection;
+  driver.Pass(Milliseconds(500));
+  for (const auto& it : driver.sent) CHECK(it.connection != stuck);
+  driver.Connect();
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.Connect();
+  CHECK(driver.SentVerbs().back() == Verb::kWrite);
+}
+
 TEST_CASE("a client that leaves inside a transaction rolls it back") {
   ProxyDriver driver;
   driver.Open(1, "claims");
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -298,6 +298,10 @@
   void Do(std::size_t /*n*/, const StopFinished& /*effect*/) {}
 
   PromotionResult Promote(const PromoteServer& effect) {
+    if (!servers_.contains(effect.server)) {
+      Break("order of no server");
+      return PromotionResult::kRefused;
+    }
     Server& target = servers_[effect.server];
     if (effect.token < highest_token_ || !target.alive) {
       return PromotionResult::kRefused;
@@ -477,6 +481,7 @@
         if (command.term > server.term) server.primary = false;
         return reply;
       case Verb::kResume:
+        Trace("released " + server.id);
         server.held = 0;
         return reply;
       case Verb::kCommit:
