An open promotion order is fenced by a higher token only

Changed: a row of the hold's own term or later is no evidence; a primary found while an order is open is fenced by an order of it under a new token; a token that does not exceed that of an open order is not used.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -126,6 +126,7 @@
 
  private:
   [[nodiscard]] bool ReachableLongEnough(TimePoint now) const;
+  void LeaveOpen();
   Actions OnRefused(const Situation& situation);
   Actions StartHolding(const Situation& situation);
   Actions HoldMissing(const Situation& situation);
@@ -152,6 +153,7 @@
   std::set<ServerId> asked_;  ///< to stop receiving
   std::map<ServerId, Position> held_;
   ServerId candidate_;
+  std::uint64_t open_token_ = 0;   ///< highest token of an unanswered order
   bool unanswered_order_ = false;  ///< it may be carried out yet
 };
 
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -49,13 +49,19 @@
       if (now - since_ >= options_.hold_timeout && !unanswered_order_) {
         return Abandon(situation);
       }
+      if (unanswered_order_ && !situation.primary_lost &&
+          !situation.primary.empty()) {
+        // Another promotion was done: the open order must not undo it.
+        Enter(Phase::kClaiming, now);
+        return {Claim{}};
+      }
       if (now >= next_retry_) return HoldMissing(situation);
       return {};
     case Phase::kOrdering:
       // The order may still be carried out, so the replicas stay held and the
       // same order is repeated until its outcome is known.
       if (now < next_retry_) return {};
-      unanswered_order_ = true;
+      LeaveOpen();
       return StartHolding(situation);
     case Phase::kStarting:
       if (now - since_ >= options_.lead_timeout) return Abandon(situation);
@@ -87,7 +93,7 @@
     claimed_elsewhere_until_ = situation.now + options_.claim_elsewhere;
   }
   token_ = answer.store_away ? situation.standing_token : answer.token;
-  if (token_ == 0 && unanswered_order_) {
+  if (unanswered_order_ && token_ <= open_token_) {
     Enter(Phase::kClaiming, situation.now);
     return {};
   }
@@ -129,7 +135,7 @@
                                    const ServerId& server,
                                    const ServerStatus& status) {
   if (phase_ != Phase::kHolding) return {};
-  if (status.held < hold_term_) {
+  if (status.held < hold_term_ || status.term >= hold_term_) {
     hold_term_ = std::max(hold_term_, status.term + 1);
     return {};
   }
@@ -175,7 +181,7 @@
                                       PromotionResult result) {
   if (phase_ != Phase::kOrdering) return {};
   if (result == PromotionResult::kUnknown) {
-    unanswered_order_ = true;
+    LeaveOpen();
     return {};
   }
   // Another instance used a higher token, or the server does not run.
@@ -187,6 +193,13 @@
   return {};
 }
 
+/// The order may be carried out at any later time, unless a higher token was
+/// used before.
+void Failover::LeaveOpen() {
+  unanswered_order_ = true;
+  open_token_ = std::max(open_token_, token_);
+}
+
 /// An earlier order without an answer may be carried out once the server runs
 /// again. Only a call under a higher token rules that out.
 Failover::Actions Failover::OnRefused(const Situation& situation) {
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -168,6 +168,35 @@
   CHECK(Fixture::Only<Failover::Order>(fence).token == 9);
 }
 
+TEST_CASE("a token that does not exceed an open order's is no use") {
+  Fixture it;
+  it.situation.standing_token = 7;
+  (void)it.Step();
+  (void)it.Claimed(0, true);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  (void)it.Step(std::chrono::milliseconds(700));
+  (void)it.Held("b", 15);
+  Fixture::Only<Failover::Claim>(it.Held("c", 12));
+  CHECK(it.Claimed(0, true).empty());
+  CHECK(it.Claimed(8).size() == 2);
+}
+
+TEST_CASE("a primary found while an order is open is fenced") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.Claimed(7);
+  (void)it.Held("b", 10);
+  (void)it.Held("c", 12);
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  (void)it.Step(std::chrono::milliseconds(700));
+  it.situation.primary_lost = false;
+  it.situation.primary = "b";
+  Fixture::Only<Failover::Claim>(it.Step());
+  CHECK(Fixture::Only<Failover::Order>(it.Claimed(8)).server == "b");
+}
+
 TEST_CASE("while no primary is known an open order is not fenced by one") {
   Fixture it;
   (void)it.Step();
