Process tests take ports below those of outgoing connections

Cause: a port that was free could be given to another process's connection before the daemon bound it. Ruled out: reuse of addresses, which hides the clash.

--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -27,15 +27,25 @@
 
 constexpr Milliseconds kLongest{8000};
 
+/// Below the ports that the system gives to outgoing connections.
+constexpr int kFirstPort = 24000;
+constexpr int kPorts = 6000;
+constexpr int kPortsOfProcess = 16;
+
 /// Ports that were free a moment ago.
-std::vector<int> FreePorts(int n) {
+std::vector<int> FreePorts(std::size_t n) {
+  static int next = ::getpid() * kPortsOfProcess % kPorts;
   asio::io_context io;
-  std::vector<std::unique_ptr<tcp::acceptor>> held;
   std::vector<int> ports;
-  for (int i = 0; i < n; ++i) {
-    held.push_back(std::make_unique<tcp::acceptor>(
-        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
-    ports.push_back(held.back()->local_endpoint().port());
+  while (ports.size() < n) {
+    const int port = kFirstPort + next++ % kPorts;
+    tcp::acceptor acceptor(io);
+    boost::system::error_code ec;
+    acceptor.open(tcp::v4(), ec);
+    acceptor.bind(
+        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
+        ec);
+    if (!ec) ports.push_back(port);
   }
   return ports;
 }
