--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -218,7 +218,7 @@
   void CloseAllIdle(const std::string& reason);
   void CheckStopped();
 
-  // Statements (proxy_statements.cc).
+  // Queues (proxy_queue.cc).
   void Enqueue(SessionId id, Session& session);
   void Pump(const ServiceId& service);
   bool PumpQueue(Service& service, ServerQueue& queue, bool primary);
@@ -230,6 +230,9 @@
   [[nodiscard]] bool PrimaryUsable(const Service& service) const;
   void RefuseWaiting(Service& service);
   [[nodiscard]] bool HasRoom(const Lane& lane) const;
+  void OnQueueLimit(SessionId id, std::uint64_t statement);
+
+  // Statements (proxy_statements.cc).
   bool Start(SessionId id, Session& session, Lane& lane);
   void SendStatement(SessionId id, Session& session, ConnectionId connection);
   void OnBeginDone(ConnectionId id, const Expected& expected,
@@ -243,7 +246,6 @@
   void OnDeadline(SessionId id, std::uint64_t statement);
   void OnAttemptLimit(SessionId id, std::uint64_t statement);
   void OnTransactionIdle(SessionId id);
-  void OnQueueLimit(SessionId id, std::uint64_t statement);
   void NoteBehind(Lane& lane);
   void NoteRefusal(Lane& lane, ErrorCode code);
   void Free(ConnectionId id, Session& session, TransactionState state);
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "corianderdock/session/proxy.h"
@@ -8,9 +7,6 @@
 
 namespace {
 
-/// Weight of a route in a server's queue by its priority; 0 is the highest.
-double WeightOf(int priority) { return 1.0 / (1.0 + std::max(priority, 0)); }
-
 double ToMs(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -26,174 +22,11 @@
 
 /// Share of a new observation in a moving average.
 constexpr double kLatencyGain = 0.1;
-/// Cost of a choice, in running statements.
-constexpr double kOtherZoneCost = 0.6;
-constexpr double kPrimaryCost = 0.9;
-constexpr double kBehindCost = 1.2;
-/// Age at which what a copy was last known to hold says little of it now.
-constexpr Duration kPositionNews = std::chrono::milliseconds(100);
 
 }  // namespace
 
-bool Proxy::NeedsPrimary(const Session& session) const {
-  const Pending& pending = *session.pending;
-  if (pending.writes || pending.force_primary) return true;
-  if (session.state == TransactionState::kOpen && session.plain) return true;
-  const Route& route = *pending.route;
-  if (route.freshness == Freshness::kPrimary) return true;
-  // A write in doubt may be a commit of the session at a position unknown.
-  const bool in_doubt =
-      session.in_doubt && now_ - *session.in_doubt < route.max_age;
-  if (in_doubt && route.freshness == Freshness::kOwnWrites) return true;
-  const auto it = services_.find(pending.route->service);
-  return !RequiredPosition(session, it->second);
-}
-
-std::optional<Position> Proxy::RequiredPosition(const Session& session,
-                                                const Service& service) const {
-  const Route& route = *session.pending->route;
-  if (route.max_age <= options_.age_margin) return std::nullopt;
-  const Duration age = WithoutDrift(route.max_age - options_.age_margin);
-  auto sample = service.samples.Covering(now_ - age);
-  if (!options_.safety->RequirePosition()) sample = Position{};
-  if (!sample) return std::nullopt;
-  const bool own = route.freshness == Freshness::kOwnWrites &&
-                   session.own_service == route.service;
-  if (!own || !options_.safety->RequireOwnCommits()) return sample;
-  return Later(sample, session.own);
-}
-
-void Proxy::Enqueue(SessionId id, Session& session) {
-  Pending& pending = *session.pending;
-  Service& service = ServiceOf(pending.route->service);
-  QueueItem item;
-  item.work = id;
-  item.service = pending.route->database;
-  item.cost = std::chrono::milliseconds(5);
-  item.enqueued = now_;
-  pending.queued = true;
-  const auto limit = std::chrono::duration_cast<Duration>(
-      pending.route->objective * options_.queue_limit);
-  After(pending.arrived + limit - now_,
-        {TimerKind::kQueueLimit, id, pending.number});
-  const bool primary = NeedsPrimary(session);
-  (primary ? service.primary_queue : service.read_queue)
-      .Push(std::move(item), WeightOf(pending.route->priority));
-  to_pump_.insert(pending.route->service);
-}
-
-void Proxy::Pump(const ServiceId& service_id) {
-  Service& service = ServiceOf(service_id);
-  while (PumpQueue(service, service.primary_queue, true)) {
-  }
-  while (PumpQueue(service, service.read_queue, false)) {
-  }
-}
-
-bool Proxy::HasRoom(const Lane& lane) const {
-  return !lane.idle.empty() && lane.running < lane.entry.slots &&
-         now_ >= lane.busy_until;
-}
-
-/// Starts the next statement of a queue. Returns whether more may start.
-bool Proxy::PumpQueue(Service& service, ServerQueue& queue, bool primary) {
-  if (queue.size() == 0) return false;
-  Lane* lane = nullptr;
-  if (primary) {
-    const auto it = lanes_.find(service.leader);
-    if (!PrimaryUsable(service)) return false;
-    if (!HasRoom(it->second)) {
-      OpenIfUseful(it->second, queue.size());
-      return false;
-    }
-    lane = &it->second;
-  } else if (ChooseForRead(service, nullptr) == nullptr) {
-    return false;
-  }
-  SlotState state;
-  state.slots = 1;
-  state.now = now_;
-  const auto item = queue.Pop(state);
-  if (!item) return false;
-  const auto it = sessions_.find(item->work);
-  if (it == sessions_.end() || !it->second.pending) return true;
-  Session& session = it->second;
-  session.pending->queued = false;
-  if (!primary && NeedsPrimary(session)) {
-    Enqueue(item->work, session);
-    return true;
-  }
-  if (!primary) {
-    lane = ChooseForRead(service, &session);
-    if (lane == nullptr) {
-      session.pending->force_primary = true;
-      Enqueue(item->work, session);
-      return true;
-    }
-  }
-  if (!Start(item->work, session, *lane)) Enqueue(item->work, session);
-  return true;
-}
-
-bool Proxy::PrimaryUsable(const Service& service) const {
-  const auto it = lanes_.find(service.leader);
-  return it != lanes_.end() && !it->second.failing && !Leaving(it->second);
-}
-
-/// Refuses what waits too long for a primary that can't be reached: another
-/// instance may reach it, or its replacement is not near.
-void Proxy::RefuseWaiting(Service& service) {
-  if (PrimaryUsable(service) || service.primary_queue.size() == 0) return;
-  const bool hopeful = !isolated_since_ && service.failover.UnderWay(now_);
-  const Duration limit = hopeful ? options_.failover_wait : Duration(0);
-  for (const SessionId id : service.primary_queue.Clear()) {
-    const auto it = sessions_.find(id);
-    if (it == sessions_.end() || !it->second.pending) continue;
-    Session& session = it->second;
-    session.pending->queued = false;
-    if (now_ - session.pending->arrived < limit) {
-      Enqueue(id, session);
-      continue;
-    }
-    Count("refused_no_primary");
-    LogRequest("statement refused id=" + session.pending->id +
-               " database=" + session.database + " reason=no primary");
-    AnswerError(id, session, ErrorCode::kBusy, "no primary");
-  }
-}
-
-/// The cheapest server with room, or null. Without `session` any will do.
-Proxy::Lane* Proxy::ChooseForRead(const Service& service,
-                                  const Session* session) {
-  std::optional<Position> position;
-  if (session != nullptr) position = RequiredPosition(*session, service);
-  Lane* best = nullptr;
-  double best_cost = std::numeric_limits<double>::max();
-  for (const ServerId& id : service.servers) {
-    const auto it = lanes_.find(id);
-    if (it == lanes_.end()) continue;
-    Lane& lane = it->second;
-    if (session != nullptr && session->pending->tried.contains(id)) continue;
-    if (lane.entry.draining || !lane.listed || lane.failing) continue;
-    if (!HasRoom(lane)) {
-      if (lane.idle.empty()) OpenIfUseful(lane, 1);
-      continue;
-    }
-    double cost = lane.running + lane.latency_ms / 100;
-    if (lane.entry.zone != self_.zone) cost += kOtherZoneCost;
-    if (id == service.leader) cost += kPrimaryCost;
-    const bool behind =
-        position && !Contains(lane.position.value_or(Position{}), *position);
-    if (behind && now_ < lane.avoid_until) continue;
-    const bool fresh_news = now_ - lane.last_heard < kPositionNews;
-    if (behind && fresh_news) cost += kBehindCost;
-    if (cost >= best_cost) continue;
-    best = &lane;
-    best_cost = cost;
-  }
-  return best;
-}
-
+/// Binds a connection of `lane` and sends the statement, behind a BEGIN where
+/// it needs one. Returns false when no connection is free.
 bool Proxy::Start(SessionId id, Session& session, Lane& lane) {
   Pending& pending = *session.pending;
   const bool primary = NeedsPrimary(session);
@@ -436,25 +269,6 @@
   lane.avoid_until = now_ + lane.behind_pause;
 }
 
-/// What has waited so long would be late, and delays what is not.
-void Proxy::OnQueueLimit(SessionId id, std::uint64_t statement) {
-  const auto it = sessions_.find(id);
-  if (it == sessions_.end() || !it->second.pending) return;
-  Session& session = it->second;
-  Pending& pending = *session.pending;
-  if (pending.number != statement || !pending.queued) return;
-  Service& service = ServiceOf(pending.route->service);
-  service.primary_queue.Remove(id);
-  service.read_queue.Remove(id);
-  pending.queued = false;
-  Count("refused_queue");
-  LogRequest("statement refused id=" + pending.id +
-             " database=" + session.database + " reason=queue queued_primary=" +
-             std::to_string(service.primary_queue.size()) +
-             " queued_reads=" + std::to_string(service.read_queue.size()));
-  AnswerError(id, session, ErrorCode::kBusy, "no room in time");
-}
-
 void Proxy::Retry(SessionId id, Session& session, Duration pause) {
   Count("retries");
   if (pause == Duration(0)) return Enqueue(id, session);
