Mend the lint findings of the new tests

Cause: the new test files had been compiled by g++ only; clang rejects captured structured bindings, and the linter copied parameters.

Ruled out: nothing.

--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -66,7 +66,8 @@
             R"({"backend":"books","addr":")" + server_address +
             R"(","zone":"z","slots":2,"state":"ready","db_role":"primary"})"),
         http_({&io}, net::ParseEndpoint(Loopback(port)), {},
-              [this](const net::HttpRequest& request, net::HttpRespond respond,
+              [this](const net::HttpRequest& request,
+                     const net::HttpRespond& respond,
                      std::function<void()>&) { Answer(request, respond); }) {}
 
  private:
--- a/tests/session_store_test.cc
+++ b/tests/session_store_test.cc
@@ -78,11 +78,11 @@
 
   template <typename T>
   [[nodiscard]] T Last() const {
-    for (auto it = events.rbegin(); it != events.rend(); ++it) {
-      if (const auto* event = std::get_if<T>(&*it)) return *event;
-    }
-    FAIL("no such event");
-    return {};
+    const auto it = std::find_if(
+        events.rbegin(), events.rend(),
+        [](const Event& event) { return std::holds_alternative<T>(event); });
+    REQUIRE(it != events.rend());
+    return std::get<T>(*it);
   }
 
   TimePoint now{std::chrono::seconds(10)};
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -359,11 +359,11 @@
     const bool commits =
         reply.error == ErrorCode::kNone && !committing_.empty();
     if (commits) return Replicate(n, id, effect, std::move(reply));
-    Deliver(n, id, effect.connection, std::move(reply));
+    Deliver(n, id, effect.connection, reply);
   }
 
   void Deliver(std::size_t n, const ServerId& id, ConnectionId connection,
-               Reply reply) {
+               const Reply& reply) {
     if (Chance() < options_.lost_answers) {
       muted_.insert({n, connection});
     }
@@ -388,9 +388,10 @@
     Trace("logged " + write + " at " + id + " index " + std::to_string(index));
     reply.position = position;
     auto acked = std::make_shared<bool>(false);
-    for (auto& [other, replica] : servers_) {
+    for (const auto& it : servers_) {
+      const ServerId other = it.first;
       if (other == id) continue;
-      const Duration delay = kHop + replica.extra_lag;
+      const Duration delay = kHop + it.second.extra_lag;
       At(delay, [this, n, id, other, entry, acked, effect, reply, write] {
         Server& to = servers_[other];
         if (!to.alive || to.held != 0 || deaf_.contains(other)) return;
@@ -400,7 +401,10 @@
         At(kHop, [this, n, id, entry, effect, reply, write] {
           if (!Leads(id, entry.position.term)) return;
           acknowledged_.push_back({now_, write, ClientOf(effect.command.id)});
-          Trace("acknowledged " + write + " by " + id);
+          Trace(std::string("acknowledged ")
+                    .append(write)
+                    .append(" by ")
+                    .append(id));
           NoteCommit();
           Deliver(n, id, effect.connection, reply);
         });
