Instances are listed at start; half the share is given back; fewer calls to the store

A watch waits 3.2 s instead of 2, a store that fails is asked each second, not four times, an absent configuration each 0.4 s, not 0.1.

--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -62,9 +62,9 @@
   int request_lines_per_second = 50;
   /// From the listing of a leaving server until it gets no new work.
   Duration leaving_limit = std::chrono::milliseconds(5000);
-  /// Idle time after which a connection above the instance's share is given
-  /// back to other instances.
-  Duration connection_idle = std::chrono::milliseconds(1000);
+  /// Idle time after which a connection above half of the instance's share is
+  /// given back.
+  Duration connection_idle = std::chrono::milliseconds(4000);
   /// Pause after a connection could not be opened.
   Duration connect_pause = std::chrono::milliseconds(150);
   /// Pause after a server refused a statement for lack of room.
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -66,11 +66,18 @@
 
 /// Times of following the store.
 struct StoreOptions {
-  Duration watch_wait = std::chrono::milliseconds(2000);
-  Duration watch_slack = std::chrono::milliseconds(600);
+  /// A watch may fall silent unnoticed; with its slack it ends within the 4 s
+  /// after which an instance counts as in touch again.
+  Duration watch_wait = std::chrono::milliseconds(3200);
+  Duration watch_slack = std::chrono::milliseconds(400);
   Duration call_timeout = std::chrono::milliseconds(1000);
+  /// Pause after a call that failed; it doubles with each further failure, as
+  /// refused calls are paid for as well.
   Duration retry_pause = std::chrono::milliseconds(250);
+  Duration longest_retry_pause = std::chrono::milliseconds(1000);
   Duration first_retry_pause = std::chrono::milliseconds(100);
+  /// While there is no configuration at all; each read is paid for in full.
+  Duration absent_pause = std::chrono::milliseconds(400);
   Duration server_interval = std::chrono::milliseconds(1000);
   Duration instance_interval = std::chrono::milliseconds(2000);
   Duration lease_ttl = std::chrono::milliseconds(10'000);
@@ -132,6 +139,7 @@
   void OnLease(const StoreResult& result, const Pending& pending);
   void OnClaim(const StoreResult& result, const Pending& pending);
   void NoteReachable(bool reachable);
+  [[nodiscard]] Duration PauseAfter(int failures) const;
   void FailClaim(const ServiceId& service, bool store_away);
 
   InstanceId self_;
@@ -149,6 +157,8 @@
   TimePoint returned_;  ///< when the store last became reachable
   std::optional<TimePoint> listed_since_;  ///< first list after that
   bool ever_settled_ = false;
+  int config_failures_ = 0;  ///< in a row
+  int list_failures_ = 0;    ///< in a row
   InstanceList instances_;
 };
 
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -410,10 +410,11 @@
   }
 }
 
-/// Gives back connections above the share, which a larger fleet has lowered.
+/// Gives back idle connections but for half the share: those of an instance
+/// that restarts linger at the server and count beside its new ones.
 void Proxy::TrimIdle(Lane& lane) {
-  const auto share = static_cast<std::size_t>(ShareOf(lane));
-  while (!lane.idle.empty() && lane.connections.size() > share) {
+  const auto kept = static_cast<std::size_t>(std::max(ShareOf(lane) / 2, 1));
+  while (!lane.idle.empty() && lane.connections.size() > kept) {
     const ConnectionId oldest = lane.idle.front();
     const TimePoint used = connections_.at(oldest).used;
     if (now_ - used < options_.connection_idle) return;
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -9,8 +9,8 @@
   now_ = now;
   Issue(StoreRequest::kReadConfig);
   Issue(StoreRequest::kListServers);
+  Issue(StoreRequest::kListInstances);
   Issue(StoreRequest::kGrantLease);
-  Schedule(StoreRequest::kListInstances, options_.server_interval);
   return std::exchange(outputs_, {});
 }
 
@@ -130,16 +130,27 @@
       LogDecision{reachable ? "store regained" : "store lost"});
 }
 
+Duration StoreFollower::PauseAfter(int failures) const {
+  Duration pause = options_.retry_pause;
+  for (int n = 1; n < failures && pause < options_.longest_retry_pause; ++n) {
+    pause *= 2;
+  }
+  return std::min(pause, options_.longest_retry_pause);
+}
+
 void StoreFollower::OnConfig(const StoreResult& result, StoreRequest request) {
   if (result.status != StoreStatus::kOk) {
     // What a failed watch missed is unknown, so the configuration is read.
     const bool first = watched_revision_ == 0;
-    const Duration pause =
-        first ? options_.first_retry_pause : options_.retry_pause;
+    const bool absent = result.status == StoreStatus::kAbsent;
+    const Duration pause = absent  ? options_.absent_pause
+                           : first ? options_.first_retry_pause
+                                   : PauseAfter(++config_failures_);
     return Schedule(
         StoreRequest::kReadConfig,
         result.status == StoreStatus::kCompacted ? Duration(0) : pause);
   }
+  config_failures_ = 0;
   if (result.config) outputs_.emplace_back(Event(ConfigRead{result.config}));
   const bool regressed = result.revision < watched_revision_;
   if (request == StoreRequest::kReadConfig || !regressed) {
@@ -151,9 +162,11 @@
 void StoreFollower::OnServers(const StoreResult& result) {
   const bool first = seen_.empty();
   if (result.status != StoreStatus::kOk) {
-    return Schedule(StoreRequest::kListServers,
-                    first ? options_.first_retry_pause : options_.retry_pause);
+    return Schedule(
+        StoreRequest::kListServers,
+        first ? options_.first_retry_pause : PauseAfter(++list_failures_));
   }
+  list_failures_ = 0;
   for (const auto& [id, entry] : result.servers) {
     servers_[id] = entry;
     seen_[id] = now_;
--- a/tests/session_store_test.cc
+++ b/tests/session_store_test.cc
@@ -150,6 +150,35 @@
   CHECK(it.Last<ServersRead>().servers.size() == 1);
 }
 
+TEST_CASE("a store that fails on is asked ever less often") {
+  Fixture it;
+  it.AnswerConfig(StoreRequest::kReadConfig, 3, 40);
+  it.Answer(StoreRequest::kWatchConfig, StoreStatus::kUnavailable);
+  int reads = 0;
+  for (int n = 0; n < 100; ++n) {
+    it.Pass(std::chrono::milliseconds(50));
+    if (!it.Waits(StoreRequest::kReadConfig)) continue;
+    it.Answer(StoreRequest::kReadConfig, StoreStatus::kUnavailable);
+    ++reads;
+  }
+  CHECK(reads >= 4);  // once a second at the least
+  CHECK(reads <= 8);
+}
+
+TEST_CASE("a list with all known servers back is settled at once") {
+  Fixture it;
+  it.AnswerServers({"a", "b"});
+  for (int n = 0; n < 4; ++n) {
+    it.Pass(std::chrono::milliseconds(1000));
+    it.AnswerServers({"a", "b"});
+  }
+  it.Pass(std::chrono::milliseconds(1000));
+  it.Answer(StoreRequest::kListServers, StoreStatus::kUnavailable);
+  it.Pass(std::chrono::milliseconds(1000));
+  it.AnswerServers({"a", "b"});
+  CHECK(it.Last<ServersRead>().settled);
+}
+
 TEST_CASE("a claim is taken under a lease at the revision that was read") {
   Fixture it;
   it.Keep(it.follower.Claim(it.now, {"books"}));
