--- a/include/corianderdock/net/relay.h
+++ b/include/corianderdock/net/relay.h
@@ -33,6 +33,11 @@
   Relay(boost::asio::io_context& io,
         const boost::asio::ip::tcp::endpoint& endpoint, Allowed allowed);
 
+  /// The port that it is bound to.
+  [[nodiscard]] unsigned short port() const {
+    return acceptor_.local_endpoint().port();
+  }
+
  private:
   void Accept();
 
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -82,7 +82,10 @@
     std::string body = R"({"items":[],"rev":5,"lease":4,"current_rev":9})";
     if (request.target.starts_with("/kv-key?key=op/config")) {
       body = Item("op/config", config_);
-    } else if (request.target.starts_with("/kv-range?prefix=servers/")) {
+    } else if (request.target == "/kv-range?prefix=servers/&allow_stale=1") {
+      body = R"({"items":[)" + Item("servers/i-0", "{}") +
+             R"(],"has_more":true,"current_rev":9})";
+    } else if (request.target.ends_with("&after=servers/i-0")) {
       body = R"({"items":[)" + Item("servers/i-1", entry_) + "," +
              Item("servers/i-2", "not json") + R"(],"current_rev":9})";
     } else if (request.target.starts_with("/kv-watch")) {
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -170,6 +170,13 @@
   CHECK_FALSE(platform::DecodeConfig(R"({"routes":[]})"));
 }
 
+TEST_CASE("an instance reads what another announced") {
+  const session::InstanceEntry entry{"zone-1", "10.0.0.1:7440"};
+  CHECK(platform::DecodeInstance(platform::EncodeInstance(entry)) == entry);
+  CHECK(platform::DecodeInstance("not json") == session::InstanceEntry{});
+  CHECK(platform::DecodeInstance(R"({"zone":1})") == session::InstanceEntry{});
+}
+
 TEST_CASE("settings report every fault with its place") {
   const auto settings = platform::ParseSettings(R"({"instance":"a"})");
   REQUIRE_FALSE(settings);
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -196,6 +197,7 @@
   std::vector<session::ClaimPromotion> claims;
   std::vector<std::pair<ConnectionId, ServerId>> opening;
   std::map<ConnectionId, ServerId> at;
+  std::map<ConnectionId, std::string> relayed;  ///< relay of a connection
   int statements = 0;
   bool finished = false;
 
@@ -207,6 +209,7 @@
   void Keep(const session::CloseSession& it) { closed.push_back(it); }
   void Keep(const session::OpenServerConnection& it) {
     opening.emplace_back(it.connection, it.server);
+    if (!it.relay_address.empty()) relayed[it.connection] = it.relay_address;
   }
   void Keep(const session::CloseServerConnection& it) {
     std::erase_if(sent, [&](const SendCommand& command) {
