A replica that fell silent long before its primary is not waited for

Ruled out: unsettled lists, held replicas (no claim was made at all). A replica that was silent to the instance, to its relays and to the store for a second in which the primary still answered is not behind one partition with it. The unit test fails without the change.

--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -16,6 +16,9 @@
 constexpr int kStalledCommits = 3;
 /// Time in which an instance holds the replicas, which others then see.
 constexpr Duration kTurn = std::chrono::milliseconds(600);
+/// Answers of a primary for this long after a replica fell silent show that no
+/// partition holds both.
+constexpr Duration kApart = std::chrono::milliseconds(1000);
 /// Time after which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
@@ -160,8 +163,15 @@
   // A leaving server is expected to vanish. Only behind a partition that hides
   // the primary as well may the two go on together.
   const auto leader = lanes_.find(ServiceLeader(lane));
-  const bool hidden = leader == lanes_.end() || leader->second.failing;
+  const bool known = leader != lanes_.end();
+  const bool hidden = !known || leader->second.failing;
   if (lane.entry.draining && !hidden) return false;
+  // Silent to us, to relays and to the store while the primary still answered:
+  // the two are not behind one partition.
+  const bool apart =
+      known && lane.failing &&
+      leader->second.last_heard >= lane.failing_since + kApart;
+  if (apart) return false;
   return now_ - lane.vanished < options_.vanished_evidence;
 }
 
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -15,7 +15,8 @@
 /// Tries other instances as relays of a server that fails, and the direct way
 /// to one that is relayed.
 void Proxy::FindWay(Lane& lane) {
-  if (lane.opening_aside > 0 || isolated_since_ || !InUse(lane)) return;
+  const bool wanted = InUse(lane) || MayHoldCommits(lane);
+  if (lane.opening_aside > 0 || isolated_since_ || !wanted) return;
   const bool relayed = !lane.failing && !lane.via.empty();
   if (!relayed && !lane.failing) return;
   const Duration growing =
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -367,6 +367,44 @@
   CHECK(behind_other < std::chrono::milliseconds(2000));
 }
 
+namespace {
+
+/// Whether a claim is made within 1.5 s of the primary's silence, when replica
+/// "c" left the list and had been silent for `silent_before` of that time.
+bool ClaimsWithout(Duration silent_before) {
+  ProxyDriver driver;
+  driver.Open(1, "claims");
+  const auto pass = [&](Duration time, const std::set<ServerId>& silent) {
+    for (Duration passed{0}; passed < time; passed += Milliseconds(25)) {
+      driver.Pass(Milliseconds(25));
+      std::set<ServerId> reachable = {"a", "b", "c"};
+      for (const auto& it : silent) reachable.erase(it);
+      driver.ConnectOnly(reachable);
+      driver.AnswerAll(silent);
+    }
+  };
+  driver.LoseAll();
+  for (Duration passed{0}; passed < silent_before;
+       passed += Milliseconds(500)) {
+    driver.Query(1, Verb::kRead, {}, "item");
+    pass(Milliseconds(500), {"c"});
+  }
+  driver.List({"a", "b"});
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  pass(Milliseconds(1500), {"a", "c"});
+  return !driver.claims.empty();
+}
+
+}  // namespace
+
+TEST_CASE("a replica that fell silent long before its primary is gone") {
+  CHECK(ClaimsWithout(Milliseconds(4000)));
+}
+
+TEST_CASE("a replica that fell silent with its primary may hold commits") {
+  CHECK_FALSE(ClaimsWithout(Milliseconds(0)));
+}
+
 TEST_CASE("an isolated instance refuses at once and claims nothing") {
   ProxyDriver driver;
   driver.List({"a", "b", "c"}, "elsewhere");
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -129,6 +129,22 @@
     }
   }
 
+  /// Answers all commands but those to `silent` servers; "a" leads.
+  void AnswerAll(const std::set<ServerId>& silent) {
+    for (const SendCommand& it : std::exchange(sent, {})) {
+      const auto server = at.find(it.connection);
+      if (server == at.end() || silent.contains(server->second)) continue;
+      Reply reply;
+      reply.position = {1, 10};
+      const bool begins = it.command.statement.verb == Verb::kBegin;
+      if (begins && server->second != "a") reply.error = ErrorCode::kReadOnly;
+      if (begins && server->second == "a") {
+        reply.state = TransactionState::kOpen;
+      }
+      Feed(session::ServerReplied{it.connection, reply});
+    }
+  }
+
   /// Answers all claims as if the store were away.
   void FailClaims() {
     for (const auto& it : std::exchange(claims, {})) {
