A crowded primary whose replicas all stay behind hands over

Ruled out: held replicas, the choice of a server. The most advanced replica has received everything, so it is promoted in order; the old primary is up to date and serves reads. Only after 4 s behind, while statements are refused, and 15 s after the last change of primary.

--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -72,6 +72,14 @@
   /// How long a copy that lacked a position is avoided at first, and at most.
   Duration behind_pause = std::chrono::milliseconds(100);
   Duration longest_behind_pause = std::chrono::milliseconds(1600);
+  /// A primary whose replicas all stay behind for this long, while it refuses
+  /// this many statements in this time, hands over to one of them: the old
+  /// primary then serves reads, being up to date.
+  Duration behind_for = std::chrono::milliseconds(4000);
+  int crowd = 5;
+  Duration crowd_time = std::chrono::milliseconds(2000);
+  /// Time that a primary leads before such a hand-over.
+  Duration lead_at_least = std::chrono::milliseconds(15'000);
   /// Longest wait for a primary that is being replaced before a statement is
   /// refused.
   Duration failover_wait = std::chrono::milliseconds(400);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -139,8 +139,9 @@
     TimePoint draining_since;
     TimePoint vanished;     ///< when it was last listed, if it is not
     double latency_ms = 5;  ///< moving average of statements
-    std::optional<Position> position;  ///< last known end of its log
-    Duration behind_pause{0};          ///< doubles while it stays behind
+    std::optional<Position> position;       ///< last known end of its log
+    Duration behind_pause{0};               ///< doubles while it stays behind
+    std::optional<TimePoint> behind_since;  ///< no read succeeded after it
   };
 
   struct Service {
@@ -154,6 +155,10 @@
     TimePoint searched;
     TimePoint leaderless_since;
     TimePoint used;  ///< last statement
+    TimePoint leader_since;
+    TimePoint crowded_since;    ///< start of the refusals counted
+    int crowded = 0;            ///< statements refused for want of room
+    bool handing_over = false;  ///< from a primary that lacks fresh replicas
     bool wants_samples = false;
     FreshnessSamples samples;
     std::map<DatabaseName, Duration> run_time;  ///< moving averages
@@ -317,6 +322,9 @@
   void SearchLeader(Service& service);
   [[nodiscard]] bool CommitsStall(const Lane& lane) const;
   [[nodiscard]] bool PrimaryLost(const Service& service) const;
+  [[nodiscard]] bool HandOverHelps(const Service& service) const;
+  void ConsiderHandOver(const ServiceId& id, Service& service);
+  void NoteCrowded(Service& service);
   [[nodiscard]] Failover::Situation SituationOf(const Service& service) const;
   void Perform(const ServiceId& id, const Failover::Actions& actions);
   void Do(const ServiceId& id, const Failover::Claim& claim);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -59,6 +59,8 @@
       " position=" + (position ? Show(*position) : "-"));
   if (!service.leader.empty() || standing_token_ != 0) Emit(RenewToken{});
   service.leader = lane.entry.id;
+  service.leader_since = now_;
+  service.handing_over = false;
   lane.commits_lost = 0;
   to_pump_.insert(lane.entry.service);
 }
@@ -130,7 +132,45 @@
                              ? std::min(silence, options_.refused_after)
                              : silence;
   if (lane.failing && now_ - lane.failing_since >= limit) return true;
-  return CommitsStall(lane);
+  return service.handing_over || CommitsStall(lane);
+}
+
+/// Replicas may apply what they received so late that they serve no read for
+/// minutes, and the primary is left alone with all reads.
+bool Proxy::HandOverHelps(const Service& service) const {
+  const bool crowded = service.crowded >= options_.crowd &&
+                       now_ - service.crowded_since < options_.crowd_time;
+  const bool settled = now_ - service.leader_since >= options_.lead_at_least;
+  if (!settled || !crowded) return false;
+  int behind = 0;
+  for (const ServerId& id : service.servers) {
+    const Lane& lane = lanes_.at(id);
+    if (id == service.leader || !lane.listed) continue;
+    if (!lane.behind_since || lane.failing) return false;
+    if (now_ - *lane.behind_since < options_.behind_for) return false;
+    ++behind;
+  }
+  return behind > 0;
+}
+
+/// A hand-over that holds replicas goes on until it is done.
+void Proxy::ConsiderHandOver(const ServiceId& id, Service& service) {
+  if (service.failover.phase() != Failover::Phase::kIdle) return;
+  const bool helps = HandOverHelps(service);
+  if (helps && !service.handing_over) {
+    Log("hand-over wanted service=" + id + " primary=" + service.leader +
+        " reason=all replicas stay behind refused=" +
+        std::to_string(service.crowded));
+  }
+  service.handing_over = helps;
+}
+
+void Proxy::NoteCrowded(Service& service) {
+  if (now_ - service.crowded_since >= options_.crowd_time) {
+    service.crowded_since = now_;
+    service.crowded = 0;
+  }
+  ++service.crowded;
 }
 
 ServerId Proxy::ServiceLeader(const Lane& lane) const {
@@ -168,9 +208,8 @@
   if (lane.entry.draining && !hidden) return false;
   // Silent to us, to relays and to the store while the primary still answered:
   // the two are not behind one partition.
-  const bool apart =
-      known && lane.failing &&
-      leader->second.last_heard >= lane.failing_since + kApart;
+  const bool apart = known && lane.failing &&
+                     leader->second.last_heard >= lane.failing_since + kApart;
   if (apart) return false;
   return now_ - lane.vanished < options_.vanished_evidence;
 }
@@ -191,9 +230,9 @@
   situation.standing_turn = StandingTurn(service);
   situation.reachable = true;
   const auto leader = lanes_.find(service.leader);
-  situation.primary_leaves = leader != lanes_.end() &&
-                             leader->second.entry.draining &&
-                             !leader->second.failing;
+  situation.primary_leaves =
+      leader != lanes_.end() && !leader->second.failing &&
+      (leader->second.entry.draining || service.handing_over);
   for (const ServerId& id : service.servers) {
     const Lane& lane = lanes_.at(id);
     if (id == service.leader || !MayHoldCommits(lane)) continue;
@@ -226,6 +265,7 @@
       ProbeLead(lane->second);
     }
     RefuseWaiting(service);
+    ConsiderHandOver(id, service);
     if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
     Perform(id, service.failover.Step(SituationOf(service)));
   }
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -229,6 +229,7 @@
   const Service& service = ServiceOf(pending.route->service);
   const auto ms = std::chrono::duration_cast<Milliseconds>(come_back).count();
   Count("refused_queue");
+  NoteCrowded(ServiceOf(pending.route->service));
   LogRequest("statement refused id=" + pending.id +
              " database=" + session.database + " reason=queue queued_primary=" +
              std::to_string(service.primary_queue.size()) +
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -54,6 +54,7 @@
     service.servers.insert(id);
     if (service.leader.empty() && entry.claims_primary && !entry.draining) {
       service.leader = id;
+      service.leader_since = now_;
     }
     to_pump_.insert(entry.service);
   }
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -167,6 +167,7 @@
     if (expected.commits) lane.commits_lost = 0;
     WidenWindow(lane);
     lane.behind_pause = Duration(0);
+    lane.behind_since.reset();
     if (expected.proves_lead) NoteLeader(lane, reply.position, expected.sent);
     return Succeed(it->first, session, id, expected, std::move(reply));
   }
@@ -286,6 +287,7 @@
 /// A copy that stays behind is asked ever less often.
 void Proxy::NoteBehind(Lane& lane) {
   Count("reads_behind");
+  if (!lane.behind_since) lane.behind_since = now_;
   lane.behind_pause = std::clamp(lane.behind_pause * 2, options_.behind_pause,
                                  options_.longest_behind_pause);
   lane.avoid_until = now_ + lane.behind_pause;
