--- a/tests/session_queue_test.cc
+++ b/tests/session_queue_test.cc
@@ -39,7 +39,7 @@
   TimePoint free = kStart;
   for (int n = 0; n < 2000 / gap_ms; ++n) {
     const auto at = Milliseconds(static_cast<int>(n * gap_ms));
-    const auto id = static_cast<SessionId>(n + 1);
+    const SessionId id = static_cast<SessionId>(n) + 1;
     arrived[id] = kStart + at;
     queue.Push(Waiting(id, "lookups", at, at + kObjective * 3 / 4));
     while (free <= kStart + at) {
