--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -101,7 +101,8 @@
     for (std::size_t n = 0; n < proxies_.size(); ++n) {
       Feed(n, ConfigRead{config});
       FeedServers(n);
-      Feed(n, InstancesRead{{{"p0", {"z", ""}}, {"p1", {"z", ""}}, {"p2", {"z", ""}}}});
+      Feed(n, InstancesRead{
+                  {{"p0", {"z", ""}}, {"p1", {"z", ""}}, {"p2", {"z", ""}}}});
       Feed(n, TokenObtained{++token_});
     }
   }
