--- /dev/null
+++ b/include/corianderdock/log_sink.h
@@ -0,0 +1,45 @@
+/// \file
+/// A log appender that never blocks.
+#pragma once
+
+#include <log4cplus/appender.h>
+
+#include <cstdint>
+
+namespace corianderdock {
+
+/// Writes each line to a pipe, file or terminal at once, and drops it when a
+/// reader is too slow; the next line that fits is preceded by the count of the
+/// dropped ones. log4cplus serializes the calls.
+///
+/// \code
+/// log4cplus::SharedAppenderPtr sink(new LogSink(STDOUT_FILENO));
+/// \endcode
+class LogSink : public log4cplus::Appender {
+ public:
+  /// \pre `fd` stays open as long as the sink.
+  explicit LogSink(int fd) : fd_(fd) {}
+  ~LogSink() override { destructorImpl(); }
+
+  LogSink(const LogSink&) = delete;
+  LogSink& operator=(const LogSink&) = delete;
+  LogSink(LogSink&&) = delete;
+  LogSink& operator=(LogSink&&) = delete;
+
+  void close() override { closed = true; }
+
+  /// Lines dropped so far.
+  [[nodiscard]] std::uint64_t dropped() const noexcept { return dropped_; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override;
+
+ private:
+  [[nodiscard]] bool Write(const std::string& line) const;
+
+  int fd_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t reported_ = 0;  ///< dropped lines that a line told of
+};
+
+}  // namespace corianderdock
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -144,6 +144,12 @@
   }
 
  private:
+  /// What a held replica had received, and when it said so.
+  struct Evidence {
+    Position received;
+    TimePoint at;
+  };
+
   [[nodiscard]] bool ReachableLongEnough(TimePoint now) const;
   void LeaveOpen();
   Actions OnRefused(const Situation& situation);
@@ -176,13 +182,8 @@
   std::optional<TimePoint> lost_since_;
   bool releasing_ = false;    ///< the claim serves to release replicas
   std::set<ServerId> asked_;  ///< to stop receiving
-  struct Evidence {
-    Position received;
-    TimePoint at;
-  };
-
-  bool standing_ = false;    ///< the token is the instance's standing one
-  std::set<ServerId> free_;  ///< found not held by another instance
+  bool standing_ = false;     ///< the token is the instance's standing one
+  std::set<ServerId> free_;   ///< found not held by another instance
   std::optional<TimePoint> foreign_since_;  ///< a replica was found held
   TimePoint next_fence_;
   std::map<ServerId, Evidence> held_;
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -76,8 +76,8 @@
   /// this many statements in this time, hands over to one of them: the old
   /// primary then serves reads, being up to date.
   Duration behind_for = std::chrono::milliseconds(4000);
-  int crowd = 5;
-  Duration crowd_time = std::chrono::milliseconds(2000);
+  int crowd = 15;
+  Duration crowd_time = std::chrono::milliseconds(4000);
   /// Time that a primary leads before such a hand-over.
   Duration lead_at_least = std::chrono::milliseconds(15'000);
   /// Longest wait for a primary that is being replaced before a statement is
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -19,7 +19,7 @@
 constexpr double kLatencyOfStatementMs = 100;
 /// Part of a latency objective in which a statement must start while others
 /// wait: one refused by then can still be done in time elsewhere.
-constexpr double kStartPart = 0.2;
+constexpr double kStartPart = 0.33;
 /// Part of a latency objective after which waiting on is of little use.
 constexpr double kLongestPart = 1.5;
 /// Age at which what a copy was last known to hold says little of it now.
--- /dev/null
+++ b/tests/log_sink_test.cc
@@ -0,0 +1,92 @@
+/// Logs go on without a reader.
+#include "corianderdock/log_sink.h"
+
+#include <fcntl.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <climits>
+#include <string>
+
+namespace corianderdock::test {
+
+namespace {
+
+constexpr std::size_t kTooLong = std::size_t{3} * PIPE_BUF;
+
+/// A logger whose lines go into a pipe.
+struct Fixture {
+  Fixture() {
+    // The library can be started once in a process.
+    static const log4cplus::Initializer kInitializer;
+    logger = log4cplus::Logger::getInstance("log_sink_test");
+    REQUIRE(::pipe(ends.data()) == 0);
+    REQUIRE(::fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    sink = new LogSink(ends[1]);
+    log4cplus::SharedAppenderPtr appender(sink);
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    logger.setAdditivity(false);
+    logger.addAppender(appender);
+  }
+
+  ~Fixture() {
+    logger.removeAllAppenders();
+    for (const int fd : ends) ::close(fd);
+  }
+
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+  Fixture(Fixture&&) = delete;
+  Fixture& operator=(Fixture&&) = delete;
+
+  /// All that the pipe holds.
+  std::string Read() {
+    std::string all;
+    std::array<char, 4096> buf;
+    for (;;) {
+      const ssize_t n = ::read(ends[0], buf.data(), buf.size());
+      if (n <= 0) return all;
+      all.append(buf.data(), static_cast<std::size_t>(n));
+    }
+  }
+
+  log4cplus::Logger logger;
+  std::array<int, 2> ends{};
+  LogSink* sink = nullptr;  ///< owned by the logger
+};
+
+}  // namespace
+
+TEST_CASE("lines are written at once") {
+  Fixture it;
+  LOG4CPLUS_INFO(it.logger, "primary found id=i-1");
+  CHECK(it.Read() == "primary found id=i-1\n");
+  CHECK(it.sink->dropped() == 0);
+}
+
+TEST_CASE("a full pipe drops lines and tells how many") {
+  Fixture it;
+  const std::string line(200, 'x');
+  for (int n = 0; n < 2000; ++n) LOG4CPLUS_INFO(it.logger, line);
+  const std::uint64_t dropped = it.sink->dropped();
+  CHECK(dropped > 0);
+  (void)it.Read();
+  LOG4CPLUS_INFO(it.logger, "read again");
+  CHECK(it.Read() == "log lines dropped count=" + std::to_string(dropped) +
+                         "\nread again\n");
+}
+
+TEST_CASE("a line longer than a pipe takes at once is cut") {
+  Fixture it;
+  LOG4CPLUS_INFO(it.logger, std::string(kTooLong, 'y'));
+  const std::string line = it.Read();
+  CHECK(line.size() == PIPE_BUF);
+  CHECK(line.back() == '\n');
+}
+
+}  // namespace corianderdock::test
