--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -33,8 +33,8 @@
   /// Age at which a replica's answer says no more that it is held: it may have
   /// restarted since.
   Duration evidence_age = std::chrono::milliseconds(500);
-  /// Time in which an order of another instance may still be carried out; the
-  /// platform gives no figure, and no run showed a later one.
+  /// Time in which an order of another instance may still be carried out: the
+  /// longest delay that the platform states for a call without an answer.
   Duration late_order = std::chrono::milliseconds(12'000);
   /// Pause between repeated commands to a replica.
   Duration hold_retry = std::chrono::milliseconds(300);
