--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -27,6 +27,8 @@
   Duration claim_retry_delay = std::chrono::milliseconds(1000);
   /// Time-out of a claim at the store.
   Duration claim_timeout = std::chrono::milliseconds(600);
+  /// Time-out for the demotion of a primary that is to be replaced.
+  Duration demote_timeout = std::chrono::milliseconds(500);
   /// Time-out for fencing all replicas.
   Duration fence_timeout = std::chrono::milliseconds(2500);
   /// Time for which a claim by another instance counts as in progress.
@@ -37,6 +39,12 @@
   /// Time within which the platform may still execute an order of another
   /// instance: the longest delay that it specifies for an unanswered call.
   Duration max_order_delay = std::chrono::milliseconds(12'000);
+  /// Time from fencing all replicas to the order, within which other instances
+  /// may rely on earlier proof of the old primary's leadership.
+  Duration leadership_lease{0};
+  /// The platform refuses an order whose token is lower than one used before.
+  /// Otherwise it executes every order, and none is given without the store.
+  bool tokens_checked = true;
   /// Interval at which commands to a replica or the old primary are repeated.
   Duration fence_retry_interval = std::chrono::milliseconds(300);
   /// The primary must have been healthy for this long before the fences of an
@@ -51,6 +59,9 @@
 
 /// Orders the promotion of a replica that has every acknowledged commit.
 ///
+/// A primary that still answers is demoted first, so that it acknowledges no
+/// commit through a server that just joined and is not listed yet.
+///
 /// All replicas are fenced first, so that no further commit is acknowledged.
 /// Every acknowledged commit is on at least one replica, so the most advanced
 /// replica has all of them. An unanswered promotion order is repeated only for
@@ -94,7 +105,14 @@
   using Action = std::variant<Claim, Inspect, Fence, Demote, Resume, Order>;
   using Actions = std::vector<Action>;
 
-  enum class Phase { kIdle, kClaiming, kFencing, kOrdering, kAwaitingPrimary };
+  enum class Phase {
+    kIdle,
+    kClaiming,
+    kDemoting,  ///< awaits the end of the log of a primary that still answers
+    kFencing,
+    kOrdering,
+    kAwaitingPrimary,
+  };
 
   /// The state of the service as known at the time of a step.
   struct Situation {
@@ -135,6 +153,11 @@
                                  const ServerId& server,
                                  const ServerStatus& status);
 
+  /// Handles the old primary's answer to `Demote`.
+  [[nodiscard]] Actions OnDemoted(const Situation& situation,
+                                  const ServerId& server,
+                                  const ServerStatus& status);
+
   /// Handles the platform's answer to an `Order`.
   [[nodiscard]] Actions OnOrdered(const Situation& situation,
                                   PromotionResult result);
@@ -162,13 +185,17 @@
   [[nodiscard]] bool ReplicasReachableLongEnough(TimePoint now) const;
   void MarkOrderUnanswered();
   Actions OnOrderRefused(const Situation& situation);
+  Actions StartDemoting(const Situation& situation);
   Actions StartFencing(const Situation& situation);
+  [[nodiscard]] ServerId ChooseCandidate(const Situation& situation);
   Actions FenceRemaining(const Situation& situation);
   [[nodiscard]] bool CanSkip(const Situation& situation,
                              const ServerId& replica) const;
   [[nodiscard]] ServerId MostAdvanced(const Situation& situation);
   [[nodiscard]] bool MustInspect(const ServerId& replica) const;
   [[nodiscard]] bool DiscardStaleReports(const Situation& situation);
+  [[nodiscard]] bool AllFenced(const Situation& situation) const;
+  [[nodiscard]] bool AwaitsLease(const Situation& situation);
   Actions TryOrder(const Situation& situation);
   Actions IssueOrder(const Situation& situation);
   Actions DemoteOldPrimary(const Situation& situation);
@@ -200,6 +227,13 @@
   std::optional<TimePoint> foreign_fence_since_;
   TimePoint next_demote_at_;
   std::map<ServerId, FenceReport> fence_reports_;
+  /// Since when all replicas have been fenced without interruption.
+  std::optional<TimePoint> all_fenced_since_;
+  TimePoint last_order_at_;
+  /// The primary that was demoted before its replicas were fenced, and the end
+  /// of its log, which no acknowledged commit exceeds.
+  ServerId demoted_;
+  Position demoted_end_;
   ServerId candidate_;
   /// Highest token of an unanswered order; a further claim must exceed it.
   std::uint64_t unanswered_order_token_ = 0;
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -20,6 +20,16 @@
 struct ProxyOptions {
   const Safety* safety = &DefaultSafety();  ///< outlives the proxy
   FailoverOptions failover;
+  /// A replaced primary loses its leadership the moment the promotion takes
+  /// effect. Otherwise it goes on accepting work until it is told, so that
+  /// leadership must be proven by replicas.
+  bool replaced_primary_stops = true;
+  /// A proof of leadership is valid for a statement that arrives within this
+  /// time after it. Shorter than `FailoverOptions::leadership_lease`, as clocks
+  /// drift.
+  Duration proof_validity = std::chrono::milliseconds(550);
+  /// Age of the proof of a service in use at which positions are queried.
+  Duration proof_refresh_age = std::chrono::milliseconds(250);
   /// Number of instances assumed to share a server's connections until the
   /// list of instances has been read.
   int assumed_instances = 5;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -17,6 +17,7 @@
 #include "corianderdock/session/events.h"
 #include "corianderdock/session/failover.h"
 #include "corianderdock/session/freshness.h"
+#include "corianderdock/session/leadership_proof.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
 #include "corianderdock/session/statement_queue.h"
@@ -88,8 +89,10 @@
     kEnd,        ///< ends a transaction; the reply is ignored
     kProbe,      ///< BEGIN that only a primary accepts
     kInspect,    ///< queries whether a replica is fenced
+    kWitness,    ///< queries role, term and fence of any server
     kFence,      ///< fences a replica and returns its log position
-    kResume,     ///< lifts a fence or demotes a primary; reply ignored
+    kDemote,     ///< demotes a primary and returns the end of its log
+    kResume,     ///< lifts a fence; reply ignored
   };
 
   struct ExpectedReply {
@@ -148,16 +151,30 @@
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
     std::optional<TimePoint> behind_since;  ///< first refusal since a success
+    Term leader_term = 0;    ///< in which it leads; 0 while unknown
+    TimePoint listed_since;  ///< the epoch if listed before this instance
+    TimePoint last_query;    ///< last `kWitness` command
+    int queries = 0;         ///< unanswered `kWitness` commands
+    TimePoint last_demote;   ///< when it was last told of a newer term
+  };
+
+  /// A position sample that counts once the primary is proven to have led when
+  /// its command was sent.
+  struct UnprovenSample {
+    TimePoint sent;
+    Position position;
   };
 
   struct Service {
-    explicit Service(const FailoverOptions& options) : failover(options) {}
+    Service(ServiceId service_id, const FailoverOptions& options)
+        : id(std::move(service_id)), failover(options) {}
+    ServiceId id;
     ServiceLimits limits;
     std::set<ServerId> servers;
     ServerId primary;       ///< empty when unknown
     ServerId last_primary;  ///< last server that proved leadership
     Term last_primary_term = 0;
-    Term newest_term = 0;  ///< highest term of a proven primary
+    Term newest_term = 0;  ///< highest term that any server reported
     TimePoint last_search;
     TimePoint no_primary_since;
     TimePoint last_used;  ///< arrival of the last statement
@@ -168,6 +185,17 @@
     bool switching_over = false;
     bool needs_samples = false;  ///< a route allows stale reads
     FreshnessSamples samples;
+    std::deque<UnprovenSample> unproven_samples;  ///< by arrival
+    LeadershipProof proof;
+    /// When the known primary last counted as lost, or another instance was
+    /// found to have claimed its replacement.
+    std::optional<TimePoint> primary_doubted_at;
+    TimePoint last_status_query;
+    Duration status_backoff{0};
+    int status_queries = 0;  ///< since one helped
+    TimePoint last_position_query;
+    TimePoint last_change;  ///< a server was added, restarted or drained
+    std::set<SessionId> awaiting_proof;  ///< sessions whose reply is held
     std::map<DatabaseName, Duration> mean_run_time;
     StatementQueue primary_queue;
     StatementQueue read_queue;
@@ -189,6 +217,11 @@
     bool opens_transaction = false;  ///< first statement of its transaction
     bool force_primary = false;
     std::set<ServerId> tried_servers;  ///< not chosen again for the read
+    /// The reply to a commit, held until a replica has received the commit at
+    /// `held_commit`.
+    std::optional<Reply> held_reply;
+    Position held_commit;
+    TimePoint held_since;
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
     TimePoint arrived;
@@ -332,6 +365,30 @@
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
   void SwitchPath(ServerPool& pool, const InstanceId& relay);
 
+  // Proof of leadership (proxy_proof.cc).
+  [[nodiscard]] bool IsWitness(const ServerPool& pool) const;
+  void NoteWitness(ServerPool& pool, bool added, bool restarted);
+  void QueryServer(ServerPool& pool);
+  void QueryNextReplica(Service& service);
+  static void ResetStatusBackoff(Service& service);
+  void QueryPositions(Service& service);
+  [[nodiscard]] bool NeedsProof() const;
+  [[nodiscard]] bool CommitsNeedProof(const Service& service) const;
+  void NotePosition(ServerPool& pool, TimePoint sent,
+                    const std::optional<Position>& position);
+  void OnServerStatus(ServerPool& pool, TimePoint sent,
+                      const ServerStatus& status);
+  void NoteNewerTerm(Service& service, Term term);
+  void DemoteStaleLeader(ServerPool& pool);
+  void AddSample(Service& service, Position position, TimePoint sent);
+  void AnswerCommit(SessionId id, Session& session, Reply reply);
+  [[nodiscard]] bool LeadershipProven(const Service& service) const;
+  [[nodiscard]] std::string ProofAge(const Service& service) const;
+  void ReleaseProven(Service& service);
+  void FailHeld(SessionId id, Session& session, const std::string& detail);
+  void ResetProof(Service& service);
+  void CheckProofs(Service& service);
+
   // Leadership (proxy_leadership.cc).
   void NotePrimary(ServerPool& pool, std::optional<Position> position,
                    TimePoint sent);
@@ -353,7 +410,8 @@
   void Do(const ServiceId& id, const Failover::Resume& resume);
   void Do(const ServiceId& id, const Failover::Order& order);
   void SendControl(const ServerId& server, ServerCommand command, Step step);
-  void OnStatusAnswer(ServerPool& pool, Step step, const Reply& reply);
+  void OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
+                      const Reply& reply);
 
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
@@ -363,7 +421,7 @@
   void LogRequest(const std::string& text);
   void Count(std::string_view name);
   Service& ServiceOf(const ServiceId& id) {
-    return services_.try_emplace(id, options_.failover).first->second;
+    return services_.try_emplace(id, id, options_.failover).first->second;
   }
   void ScheduleAfter(Duration delay, Timer timer) {
     timers_.Schedule(now_ + delay, timer);
@@ -389,6 +447,7 @@
   InstanceList instances_;
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
   bool servers_known_ = false;
+  TimePoint servers_read_at_;
   bool server_list_complete_ = false;
   std::optional<TimePoint> isolated_since_;   ///< all other zones are failing
   std::optional<TimePoint> isolation_ended_;  ///< end of the last isolation
--- a/include/corianderdock/session/safety.h
+++ b/include/corianderdock/session/safety.h
@@ -28,6 +28,10 @@
   /// primary.
   [[nodiscard]] virtual bool RequirePrimaryProof() const { return true; }
 
+  /// Whether reads of the latest data and acknowledged commits require proof by
+  /// a replica that the primary was not replaced.
+  [[nodiscard]] virtual bool RequireReplicaProof() const { return true; }
+
   /// Whether a server must have reached the log position that the staleness
   /// bound of a read requires.
   [[nodiscard]] virtual bool RequireFreshPosition() const { return true; }
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -49,8 +49,14 @@
       }
       if (unanswered_order_) return {};
       return OnClaim(situation, ClaimAnswered{{}, 0, true});
+    case Phase::kDemoting:
+      if (now - phase_entered_at_ >= options_.demote_timeout ||
+          !situation.primary_leaving) {
+        return StartFencing(situation);
+      }
+      return DemoteOldPrimary(situation);
     case Phase::kFencing:
-      if (!situation.primary_lost && !unanswered_order_) {
+      if (!situation.primary_lost && !unanswered_order_ && demoted_.empty()) {
         return AbandonClaim(situation);
       }
       if (now - phase_entered_at_ >= options_.fence_timeout &&
@@ -58,12 +64,16 @@
         return AbandonClaim(situation);
       }
       if (unanswered_order_ && !situation.primary_lost &&
-          !situation.primary.empty()) {
+          !situation.primary.empty() && options_.tokens_checked) {
         // Another server was promoted. A claim under a higher token keeps the
         // unanswered order from undoing that.
         EnterPhase(Phase::kClaiming, now);
         return {Claim{}};
       }
+      if (all_fenced_since_ && AllFenced(situation) &&
+          !AwaitsLease(situation)) {
+        return TryOrder(situation);
+      }
       if (now >= next_retry_at_) return FenceRemaining(situation);
       return {};
     case Phase::kOrdering:
@@ -101,6 +111,9 @@
     next_claim_at_ = *primary_lost_since_ + situation.fallback_token_delay;
     return {};
   }
+  if (answer.store_unreachable && !options_.tokens_checked) {
+    return AbandonClaim(situation);
+  }
   const bool wanted = unanswered_order_ || (situation.primary_lost &&
                                             situation.server_list_complete);
   if (answer.token == 0 && !answer.store_unreachable) {
@@ -117,6 +130,7 @@
     return {};
   }
   if (token_ == 0 || !wanted) return AbandonClaim(situation);
+  demoted_.clear();
   if (!situation.primary_lost && !situation.primary.empty()) {
     // Promoting the current primary again changes nothing at the server, but
     // its higher token invalidates earlier orders.
@@ -125,23 +139,53 @@
     next_retry_at_ = situation.now + options_.order_retry_interval;
     return {Order{candidate_, token_}};
   }
+  if (situation.primary_leaving) return StartDemoting(situation);
+  return StartFencing(situation);
+}
+
+Failover::Actions Failover::StartDemoting(const Situation& situation) {
+  fence_term_ = situation.newest_term + 1;
+  next_demote_at_ = situation.now;
+  EnterPhase(Phase::kDemoting, situation.now);
+  return DemoteOldPrimary(situation);
+}
+
+Failover::Actions Failover::OnDemoted(const Situation& situation,
+                                      const ServerId& server,
+                                      const ServerStatus& status) {
+  const bool awaited = phase_ == Phase::kDemoting || phase_ == Phase::kFencing;
+  if (!awaited || server != situation.primary || status.primary) return {};
+  demoted_ = server;
+  demoted_end_ = status.received;
+  if (phase_ == Phase::kFencing) return TryOrder(situation);
   return StartFencing(situation);
 }
 
 Failover::Actions Failover::StartFencing(const Situation& situation) {
   fence_term_ = situation.newest_term + 1;
   fence_reports_.clear();
+  all_fenced_since_.reset();
   cleared_to_fence_.clear();
   EnterPhase(Phase::kFencing, situation.now);
-  return FenceRemaining(situation);
+  Actions actions;
+  // It may still serve others, and acknowledge commits through a server that
+  // is not listed yet.
+  if (demoted_.empty() && !situation.primary.empty() && !unanswered_order_) {
+    actions.push_back(Demote{situation.primary, fence_term_});
+  }
+  const Actions fences = FenceRemaining(situation);
+  actions.insert(actions.end(), fences.begin(), fences.end());
+  return actions;
 }
 
 Failover::Actions Failover::FenceRemaining(const Situation& situation) {
   next_retry_at_ = situation.now + options_.fence_retry_interval;
   Actions actions;
   for (const auto& [id, draining] : situation.replicas) {
-    if (fence_reports_.contains(id)) continue;
-    if (MustInspect(id)) {
+    const bool reported = fence_reports_.contains(id);
+    if (reported && options_.leadership_lease == Duration(0)) continue;
+    // A further fence would hide that the replica restarted in between.
+    if (reported || MustInspect(id)) {
       actions.push_back(Inspect{id});
       continue;
     }
@@ -168,7 +212,18 @@
 Failover::Actions Failover::OnInspected(const Situation& situation,
                                         const ServerId& server,
                                         const ServerStatus& status) {
-  if (phase_ != Phase::kFencing || !MustInspect(server)) return {};
+  if (phase_ != Phase::kFencing) return {};
+  const auto report = fence_reports_.find(server);
+  if (report != fence_reports_.end()) {
+    if (status.fence_term >= fence_term_) {
+      report->second = {status.received, situation.now};
+      return TryOrder(situation);
+    }
+    fence_reports_.erase(report);
+    all_fenced_since_.reset();
+    return {Fence{server, fence_term_}};
+  }
+  if (!MustInspect(server)) return {};
   const bool fenced = status.fence_term != 0;
   if (fenced && !foreign_fence_since_) foreign_fence_since_ = situation.now;
   const bool may_be_ordered = fenced && situation.now - *foreign_fence_since_ <
@@ -223,6 +278,15 @@
   return best;
 }
 
+/// Returns the server to promote. A demoted primary leads again if no replica
+/// has its whole log: a server that is not listed yet may have the only copy of
+/// an acknowledged commit.
+ServerId Failover::ChooseCandidate(const Situation& situation) {
+  ServerId best = MostAdvanced(situation);
+  if (demoted_.empty() || best.empty()) return best;
+  return IsLater(demoted_end_, fence_reports_[best].received) ? demoted_ : best;
+}
+
 /// A restart lifts the fence of a replica, so old reports prove nothing.
 /// Returns whether any report was discarded.
 bool Failover::DiscardStaleReports(const Situation& situation) {
@@ -232,20 +296,40 @@
          }) > 0;
 }
 
-Failover::Actions Failover::TryOrder(const Situation& situation) {
+bool Failover::AllFenced(const Situation& situation) const {
   const auto& replicas = situation.replicas;
   const auto fenced = static_cast<std::size_t>(std::count_if(
       replicas.begin(), replicas.end(),
       [&](const auto& it) { return fence_reports_.contains(it.first); }));
-  if (fenced == 0 ||
-      !options_.safety->FencedReplicasSuffice(fenced, replicas.size())) {
-    return {};
+  return fenced > 0 &&
+         options_.safety->FencedReplicasSuffice(fenced, replicas.size());
+}
+
+/// Whether an instance may still rely on proof from before all replicas were
+/// fenced.
+bool Failover::AwaitsLease(const Situation& situation) {
+  if (!all_fenced_since_) all_fenced_since_ = situation.now;
+  if (!demoted_.empty()) return false;  // it accepts no more reads
+  return situation.now - *all_fenced_since_ < options_.leadership_lease;
+}
+
+Failover::Actions Failover::TryOrder(const Situation& situation) {
+  if (!AllFenced(situation) || AwaitsLease(situation)) return {};
+  if (DiscardStaleReports(situation)) {
+    all_fenced_since_.reset();
+    return FenceRemaining(situation);
   }
-  if (DiscardStaleReports(situation)) return FenceRemaining(situation);
-  if (!situation.primary_lost && !unanswered_order_)
+  if (!situation.primary_lost && !unanswered_order_ && demoted_.empty()) {
     return AbandonClaim(situation);
-  const ServerId ordered = std::exchange(candidate_, MostAdvanced(situation));
-  if (unanswered_order_ && !ordered.empty() && ordered != candidate_) {
+  }
+  const ServerId chosen = ChooseCandidate(situation);
+  const bool other =
+      unanswered_order_ && !candidate_.empty() && candidate_ != chosen;
+  const bool may_be_executed =
+      situation.now - last_order_at_ < options_.max_order_delay;
+  if (other && !options_.tokens_checked && may_be_executed) return {};
+  candidate_ = chosen;
+  if (other) {
     // Promoting a different server requires a higher token, which invalidates
     // the earlier order.
     candidate_.clear();
@@ -259,6 +343,7 @@
   EnterPhase(Phase::kOrdering, situation.now);
   next_retry_at_ = situation.now + options_.order_retry_interval;
   next_demote_at_ = situation.now;
+  last_order_at_ = situation.now;
   Actions actions = DemoteOldPrimary(situation);
   actions.push_back(Order{candidate_, token_});
   return actions;
@@ -266,12 +351,10 @@
 
 /// Until the new primary has taken over, a replica that restarts receives from
 /// the old one again, which could then acknowledge commits that the new primary
-/// lacks. A planned switchover with all replicas reachable needs no demotion.
+/// lacks.
 Failover::Actions Failover::DemoteOldPrimary(const Situation& situation) {
-  const bool planned =
-      situation.primary_leaving && situation.replicas_reachable;
   const bool needless =
-      situation.primary.empty() || planned || situation.primary == candidate_;
+      situation.primary.empty() || situation.primary == candidate_;
   if (needless || situation.now < next_demote_at_) return {};
   next_demote_at_ = situation.now + options_.fence_retry_interval;
   return {Demote{situation.primary, fence_term_}};
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -11,8 +11,6 @@
 /// Time after a service's last statement during which its log position samples
 /// are refreshed.
 constexpr Duration kSampleIdleTimeout = std::chrono::seconds(3);
-/// Age at which log position samples are dropped.
-constexpr Duration kSampleRetention = std::chrono::seconds(30);
 /// Stalled or lost commits, without a success in between, after which a primary
 /// counts as cut off from its replicas.
 constexpr int kStalledCommits = 3;
@@ -22,6 +20,9 @@
 /// A primary that still answers this long after a replica began to fail is not
 /// behind the same partition as the replica.
 constexpr Duration kSeparationEvidence = std::chrono::milliseconds(1000);
+/// Time after which fences that no promotion followed are taken to be those of
+/// a claimant that stopped. Longer than a promotion takes.
+constexpr Duration kForeignFenceLimit = std::chrono::milliseconds(2500);
 /// Age at which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
@@ -47,13 +48,24 @@
 void Proxy::NotePrimary(ServerPool& pool, std::optional<Position> position,
                         TimePoint sent) {
   Service& service = ServiceOf(pool.entry.service);
+  if (position && position->term > service.newest_term) {
+    pool.leader_term = position->term;
+    NoteNewerTerm(service, position->term);
+  }
+  if (pool.leader_term != 0 && pool.leader_term < service.newest_term) {
+    return DemoteStaleLeader(pool);
+  }
+  const auto current = pools_.find(service.primary);
+  const bool other_leads = current != pools_.end() && &current->second != &pool;
+  // Two servers accept work as the primary. The one with the higher term leads.
+  if (other_leads && !current->second.failing && pool.leader_term == 0 &&
+      NeedsProof()) {
+    return QueryServer(pool);
+  }
   if (position) {
-    if (position->term < service.newest_term) return;
-    service.newest_term = position->term;
     service.last_primary = pool.entry.id;
-    service.last_primary_term = position->term;
-    service.samples.Add(*position, sent);
-    service.samples.DiscardBefore(now_ - kSampleRetention);
+    service.last_primary_term = std::max(pool.leader_term, position->term);
+    AddSample(service, *position, sent);
   }
   service.failover.OnPrimaryConfirmed(pool.entry.id);
   if (service.primary == pool.entry.id) return;
@@ -62,8 +74,11 @@
       " position=" + (position ? FormatPosition(*position) : "-"));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
+  service.primary_doubted_at.reset();
   service.primary_since = now_;
   service.switching_over = false;
+  ResetProof(service);
+  if (pool.leader_term == 0 && NeedsProof()) QueryServer(pool);
   pool.lost_commits = 0;
   services_to_dispatch_.insert(pool.entry.service);
 }
@@ -74,6 +89,8 @@
   Log("primary lost service=" + pool.entry.service + " id=" + pool.entry.id +
       " reason=server is not primary");
   service.primary.clear();
+  pool.leader_term = 0;
+  ResetProof(service);
   service.no_primary_since = now_;
   service.last_search = {};
 }
@@ -139,6 +156,8 @@
           ? std::min(primary_loss_timeout, options_.dead_connect_failure_time)
           : primary_loss_timeout;
   if (pool.failing && now_ - pool.failing_since >= limit) return true;
+  const auto fenced_since = service.proof.fenced_since();
+  if (fenced_since && now_ - *fenced_since >= kForeignFenceLimit) return true;
   return service.switching_over || CommitsStall(pool);
 }
 
@@ -286,8 +305,13 @@
       pool->second.last_probe = now_;
       ProbeLeadership(pool->second);
     }
+    CheckProofs(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
+    const bool doubted =
+        has_primary &&
+        (service.failover.PromotionInProgress(now_) || PrimaryLost(service));
+    if (doubted) service.primary_doubted_at = now_;
     if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
     Perform(id, service.failover.Step(SituationOf(service)));
   }
@@ -301,6 +325,7 @@
     if (now_ - pool.last_probe < options_.search_interval) continue;
     pool.last_probe = now_;
     ProbeLeadership(pool);
+    if (NeedsProof()) QueryServer(pool);
   }
 }
 
@@ -328,7 +353,7 @@
 
 void Proxy::Do(const ServiceId& /*id*/, const Failover::Demote& demote) {
   SendControl(demote.server, ControlCommand(Verb::kDemote, demote.term),
-              Step::kResume);
+              Step::kDemote);
 }
 
 void Proxy::Do(const ServiceId& /*id*/, const Failover::Resume& resume) {
@@ -366,14 +391,29 @@
           it->second.failover.OnOrdered(SituationOf(it->second), event.result));
 }
 
-void Proxy::OnStatusAnswer(ServerPool& pool, Step step, const Reply& reply) {
+void Proxy::OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
+                           const Reply& reply) {
   Service& service = ServiceOf(pool.entry.service);
+  const Step step = expected.step;
   const auto& status = reply.status;
+  if (step == Step::kWitness) --pool.queries;
+  if (reply.error == ErrorCode::kBusy && step == Step::kWitness) {
+    return Count("status_refused");
+  }
   if (reply.error != ErrorCode::kNone || !status) {
     Log("server status unavailable id=" + pool.entry.id +
         " detail=" + reply.detail);
     return;
   }
+  if (step == Step::kDemote) {
+    Log("primary demoted id=" + pool.entry.id +
+        " end=" + FormatPosition(status->received));
+    Perform(pool.entry.service,
+            service.failover.OnDemoted(SituationOf(service), pool.entry.id,
+                                       *status));
+  }
+  OnServerStatus(pool, expected.sent, *status);
+  if (step == Step::kWitness || step == Step::kDemote) return;
   if (step == Step::kInspect) {
     Log("replica status received id=" + pool.entry.id +
         " fence_term=" + std::to_string(status->fence_term));
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -118,7 +118,7 @@
 bool Proxy::PrimaryUsable(const Service& service) const {
   const auto it = pools_.find(service.primary);
   return it != pools_.end() && !it->second.failing &&
-         !DrainLimitReached(it->second);
+         !DrainLimitReached(it->second) && !service.proof.FenceReported(now_);
 }
 
 /// Starts the next statement of a queue. Returns whether to try another.
@@ -129,6 +129,10 @@
   if (primary) {
     const auto it = pools_.find(service.primary);
     if (!PrimaryUsable(service)) return false;
+    if (!LeadershipProven(service)) {
+      QueryNextReplica(service);
+      return false;
+    }
     if (!HasCapacity(it->second)) {
       OpenIfNeeded(it->second, queue.size());
       return false;
@@ -202,7 +206,8 @@
 void Proxy::RefuseWithoutPrimary(Service& service) {
   if (PrimaryUsable(service) || service.primary_queue.size() == 0) return;
   const bool promotion_expected =
-      !isolated_since_ && service.failover.PromotionInProgress(now_);
+      !isolated_since_ && (service.failover.PromotionInProgress(now_) ||
+                           service.proof.FenceReported(now_));
   const Duration limit =
       promotion_expected ? options_.failover_wait : Duration(0);
   for (const SessionId id : service.primary_queue.Clear()) {
@@ -258,7 +263,8 @@
              " database=" + session.database + " reason=queue queued_primary=" +
              std::to_string(service.primary_queue.size()) +
              " queued_reads=" + std::to_string(service.read_queue.size()) +
-             " retry_after_ms=" + std::to_string(ms));
+             " retry_after_ms=" + std::to_string(ms) +
+             (NeedsProof() ? " proof_age_ms=" + ProofAge(service) : ""));
   AnswerError(id, session, ErrorCode::kBusy,
               "no room in time; come back in " + std::to_string(ms) + " ms");
 }
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -16,8 +16,7 @@
 
 bool UsesSlot(Verb verb) {
   return verb == Verb::kRead || verb == Verb::kWrite ||
-         verb == Verb::kExecute || verb == Verb::kCommit ||
-         verb == Verb::kStatus;
+         verb == Verb::kExecute || verb == Verb::kCommit;
 }
 
 }  // namespace
@@ -43,9 +42,12 @@
           " primary=" + std::to_string(static_cast<int>(entry.claims_primary)));
     }
     if (entry.draining && !pool.entry.draining) pool.draining_since = now_;
+    const bool restarted =
+        replaced && pool.entry.process_start != entry.process_start;
     pool.entry = entry;
     pool.listed = true;
     if (added) pool.concurrency_limit = entry.slots;
+    NoteWitness(pool, added, restarted);
     if (replaced) {
       const auto connections = pool.connections;
       for (const ConnectionId it : connections) CloseConnection(it, true);
@@ -59,6 +61,7 @@
     }
     services_to_dispatch_.insert(entry.service);
   }
+  servers_read_at_ = now_;
   servers_known_ = servers_known_ || !event.servers.empty();
   server_list_complete_ = event.complete;
 }
@@ -129,6 +132,8 @@
     SendOne(event.connection, std::move(command), step, step == Step::kProbe);
   }
   ReturnToPool(event.connection);
+  const bool leads = PrimaryOfService(pool) == pool.entry.id;
+  if (leads && pool.leader_term == 0 && NeedsProof()) QueryServer(pool);
 }
 
 void Proxy::OnConnectFailed(ConnectionId id, ErrorCode error) {
@@ -225,6 +230,10 @@
   for (const ExpectedReply& expected : connection.expected) {
     if (expected.uses_slot) --pool.running;
     if (expected.commits_writes) ++pool.lost_commits;
+    if (expected.step == Step::kWitness) --pool.queries;
+  }
+  for (const auto& [step, command] : connection.commands_on_open) {
+    if (step == Step::kWitness) --pool.queries;
   }
   Emit(CloseServerConnection{id});
   services_to_dispatch_.insert(connection.service);
@@ -299,6 +308,7 @@
   services_to_dispatch_.insert(connection.service);
   const Reply& reply = event.reply;
   pool.log_position = LaterPosition(pool.log_position, reply.position);
+  NotePosition(pool, expected.sent, reply.position);
   switch (expected.step) {
     case Step::kBegin:
       OnBeginReply(event.connection, expected, reply);
@@ -314,8 +324,10 @@
       }
       break;
     case Step::kInspect:
+    case Step::kWitness:
+    case Step::kDemote:
     case Step::kFence:
-      OnStatusAnswer(pool, expected.step, reply);
+      OnStatusAnswer(pool, expected, reply);
       break;
     case Step::kSetup:
       if (reply.error == ErrorCode::kNone) break;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -253,7 +253,10 @@
     server_connection.bound_session = 0;
     ReturnToPool(connection);
   }
+  const bool commits_writes =
+      (commit && session.sent_write) || (autocommit && pending.writes);
   if (commit) EndTransaction(session);
+  if (commits_writes) return AnswerCommit(id, session, std::move(reply));
   Answer(id, session, std::move(reply));
 }
 
@@ -342,6 +345,7 @@
                   {TimerKind::kAttemptTimeout, id, statement_serial});
     return;
   }
+  if (pending.held_reply) return;
   pending.tried_servers.insert(
       connections_.at(session.bound_connection).server);
   const ConnectionId connection = std::exchange(session.bound_connection, 0);
@@ -357,6 +361,10 @@
   Session& session = it->second;
   PendingStatement& pending = *session.pending;
   if (pending.statement_serial != statement_serial) return;
+  if (pending.held_reply) {
+    pending.attempts = options_.max_attempts;
+    return FailHeld(id, session, "no proof of leadership in time");
+  }
   if (pending.queued) {
     Service& service = ServiceOf(pending.route->service);
     service.primary_queue.Remove(id);
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -221,13 +221,14 @@
         server_(io_, ports_[4]),
         thread_([this] { io_.run(); }) {
     const std::string path = "platform_process_test.json";
-    std::ofstream(path) << R"({"instance":"a","zone":"z","client_address":")"
-                        << Loopback(ports_[0]) << R"(","ready_address":")"
-                        << Loopback(ports_[1]) << R"(","store_address":")"
-                        << Loopback(ports_[2]) << R"(","cloud_address":")"
-                        << Loopback(ports_[3]) << R"(","relay_address":")"
-                        << Loopback(ports_[5])
-                        << R"(","grace_seconds":4,"drain_milliseconds":7000})";
+    std::ofstream(path)
+        << R"({"instance":"a","zone":"z","client_address":")"
+        << Loopback(ports_[0]) << R"(","ready_address":")"
+        << Loopback(ports_[1]) << R"(","store_address":")"
+        << Loopback(ports_[2]) << R"(","cloud_address":")"
+        << Loopback(ports_[3]) << R"(","relay_address":")"
+        << Loopback(ports_[5])
+        << R"(","grace_seconds":4,"drain_milliseconds":7000,"promotion_tokens_checked":true})";
     std::string program = PROXY_PROGRAM;
     std::string flag = "--settings";
     std::string file = path;
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -194,19 +194,159 @@
   CHECK(it.Step(std::chrono::milliseconds(300)).size() == 1);
 }
 
+namespace {
+
+/// A planned switchover up to the demotion of the primary, whose log ends at
+/// `end`.
+void DemotePrimary(Fixture& it, std::uint64_t end) {
+  it.situation.primary = "a";
+  it.situation.primary_leaving = true;
+  (void)it.Step();
+  CHECK(Fixture::OnlyAction<Failover::Demote>(it.AnswerClaim(7)).server == "a");
+  const ServerStatus demoted{false, 3, {3, end}, 0};
+  const auto fences = it.failover.OnDemoted(it.situation, "a", demoted);
+  REQUIRE(fences.size() == 2);
+  CHECK(std::holds_alternative<Failover::Fence>(fences.front()));
+  // The demoted server is no longer known as the primary.
+  it.situation.primary.clear();
+  it.situation.primary_leaving = false;
+  it.situation.primary_lost = false;
+}
+
+}  // namespace
+
 TEST_CASE(
-    "a primary in a planned switchover is demoted once a replica is silent") {
+    "a primary in a planned switchover is demoted before replicas are fenced") {
+  Fixture it;
+  DemotePrimary(it, 12);
+  (void)it.AnswerFence("b", 10);
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("c", 12)).server ==
+        "c");
+}
+
+TEST_CASE(
+    "a demoted primary leads again if a server that is not listed may have "
+    "the only copy of a commit") {
+  Fixture it;
+  DemotePrimary(it, 14);
+  (void)it.AnswerFence("b", 10);
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("c", 12)).server ==
+        "a");
+}
+
+TEST_CASE(
+    "a lost primary that answers its demotion after all leads again if it has "
+    "commits that no replica has") {
+  Fixture it;
+  it.situation.primary = "a";
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  const ServerStatus demoted{false, 3, {3, 14}, 0};
+  CHECK(it.failover.OnDemoted(it.situation, "a", demoted).empty());
+  const auto actions = it.AnswerFence("c", 12);
+  CHECK(std::get<Failover::Order>(actions.back()).server == "a");
+}
+
+TEST_CASE("replicas are fenced if the primary does not answer its demotion") {
   Fixture it;
   it.situation.primary = "a";
   it.situation.primary_leaving = true;
   (void)it.Step();
   (void)it.AnswerClaim(7);
+  CHECK(it.Step(std::chrono::milliseconds(100)).empty());
+  const auto fences = it.Step(std::chrono::milliseconds(400));
+  REQUIRE(fences.size() == 3);
+  CHECK(std::holds_alternative<Failover::Demote>(fences.front()));
+  CHECK(std::holds_alternative<Failover::Fence>(fences.back()));
+}
+
+namespace {
+
+/// Failover of a service whose instances rely on leases, on a platform that
+/// checks no tokens.
+Fixture UncheckedFixture() {
+  Fixture it;
+  session::FailoverOptions options;
+  options.leadership_lease = std::chrono::milliseconds(600);
+  options.tokens_checked = false;
+  it.failover = Failover(options);
+  it.situation.primary_lost = false;
+  (void)it.Step();
+  it.situation.primary_lost = true;
+  it.situation.now += std::chrono::seconds(1);
+  (void)it.Step();
+  return it;
+}
+
+}  // namespace
+
+TEST_CASE("an order waits until no instance relies on proof from before") {
+  Fixture it = UncheckedFixture();
+  (void)it.AnswerClaim(7);
   (void)it.AnswerFence("b", 10);
-  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("c", 12)).server ==
-        "c");
-  it.situation.replicas_reachable = false;
-  const auto fence = it.Step(std::chrono::milliseconds(100));
-  CHECK(Fixture::OnlyAction<Failover::Demote>(fence).server == "a");
+  CHECK(it.AnswerFence("c", 12).empty());
+  const auto queries = it.Step(std::chrono::milliseconds(300));
+  REQUIRE(queries.size() == 2);
+  CHECK(std::holds_alternative<Failover::Inspect>(queries.front()));
+  const ServerStatus held{false, 3, {3, 12}, 4};
+  CHECK(it.failover.OnInspected(it.situation, "b", held).empty());
+  CHECK(it.failover.OnInspected(it.situation, "c", held).empty());
+  const auto order = it.Step(std::chrono::milliseconds(310));
+  CHECK(std::holds_alternative<Failover::Order>(order.back()));
+}
+
+TEST_CASE("the wait starts again when a fenced replica has restarted") {
+  Fixture it = UncheckedFixture();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  (void)it.AnswerFence("c", 12);
+  (void)it.Step(std::chrono::milliseconds(300));
+  const ServerStatus restarted{false, 3, {3, 12}, 0};
+  const auto fence = it.failover.OnInspected(it.situation, "c", restarted);
+  CHECK(Fixture::OnlyAction<Failover::Fence>(fence).server == "c");
+  (void)it.AnswerFence("c", 13);
+  for (const auto& action : it.Step(std::chrono::milliseconds(310))) {
+    CHECK_FALSE(std::holds_alternative<Failover::Order>(action));
+  }
+}
+
+TEST_CASE("nothing is ordered without the store if no token is checked") {
+  Fixture it = UncheckedFixture();
+  it.situation.fallback_token = 9;
+  CHECK(it.AnswerClaim(0, true).empty());
+  CHECK(it.failover.phase() == Failover::Phase::kIdle);
+}
+
+TEST_CASE(
+    "while an unchecked order may be executed no other server is ordered") {
+  Fixture it = UncheckedFixture();
+  std::vector<ServerId> ordered;
+  const auto collect = [&](const Failover::Actions& actions) {
+    for (const auto& action : actions) {
+      const auto* order = std::get_if<Failover::Order>(&action);
+      if (order != nullptr) ordered.push_back(order->server);
+    }
+  };
+  const auto fence = [&](std::uint64_t b, std::uint64_t c) {
+    ordered.clear();
+    for (int n = 0; n < 6; ++n) {
+      collect(it.Step(std::chrono::milliseconds(300)));
+      const ServerStatus status_b{false, 3, {3, b}, 4};
+      const ServerStatus status_c{false, 3, {3, c}, 4};
+      collect(it.failover.OnInspected(it.situation, "b", status_b));
+      collect(it.failover.OnInspected(it.situation, "c", status_c));
+      collect(it.failover.OnFenced(it.situation, "b", status_b));
+      collect(it.failover.OnFenced(it.situation, "c", status_c));
+    }
+  };
+  (void)it.AnswerClaim(7);
+  fence(10, 12);
+  REQUIRE(!ordered.empty());
+  CHECK(ordered.front() == "c");
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  fence(20, 12);
+  for (const ServerId& server : ordered) CHECK(server == "c");
 }
 
 TEST_CASE(
--- a/tests/session_schedules_test.cc
+++ b/tests/session_schedules_test.cc
@@ -2,9 +2,9 @@
 /// environment variables FIRST_SEED and SEEDS set the first seed and the number
 /// of seeds.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <iostream>
 
+#include "support/seeds.h"
 #include "support/session_world.h"
 
 namespace corianderdock::test {
@@ -13,11 +13,6 @@
 
 constexpr std::uint64_t kSchedules = 100;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 }  // namespace
 
 TEST_CASE("no random schedule violates a guarantee") {
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -2,7 +2,10 @@
 /// Drives one session proxy step by step and records its effects.
 #pragma once
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
 #include <map>
 #include <set>
 #include <string>
@@ -24,6 +27,7 @@
 using session::Verb;
 
 constexpr Milliseconds kMaxAge{1000};
+constexpr std::uint64_t kCompleteLog = 1'000'000;
 
 /// A proxy and one service with the primary "a" and the replicas "b" and "c".
 class ProxyDriver {
@@ -57,7 +61,7 @@
   }
 
   void ListServers(const std::vector<std::string>& ids,
-                   const ZoneId& zone = "zone") {
+                   const ZoneId& zone = "zone", const ServerId& draining = {}) {
     session::ServersRead read;
     read.complete = true;
     for (const auto& id : ids) {
@@ -68,6 +72,7 @@
       entry.zone = zone;
       entry.slots = 2;
       entry.claims_primary = id == "a";
+      entry.draining = id == draining;
       read.servers[id] = entry;
     }
     Feed(read);
@@ -75,6 +80,27 @@
 
   void Feed(const session::Event& event) {
     for (auto& effect : proxy.Reduce(now, event)) Apply(std::move(effect));
+    AnswerStatusQueries();
+  }
+
+  /// Answers the queries of servers in `answers_status` as unfenced members of
+  /// term 1 with a complete log, led by "a".
+  void AnswerStatusQueries() {
+    for (const SendCommand& it : std::exchange(status_queries, {})) {
+      const auto server = server_of.find(it.connection);
+      if (server == server_of.end()) continue;
+      // A connection answers in order.
+      if (!answers_status.contains(server->second) ||
+          unanswered[it.connection] > 0) {
+        status_queries.push_back(it);
+        continue;
+      }
+      Reply reply;
+      reply.position = {1, 10};
+      reply.status =
+          session::ServerStatus{server->second == "a", 1, {1, kCompleteLog}, 0};
+      Feed(session::ServerReplied{it.connection, reply});
+    }
   }
 
   /// Advances the time and fires the timers that become due.
@@ -112,6 +138,7 @@
   /// them as the primary.
   void AdvanceTimeWithReachable(const std::set<ServerId>& reachable,
                                 Duration duration) {
+    answers_status = reachable;
     const TimePoint until = now + duration;
     while (now < until) {
       AdvanceTime(Milliseconds(25));
@@ -122,6 +149,7 @@
 
   /// Answers all commands as up-to-date replicas; "a" does not answer.
   void AnswerReplicas() {
+    answers_status = {"b", "c"};
     for (const SendCommand& it : std::exchange(sent, {})) {
       if (!server_of.contains(it.connection) ||
           server_of[it.connection] == "a") {
@@ -133,12 +161,16 @@
       if (verb == Verb::kBegin) reply.error = ErrorCode::kReadOnly;
       const Term fence_term = verb == Verb::kHold ? it.command.term : 0;
       reply.status = session::ServerStatus{false, 1, {1, 10}, fence_term};
-      Feed(session::ServerReplied{it.connection, reply});
+      Answer(it.connection, reply);
     }
   }
 
   /// Answers all commands except those to `silent` servers; "a" is the primary.
   void AnswerAll(const std::set<ServerId>& silent) {
+    answers_status.clear();
+    for (const char* id : {"a", "b", "c"}) {
+      if (!silent.contains(id)) answers_status.insert(id);
+    }
     for (const SendCommand& it : std::exchange(sent, {})) {
       const auto server = server_of.find(it.connection);
       if (server == server_of.end() || silent.contains(server->second)) {
@@ -151,10 +183,35 @@
       if (begins && server->second == "a") {
         reply.state = TransactionState::kOpen;
       }
-      Feed(session::ServerReplied{it.connection, reply});
+      Answer(it.connection, reply);
     }
   }
 
+  /// Answers the oldest command of a connection that is not a status query.
+  void Answer(ConnectionId connection, const Reply& reply) {
+    --unanswered[connection];
+    Feed(session::ServerReplied{connection, reply});
+  }
+
+  /// A connection to a replica with an unanswered status query, which the proxy
+  /// is made to send by passing time; 0 if it sends none.
+  [[nodiscard]] ConnectionId ReplicaQuery() {
+    for (int n = 0; n < 10; ++n) {
+      for (const SendCommand& it : status_queries) {
+        const auto to = server_of.find(it.connection);
+        const bool found = to != server_of.end() && to->second != "a";
+        if (found && unanswered[it.connection] == 0) return it.connection;
+      }
+      AdvanceTime(Milliseconds(25));
+      for (const SendCommand& it : std::exchange(sent, {})) {
+        Reply reply;
+        reply.position = Position{1, 10};
+        Answer(it.connection, reply);
+      }
+    }
+    return 0;
+  }
+
   /// Answers all claims as when the store is unreachable.
   void FailClaims() {
     for (const auto& it : std::exchange(claims, {})) {
@@ -195,7 +252,7 @@
     reply.state = state;
     if (error == ErrorCode::kNone) reply.receipt = "r";
     sent.erase(sent.begin());
-    Feed(session::ServerReplied{connection, reply});
+    Answer(connection, reply);
     CompleteConnects();
   }
 
@@ -217,7 +274,10 @@
 
   session::Proxy proxy;
   TimePoint now{std::chrono::seconds(100)};
-  std::vector<SendCommand> sent;  ///< unanswered commands
+  std::vector<SendCommand> sent;            ///< unanswered commands
+  std::vector<SendCommand> status_queries;  ///< unanswered
+  std::map<ConnectionId, int> unanswered;   ///< other commands
+  std::set<ServerId> answers_status{"a", "b", "c"};
   std::vector<AnswerSession> answers;
   std::vector<session::CloseSession> closed;
   std::vector<session::PromoteServer> promotions;
@@ -243,15 +303,24 @@
     }
   }
   void Record(const session::CloseServerConnection& it) {
-    std::erase_if(sent, [&](const SendCommand& command) {
+    const auto of_connection = [&](const SendCommand& command) {
       return command.connection == it.connection;
-    });
+    };
+    std::erase_if(sent, of_connection);
+    std::erase_if(status_queries, of_connection);
+  }
+  void Record(const SendCommand& it) {
+    const bool query = it.command.statement.verb == Verb::kStatus;
+    if (query) return status_queries.push_back(it);
+    sent.push_back(it);
+    ++unanswered[it.connection];
   }
-  void Record(const SendCommand& it) { sent.push_back(it); }
   void Record(const session::ClaimPromotion& it) { claims.push_back(it); }
   void Record(const session::RenewToken& /*it*/) {}
   void Record(const session::PromoteServer& it) { promotions.push_back(it); }
-  void Record(const session::LogDecision& /*it*/) {}
+  void Record(const session::LogDecision& it) {
+    if (std::getenv("TRACE") != nullptr) std::cout << it.text << "\n";
+  }
   void Record(const session::StopFinished& /*it*/) { stop_finished = true; }
 };
 
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -41,6 +41,7 @@
 struct Server {
   ServerId id;
   bool alive = true;
+  bool gone = false;  ///< left for good
   bool primary = false;
   Term term = 1;
   Term fence_term = 0;  ///< 0 when not fenced
@@ -48,6 +49,12 @@
   std::map<std::pair<std::size_t, ConnectionId>, ServerSession> connections;
   Duration extra_lag{0};
   std::set<std::size_t> partitioned_from;  ///< indices of instances
+  bool split = false;                      ///< cut off from all other servers
+  TimePoint listed_from;  ///< when it appears in the server list
+  TimePoint drains_from = TimePoint::max();  ///< as the list shows
+  std::uint64_t process_start = 1;
+
+  ServerId joined_at;  ///< the server that it replaces, on whose side it is
 
   [[nodiscard]] Position End() const {
     return log.empty() ? Position{1, 0} : log.back().position;
@@ -92,9 +99,14 @@
     AddRoute(*config, kReadYourWritesDb, Freshness::kReadYourWrites);
     for (const char* id : {"s1", "s2", "s3"}) servers_[id].id = id;
     servers_["s1"].primary = true;
+    options_.proxy.replaced_primary_stops = options.fencing;
+    options_.proxy.failover.tokens_checked = options.fencing;
+    if (!options.fencing) {
+      options_.proxy.failover.leadership_lease = milliseconds(600);
+    }
     for (int n = 0; n < options.instances; ++n) {
       proxies_.push_back(std::make_unique<Proxy>(
-          ProxyIdentity{"p" + std::to_string(n), "z"}, options.proxy));
+          ProxyIdentity{"p" + std::to_string(n), "z"}, options_.proxy));
       frozen_until_.push_back(TimePoint{});
       timer_at_.push_back(TimePoint::max());
     }
@@ -113,6 +125,7 @@
       for (int c = 0; c < options_.clients_per_instance; ++c) OpenClient(n);
     }
     if (options_.faults_per_second > 0) ScheduleFault();
+    ScheduleLists();
     last_commit_ = now_;
     while (!queue_.empty() && queue_.top().at < end) {
       const Item item = queue_.top();
@@ -191,11 +204,24 @@
     });
   }
 
+  /// Instances read the list each second while the store is reachable.
+  void ScheduleLists() {
+    Schedule(std::chrono::seconds(1), [this] {
+      for (std::size_t n = 0; n < proxies_.size(); ++n) {
+        if (!store_unreachable_) FeedServers(n);
+      }
+      ScheduleLists();
+    });
+  }
+
   void FeedServers(std::size_t n) {
     ServersRead read;
     read.complete = true;
     for (const auto& [id, server] : servers_) {
+      if (server.gone || now_ < server.listed_from) continue;
       ServerEntry entry;
+      entry.draining = now_ >= server.drains_from;
+      entry.process_start = server.process_start;
       entry.id = id;
       entry.service = kService;
       entry.address = id;
@@ -307,11 +333,13 @@
       return PromotionResult::kRefused;
     }
     Server& target = servers_[effect.server];
-    if (effect.token < highest_token_ || !target.alive) {
+    const bool refused = options_.fencing && effect.token < highest_token_;
+    if (refused || !target.alive) {
       return PromotionResult::kRefused;
     }
     highest_token_ = effect.token;
-    if (target.primary || promotion_target_ == effect.server) {
+    const bool leads = target.primary && target.term == NewestTerm();
+    if (leads || promotion_target_ == effect.server) {
       return PromotionResult::kAccepted;
     }
     promotion_target_ = effect.server;
@@ -326,25 +354,69 @@
     if (!target.alive) return;
     ++result_.promotions;
     Trace("promoted " + id + " log " + std::to_string(target.log.size()));
-    Term newest_term = 0;
-    for (const auto& [other, server] : servers_) {
-      newest_term = std::max(newest_term, server.term);
-    }
+    const Term newest_term = NewestTerm();
     for (const AcknowledgedWrite& it : acknowledged_) {
       if (!LogContains(target, it.write_id)) {
         ReportViolation("LOST " + it.write_id);
       }
     }
+    target.term = newest_term + 1;
+    target.primary = true;
+    target.fence_term = 0;
     for (auto& [other, server] : servers_) {
-      server.fence_term = 0;
-      server.primary = other == id;
-      if (other == id || server.log.size() <= target.log.size()) continue;
-      server.log.resize(target.log.size());
+      if (other == id) continue;
+      if (!options_.fencing && server.alive && server.primary) {
+        ScheduleContact(other);
+        continue;
+      }
+      server.primary = false;
+      if (!options_.fencing && (server.split || target.split)) continue;
+      Follow(server, target);
     }
-    for (auto& [other, server] : servers_) {
-      if (server.alive) server.log = target.log;
+  }
+
+  [[nodiscard]] Term NewestTerm() const {
+    Term newest = 0;
+    for (const auto& [id, server] : servers_) {
+      newest = std::max(newest, server.term);
     }
-    target.term = newest_term + 1;
+    return newest;
+  }
+
+  /// A server learns of a promotion: rolls back what the new primary lacks.
+  static void Follow(Server& server, const Server& primary) {
+    server.primary = false;
+    server.fence_term = 0;
+    server.term = primary.term;
+    if (server.alive) {
+      server.log = primary.log;
+    } else if (server.log.size() > primary.log.size()) {
+      server.log.resize(primary.log.size());
+    }
+  }
+
+  /// Deposes a replaced primary a second after it can reach the new one.
+  void ScheduleContact(const ServerId& id) {
+    Schedule(std::chrono::seconds(1), [this, id] {
+      Server& server = servers_[id];
+      const Server* leader = NewestLeader();
+      const bool replaced =
+          server.primary && leader != nullptr && leader->term > server.term;
+      if (!replaced) return;
+      if (!server.alive || server.split || leader->split) {
+        return ScheduleContact(id);
+      }
+      Follow(server, *leader);
+    });
+  }
+
+  [[nodiscard]] const Server* NewestLeader() const {
+    const Server* leader = nullptr;
+    for (const auto& [id, server] : servers_) {
+      const bool newer = leader == nullptr || server.term > leader->term;
+      if (server.primary && newer) leader = &server;
+    }
+    return leader;
   }
 
   [[nodiscard]] static bool LogContains(const Server& server,
@@ -393,6 +465,7 @@
                  Reply reply) {
     Server& server = servers_[id];
     const std::string write_id = std::exchange(committed_write_id_, {});
+    write_ids_[effect.command.id] = write_id;
     const std::uint64_t index = server.End().index + 1;
     const Position position{server.term, index};
     const LogEntry entry{position, write_id};
@@ -408,17 +481,20 @@
       Schedule(delay, [this, n, id, other, entry, acked, effect, reply,
                        write_id] {
         Server& to = servers_[other];
-        if (!to.alive || to.fence_term != 0 ||
+        if (!to.alive || to.fence_term != 0 || !CanReplicate(id, to) ||
             replication_stopped_.contains(other)) {
           return;
         }
+        if (to.term > entry.position.term) return;
         if (!IsPrimaryInTerm(id, entry.position.term)) return;
         if (!CatchUp(servers_[id], to, entry.position)) return;
         if (std::exchange(*acked, true)) return;
         Schedule(kNetworkDelay, [this, n, id, entry, effect, reply, write_id] {
           if (!IsPrimaryInTerm(id, entry.position.term)) return;
-          acknowledged_.push_back(
-              {now_, write_id, ClientOf(effect.command.id)});
+          if (!ClientsJudge()) {
+            acknowledged_.push_back(
+                {now_, write_id, ClientOf(effect.command.id)});
+          }
           Trace(std::string("acknowledged ")
                     .append(write_id)
                     .append(" by ")
@@ -430,12 +506,29 @@
     }
   }
 
+  /// A server that replaces another is on the same side of a cut as that one.
+  [[nodiscard]] bool CanReplicate(const ServerId& from,
+                                  const Server& to) const {
+    const Server& source = servers_.at(from);
+    if (to.joined_at == from) return true;
+    return !source.split && !to.split;
+  }
+
   [[nodiscard]] bool IsPrimaryInTerm(const ServerId& id, Term term) const {
     const Server& server = servers_.at(id);
     return server.alive && server.primary && server.term == term;
   }
 
+  /// Copies the log up to `until`, after rolling back what `from` lacks.
   static bool CatchUp(const Server& from, Server& to, Position until) {
+    const auto diverged =
+        std::mismatch(to.log.begin(), to.log.end(), from.log.begin(),
+                      from.log.end(), [](const LogEntry& a, const LogEntry& b) {
+                        return a.position == b.position;
+                      });
+    const bool rolls_back =
+        diverged.first != to.log.end() && diverged.second != from.log.end();
+    if (rolls_back) to.log.erase(diverged.first, to.log.end());
     for (std::size_t n = to.log.size(); n < from.log.size(); ++n) {
       if (from.log[n].position.index > until.index) break;
       to.log.push_back(from.log[n]);
@@ -443,6 +536,14 @@
     return true;
   }
 
+  /// Whether a commit counts as acknowledged when its client has the answer. A
+  /// primary may acknowledge a commit to an instance through a server that
+  /// nobody knows of; the instance must not pass that on. Otherwise it counts
+  /// when the primary acknowledges it.
+  [[nodiscard]] bool ClientsJudge() const {
+    return options_.joiners || !options_.fencing;
+  }
+
   void RecordCommit() {
     result_.longest_commit_gap =
         std::max(result_.longest_commit_gap, now_ - last_commit_);
@@ -502,7 +603,16 @@
                                     server.fence_term};
         return reply;
       case Verb::kDemote:
-        if (command.term > server.term) server.primary = false;
+        if (command.term > server.term) {
+          server.primary = false;
+          const Server* leader = NewestLeader();
+          const bool reachable = leader != nullptr &&
+                                 leader->term > server.term && !server.split &&
+                                 !leader->split;
+          if (reachable) Follow(server, *leader);
+        }
+        reply.status = ServerStatus{server.primary, server.term, server.End(),
+                                    server.fence_term};
         return reply;
       case Verb::kResume:
         Trace("unfenced " + server.id);
@@ -674,6 +784,10 @@
       if (!receipts_[client.statement_id].contains(reply.receipt)) {
         ReportViolation("MIXED receipt " + client.statement_id);
       }
+      const auto write = write_ids_.find(client.statement_id);
+      if (ClientsJudge() && write != write_ids_.end()) {
+        acknowledged_.push_back({now_, write->second, client.id});
+      }
     }
     const bool not_executed = reply.error == ErrorCode::kBusy ||
                               reply.error == ErrorCode::kAborted ||
@@ -778,7 +892,7 @@
     const ServerId id = it->first;
     const auto n = static_cast<std::size_t>(RandomBelow(options_.instances));
     const Duration time = milliseconds(200 + RandomBelow(1800));
-    const int kind = RandomBelow(7);
+    const int kind = RandomBelow(options_.joiners ? 9 : 7);
     Trace("fault " + std::to_string(kind) + " " + id + " p" +
           std::to_string(n));
     switch (kind) {
@@ -801,11 +915,43 @@
       case 5:
         replication_stopped_.insert(id);
         return Schedule(time, [this, id] { replication_stopped_.erase(id); });
+      case 7:
+        servers_[id].split = true;
+        return Schedule(time, [this, id] { servers_[id].split = false; });
+      case 8:
+        return ReplacePrimary();
       default:
         return ResetConnections(n);
     }
   }
 
+  /// Replaces the newest primary as planned: a new server joins and receives
+  /// from it, is listed after it drains, and the primary leaves.
+  void ReplacePrimary() {
+    const Server* leader = NewestLeader();
+    if (leader == nullptr || !leader->alive || replacing_) return;
+    replacing_ = true;
+    const ServerId old_id = leader->id;
+    const ServerId id = "s" + std::to_string(servers_.size() + 1);
+    Server& joiner = servers_[id];
+    joiner.id = id;
+    joiner.term = leader->term;
+    joiner.log = leader->log;
+    joiner.split = leader->split;
+    joiner.joined_at = old_id;
+    joiner.process_start = servers_.size();
+    joiner.listed_from = now_ + milliseconds(1200 + RandomBelow(1200));
+    servers_[old_id].drains_from = now_ + milliseconds(RandomBelow(800));
+    Trace("joins " + id + " at " + old_id);
+    Schedule(milliseconds(3500), [this, old_id, id] {
+      replacing_ = false;
+      Server& old = servers_[old_id];
+      old.gone = true;
+      servers_[id].split = old.split;
+      Crash(old_id, std::chrono::hours(1));
+    });
+  }
+
   /// Stops the server for `time`; it keeps its log.
   void Crash(const ServerId& id, Duration time) {
     Server& server = servers_[id];
@@ -824,8 +970,14 @@
   void Restart(const ServerId& id) {
     Server& server = servers_[id];
     server.alive = true;
+    ++server.process_start;
+    const Server* newest = NewestLeader();
+    if (newest != nullptr && newest->term > server.term) {
+      server.primary = false;
+      server.term = newest->term;
+    }
     for (const auto& [other, leader] : servers_) {
-      if (!leader.primary || other == id) continue;
+      if (&leader != newest || other == id) continue;
       std::size_t n = 0;
       while (n < server.log.size() && n < leader.log.size() &&
              server.log[n].position == leader.log[n].position) {
@@ -874,7 +1026,10 @@
   std::map<std::string, int> execution_counts_;
   std::set<std::string> refused_writes_;
   std::string committed_write_id_;
+  /// By the statement that committed them.
+  std::map<std::string, std::string> write_ids_;
   ServerId promotion_target_;
+  bool replacing_ = false;  ///< a planned replacement is under way
   std::uint64_t token_ = 0;
   std::uint64_t highest_token_ = 0;
   std::size_t claim_holder_ = 0;
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -28,6 +28,13 @@
   double faults_per_second = 1.5;
   double lost_reply_rate = 0.01;  ///< fraction of server replies
   std::uint64_t seed = 1;
+  /// The platform checks fencing tokens, and a replaced primary stops at once.
+  /// Otherwise every order is executed, however late, and a replaced primary
+  /// goes on until it is demoted or has reached the new one for a second.
+  bool fencing = true;
+  /// Faults also cut a server off from the others, and replace primaries by
+  /// servers that join before they are listed.
+  bool joiners = false;
   session::ProxyOptions proxy;
 };
 
