--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -132,6 +132,9 @@
     /// Replicas that an acknowledged commit may depend on; true if draining.
     std::map<ServerId, bool> replicas;
     bool replicas_reachable = true;  ///< no replica is failing
+    /// A server started to drain so recently that the one which replaces it may
+    /// not be listed yet.
+    bool joiner_expected = false;
   };
 
   explicit Failover(FailoverOptions options = {}) : options_(options) {}
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -315,6 +315,7 @@
 
 Failover::Actions Failover::TryOrder(const Situation& situation) {
   if (!AllFenced(situation) || AwaitsLease(situation)) return {};
+  if (situation.joiner_expected && demoted_.empty()) return {};
   if (DiscardStaleReports(situation)) {
     all_fenced_since_.reset();
     return FenceRemaining(situation);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -23,6 +23,9 @@
 /// Time after which fences that no promotion followed are taken to be those of
 /// a claimant that stopped. Longer than a promotion takes.
 constexpr Duration kForeignFenceLimit = std::chrono::milliseconds(2500);
+/// Time from the listing of a server as draining until the server that replaces
+/// it is listed as well.
+constexpr Duration kJoinerListedTime = std::chrono::milliseconds(2500);
 /// Age at which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
@@ -273,6 +276,9 @@
       (primary->second.entry.draining || service.switching_over);
   for (const ServerId& id : service.servers) {
     const ServerPool& pool = pools_.at(id);
+    if (pool.entry.draining && now_ - pool.draining_since < kJoinerListedTime) {
+      situation.joiner_expected = true;
+    }
     if (id == service.primary || !MayHoldCommits(pool)) continue;
     situation.replicas[id] = pool.entry.draining;
     if (pool.failing) situation.replicas_reachable = false;
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -22,7 +22,7 @@
 constexpr Duration kPositionQueryInterval = std::chrono::milliseconds(100);
 constexpr Duration kProofIdleTimeout = std::chrono::milliseconds(1000);
 /// Age of the server list from which it may lack a server that has joined.
-constexpr Duration kListMaxAge = std::chrono::milliseconds(3000);
+constexpr Duration kListMaxAge = std::chrono::milliseconds(2000);
 /// Time from the last change in a service's list until every list has it.
 constexpr Duration kJoinTime = std::chrono::milliseconds(4000);
 /// Time for which a draining server may run after it left the list.
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -248,6 +248,20 @@
   CHECK(std::get<Failover::Order>(actions.back()).server == "a");
 }
 
+TEST_CASE("an order waits for a server that joins to be listed and fenced") {
+  Fixture it;
+  it.situation.joiner_expected = true;
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  CHECK(it.AnswerFence("c", 12).empty());
+  it.situation.joiner_expected = false;
+  it.situation.replicas["d"] = false;
+  CHECK(it.Step(std::chrono::milliseconds(100)).empty());
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("d", 13)).server ==
+        "d");
+}
+
 TEST_CASE("replicas are fenced if the primary does not answer its demotion") {
   Fixture it;
   it.situation.primary = "a";
--- a/tests/session_schedules_test.cc
+++ b/tests/session_schedules_test.cc
@@ -1,6 +1,6 @@
 /// Random schedules of sessions, servers and faults in virtual time. The
 /// environment variables FIRST_SEED and SEEDS set the first seed and the number
-/// of seeds.
+/// of seeds, FAULTS_PER_SECOND and LOST_REPLY_RATE the rates of faults.
 #include <catch2/catch.hpp>
 #include <iostream>
 
@@ -22,6 +22,10 @@
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     WorldOptions options;
     options.seed = seed;
+    options.faults_per_second =
+        RateFromEnvironment("FAULTS_PER_SECOND", options.faults_per_second);
+    options.lost_reply_rate =
+        RateFromEnvironment("LOST_REPLY_RATE", options.lost_reply_rate);
     const WorldResult result = RunSessionSchedule(options);
     for (const auto& it : result.violations) {
       std::cout << it << "\n";
--- a/tests/support/seeds.h
+++ b/tests/support/seeds.h
@@ -1,5 +1,5 @@
 /// \file
-/// Seeds of random schedules, set by environment variables.
+/// Seeds and rates of random schedules, set by environment variables.
 #pragma once
 
 #include <cstdint>
@@ -14,4 +14,10 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+[[nodiscard]] inline double RateFromEnvironment(const char* name,
+                                                double fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtod(text, nullptr);
+}
+
 }  // namespace corianderdock::test
