Owners share a server's connections; malformed store entries end no process

Ruled out: load of the servers (13 of 240 slots busy) and of the instances (0.012 of 0.29 core).

Change 1: where the limit allows less than one connection for each instance, a few owners of each server, found by rendezvous hashing in its zone first, connect to it; the others forward commands to one of them over a connection that speaks the servers' own protocol. Transactions keep their connection at the owner. An owner that stops tells the others first and runs nothing after that. An owner's loss or silence leads to the next owner, then to the server itself; only the server's own silence counts towards a promotion.

Cause 2: JSON that is nested too deeply, and items of the store that are not objects, threw in the decoder and ended the process: one server entry by another writer took every proxy down. platform_process_test failed with "Exceeded stackLimit in readValue()" before the change. Now they are rejected and logged; tests mutate entries, configurations and peers' lines.

--- /dev/null
+++ b/include/corianderdock/session/connection_owners.h
@@ -0,0 +1,38 @@
+/// \file
+/// Decides which instances connect to a backend server when it accepts fewer
+/// connections than there are instances.
+#pragma once
+
+#include <vector>
+
+#include "corianderdock/session/model.h"
+
+namespace corianderdock::session {
+
+/// How the instances share the connections of one server.
+struct ConnectionPlan {
+  /// Instances that connect to the server; the others forward statements to one
+  /// of them. Empty if every instance connects.
+  std::vector<InstanceId> owners;
+  /// Connections that each instance that connects may hold.
+  int connections = 1;
+
+  bool operator==(const ConnectionPlan&) const = default;
+};
+
+/// Returns the plan for `server`, of which all instances accept
+/// `max_connections`; `reserved` of them stay free. All instances that know the
+/// same `instances` compute the same plan, and a change of one instance changes
+/// few owners. Owners are in the server's zone if enough instances are.
+/// \pre `max_connections` > 0. Thread-safe.
+[[nodiscard]] ConnectionPlan PlanConnections(const ServerEntry& server,
+                                             int max_connections, int reserved,
+                                             const InstanceList& instances);
+
+/// Returns `owners` in the order in which `self` tries them, which spreads the
+/// instances over the owners. Thread-safe.
+[[nodiscard]] std::vector<InstanceId> OwnersInOrder(
+    const InstanceId& self, const ServerId& server,
+    const std::vector<InstanceId>& owners);
+
+}  // namespace corianderdock::session
--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -50,6 +50,24 @@
   ConnectionId connection = 0;
 };
 
+/// Another instance opened a shared connection to a server.
+struct PeerOpened {
+  PeerId peer = 0;
+  ServiceId service;
+  ServerId server;
+};
+
+/// Another instance sent a command over a shared connection.
+struct PeerCommand {
+  PeerId peer = 0;
+  ServerCommand command;
+};
+
+/// A shared connection of another instance ended.
+struct PeerClosed {
+  PeerId peer = 0;
+};
+
 /// The store returned the configuration.
 struct ConfigRead {
   std::shared_ptr<const RoutingConfig> config;
@@ -100,8 +118,9 @@
 using Event =
     std::variant<SessionOpened, StatementReceived, SessionClosed,
                  ServerConnected, ServerReplied, ServerConnectionLost,
-                 ConfigRead, ServersRead, InstancesRead, ClaimAnswered,
-                 TokenObtained, PromotionAnswered, TimerFired, StopRequested>;
+                 PeerOpened, PeerCommand, PeerClosed, ConfigRead, ServersRead,
+                 InstancesRead, ClaimAnswered, TokenObtained, PromotionAnswered,
+                 TimerFired, StopRequested>;
 
 /// Answer the outstanding statement of a session, or accept the session.
 struct AnswerSession {
@@ -126,6 +145,22 @@
   ServiceId service;
   std::string address;
   std::string relay_address;  ///< of the relaying instance; empty when direct
+  /// Of the instance whose connections to the server are shared; otherwise
+  /// empty.
+  std::string share_address;
+};
+
+/// Reply to the oldest command of a shared connection, or accept the
+/// connection.
+struct AnswerPeer {
+  PeerId peer = 0;
+  Reply reply;
+};
+
+/// Close a shared connection; with `error`, refuse to open it for that reason.
+struct ClosePeer {
+  PeerId peer = 0;
+  ErrorCode error = ErrorCode::kNone;
 };
 
 /// Close a server connection; no further events are reported for it.
@@ -163,10 +198,10 @@
 /// Shutdown is complete; the process may exit.
 struct StopFinished {};
 
-using Effect =
-    std::variant<AnswerSession, CloseSession, OpenServerConnection,
-                 CloseServerConnection, SendCommand, ClaimPromotion, RenewToken,
-                 PromoteServer, LogDecision, StopFinished>;
+using Effect = std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
+                            OpenServerConnection, CloseServerConnection,
+                            SendCommand, ClaimPromotion, RenewToken,
+                            PromoteServer, LogDecision, StopFinished>;
 
 using Effects = std::vector<Effect>;
 
--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -14,6 +14,8 @@
 namespace corianderdock::session {
 
 using SessionId = std::uint64_t;  ///< identifies a client connection
+/// Identifies a shared connection of another instance.
+using PeerId = std::uint64_t;
 using DatabaseName = std::string;
 
 /// Consistency guarantee for the reads of a route.
@@ -69,6 +71,9 @@
 struct InstanceEntry {
   ZoneId zone;
   std::string relay_address;  ///< IP:PORT that relays connections to servers
+  /// IP:PORT that shares this instance's connections to servers; empty if it
+  /// does not share them.
+  std::string share_address = {};
 
   bool operator==(const InstanceEntry&) const = default;
 };
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -41,6 +41,13 @@
   std::size_t max_prepared_statements = 256;
   /// Attempts at one statement before it fails.
   int max_attempts = 4;
+  /// Connections to one server that an instance opens through another one that
+  /// shares its own.
+  int forwarded_connections = 4;
+  /// Longest wait of another instance's command for a connection, and the
+  /// number that may wait for one server, before it is refused.
+  Duration peer_wait = std::chrono::milliseconds(60);
+  std::size_t max_waiting_peers = 24;
   /// Time without any reply after which a server with outstanding commands
   /// counts as failing and gets no new statements.
   Duration failing_after = std::chrono::milliseconds(350);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderdock/detail/timers.h"
+#include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
 #include "corianderdock/session/events.h"
 #include "corianderdock/session/failover.h"
@@ -91,10 +92,23 @@
     kInspect,    ///< queries whether a replica is fenced
     kWitness,    ///< queries role, term and fence of any server
     kFence,      ///< fences a replica and returns its log position
+    kPeer,       ///< command of another instance
     kDemote,     ///< demotes a primary and returns the end of its log
     kResume,     ///< lifts a fence; reply ignored
   };
 
+  /// A shared connection of another instance to one server.
+  struct Peer {
+    ServerId server;
+    SessionValues values;
+    std::map<std::string, PreparedStatement> prepared;
+    std::deque<ServerCommand> commands;  ///< not answered, oldest first
+    bool running = false;                ///< the oldest was sent to the server
+    bool drained = false;  ///< told to leave; later commands are not run
+    ConnectionId bound_connection = 0;  ///< 0 while unbound
+    TimePoint waiting_since;
+  };
+
   struct ExpectedReply {
     Step step = Step::kSetup;
     TimePoint sent;
@@ -111,6 +125,8 @@
     ConnectionState state;
     std::deque<ExpectedReply> expected;
     SessionId bound_session = 0;  ///< 0 while unbound
+    PeerId bound_peer = 0;        ///< 0 while unbound
+    bool shared = false;          ///< `relay` shares its own connections
     bool open = false;
     std::vector<std::pair<Step, ServerCommand>> commands_on_open;
     TimePoint last_used;  ///< when it was created or last became idle
@@ -130,7 +146,14 @@
     TimePoint connection_cap_until;
     /// Connection that last carried a command of the proxy itself.
     ConnectionId control_connection = 0;
-    InstanceId relay;  ///< path to the server; empty when direct
+    InstanceId relay;     ///< path to the server; empty when direct
+    bool shared = false;  ///< `relay` shares its own connections
+    ConnectionPlan plan;
+    std::vector<InstanceId> owners;  ///< in the order in which to try them
+    int owner_failures = 0;          ///< paths lost since the last reply
+    std::deque<PeerId> waiting_peers;
+    std::set<PeerId> peers;
+    TimePoint last_refused_full;  ///< it refused a connection over its limit
     int opening_path_probes = 0;
     int path_probes = 0;  ///< started since a path probe last succeeded
     TimePoint last_path_probe;
@@ -253,6 +276,9 @@
   void On(const ServerConnected& event);
   void On(const ServerReplied& event);
   void On(const ServerConnectionLost& event);
+  void On(const PeerOpened& event);
+  void On(const PeerCommand& event);
+  void On(const PeerClosed& event);
   void On(const ConfigRead& event);
   void On(const ServersRead& event);
   void On(const InstancesRead& event);
@@ -331,7 +357,7 @@
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
   ConnectionId OpenConnection(ServerPool& pool);
   ConnectionId OpenOnPath(ServerPool& pool, const InstanceId& relay,
-                          bool path_probe);
+                          bool shared, bool path_probe);
   void OnConnectFailed(ConnectionId id, ErrorCode error);
   [[nodiscard]] ConnectionId TakeIdle(
       ServerPool& pool, const SessionValues& values,
@@ -360,10 +386,30 @@
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
   void CheckServers();
 
+  // Shared connections (proxy_peers.cc).
+  void PlanPaths();
+  void PlanPath(ServerPool& pool);
+  [[nodiscard]] bool ForwardsTo(const ServerPool& pool) const;
+  bool TryNextOwner(ServerPool& pool);
+  void RunNextCommand(PeerId id, Peer& peer);
+  void AnswerPeerLocally(PeerId id, Peer& peer);
+  [[nodiscard]] std::optional<PreparedStatement> PreparedOf(
+      const Peer& peer, const ServerCommand& command) const;
+  bool StartPeerCommand(PeerId id, Peer& peer, ServerPool& pool);
+  void OnPeerReply(ConnectionId id, Reply reply);
+  void ServeWaitingPeers(ServerPool& pool);
+  void RefuseLatePeers(ServerPool& pool);
+  void ClosePeerOf(PeerId id);
+  void ClosePeersOf(ServerPool& pool);
+  void DrainPeers(ServerPool& pool);
+  void OnOwnerDraining(ConnectionId id);
+  [[nodiscard]] bool PeersBound() const;
+  void ReleasePeerConnection(Peer& peer);
+
   // Relays (proxy_relays.cc).
   void ProbePaths(ServerPool& pool);
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
-  void SwitchPath(ServerPool& pool, const InstanceId& relay);
+  void SwitchPath(ServerPool& pool, const InstanceId& relay, bool shared);
 
   // Proof of leadership (proxy_proof.cc).
   [[nodiscard]] bool IsWitness(const ServerPool& pool) const;
@@ -435,6 +481,7 @@
   std::shared_ptr<const RoutingConfig> config_;
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnectionId, Connection> connections_;
+  std::unordered_map<PeerId, Peer> peers_;
   std::map<ServerId, ServerPool> pools_;
   std::map<ServiceId, Service> services_;
   std::set<ServiceId> services_to_dispatch_;
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -120,6 +120,7 @@
     if (route->freshness == Freshness::kPrimary) continue;
     ServiceOf(route->service).needs_samples = true;
   }
+  PlanPaths();
 }
 
 void Proxy::On(const InstancesRead& event) {
@@ -128,6 +129,7 @@
       std::to_string(event.instances.size()) +
       " previous=" + std::to_string(instances_.size()));
   instances_ = event.instances;
+  PlanPaths();
 }
 
 std::string Proxy::DumpState() const {
@@ -155,6 +157,9 @@
     out["idle"] = static_cast<Json::UInt64>(pool.idle.size());
     out["failing"] = pool.failing;
     out["draining"] = pool.entry.draining;
+    out["path"] = pool.relay;
+    out["path_shared"] = pool.shared;
+    out["peers"] = static_cast<Json::UInt64>(pool.peers.size());
   }
   Json::StreamWriterBuilder writer;
   writer["indentation"] = "";
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -120,7 +120,7 @@
       control.commands_on_open.emplace_back(step, std::move(command));
       return;
     }
-    if (control.bound_session == 0) {
+    if (control.bound_session == 0 && control.bound_peer == 0) {
       std::erase(pool.idle, pool.control_connection);
       return SendOne(pool.control_connection, std::move(command), step,
                      step == Step::kProbe);
@@ -158,7 +158,10 @@
       pool.connect_failures >= options_.dead_connect_failures
           ? std::min(primary_loss_timeout, options_.dead_connect_failure_time)
           : primary_loss_timeout;
-  if (pool.failing && now_ - pool.failing_since >= limit) return true;
+  // A server that refuses connections over its limit runs.
+  const bool full = pool.last_refused_full != TimePoint{} &&
+                    now_ - pool.last_refused_full < primary_loss_timeout;
+  if (pool.failing && !full && now_ - pool.failing_since >= limit) return true;
   const auto fenced_since = service.proof.fenced_since();
   if (fenced_since && now_ - *fenced_since >= kForeignFenceLimit) return true;
   return service.switching_over || CommitsStall(pool);
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -93,8 +93,9 @@
 void Proxy::QueryServer(ServerPool& pool) {
   if (pool.queries >= kMaxQueries || pool.failing) return;
   const auto control = connections_.find(pool.control_connection);
-  const bool has_control =
-      control != connections_.end() && control->second.bound_session == 0;
+  const bool has_control = control != connections_.end() &&
+                           control->second.bound_session == 0 &&
+                           control->second.bound_peer == 0;
   const bool may_open =
       pool.opening == 0 && now_ >= pool.connect_after &&
       static_cast<int>(pool.connections.size()) < ConnectionShare(pool);
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -104,6 +104,8 @@
 
 void Proxy::DispatchService(const ServiceId& service_id) {
   Service& service = ServiceOf(service_id);
+  // Commands of other instances have waited there already.
+  for (const ServerId& id : service.servers) ServeWaitingPeers(pools_.at(id));
   while (DispatchNext(service, service.primary_queue, true)) {
   }
   while (DispatchNext(service, service.read_queue, false)) {
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -17,7 +17,10 @@
 void Proxy::ProbePaths(ServerPool& pool) {
   const bool wanted = InUse(pool) || MayHoldCommits(pool);
   if (pool.opening_path_probes > 0 || isolated_since_ || !wanted) return;
-  const bool relayed = !pool.failing && !pool.relay.empty();
+  const bool forwards = ForwardsTo(pool);
+  // The direct path is tried again, or the shared one where it is the plan.
+  const bool relayed =
+      !pool.failing && (forwards ? !pool.shared : !pool.relay.empty());
   if (!relayed && !pool.failing) return;
   const Duration growing =
       options_.path_probe_backoff *
@@ -26,11 +29,18 @@
       relayed ? options_.direct_probe_interval
               : std::min(growing, options_.max_path_probe_backoff);
   if (now_ - pool.last_path_probe < pause) return;
-  const InstanceId relay = relayed ? InstanceId() : NextRelay(pool);
+  const auto n = static_cast<std::size_t>(pool.path_probes);
+  const bool shared = forwards && (relayed || n < pool.owners.size());
+  InstanceId relay;
+  if (shared) {
+    relay = pool.owners[n % pool.owners.size()];
+  } else if (!relayed) {
+    relay = NextRelay(pool);
+  }
   if (!relayed && relay.empty()) return;
   pool.last_path_probe = now_;
   ++pool.path_probes;
-  OpenOnPath(pool, relay, true);
+  OpenOnPath(pool, relay, shared, true);
 }
 
 /// Instances in the server's zone go first, since a partition rarely separates
@@ -47,14 +57,19 @@
   return near[static_cast<std::size_t>(pool.path_probes) % near.size()];
 }
 
-void Proxy::SwitchPath(ServerPool& pool, const InstanceId& relay) {
+void Proxy::SwitchPath(ServerPool& pool, const InstanceId& relay, bool shared) {
   Log("server path changed id=" + pool.entry.id +
-      " relay=" + (relay.empty() ? "-" : relay));
+      " relay=" + (relay.empty() ? "-" : relay) +
+      " shared=" + std::to_string(static_cast<int>(shared)));
   pool.relay = relay;
+  pool.shared = shared;
   pool.path_probes = 0;
   const auto idle = pool.idle;
   for (const ConnectionId id : idle) {
-    if (connections_.at(id).relay != relay) CloseConnection(id, false);
+    const Connection& connection = connections_.at(id);
+    if (connection.relay != relay || connection.shared != shared) {
+      CloseConnection(id, false);
+    }
   }
 }
 
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -53,6 +53,7 @@
       for (const ConnectionId it : connections) CloseConnection(it, true);
       pool.failing = false;
     }
+    PlanPath(pool);
     Service& service = ServiceOf(entry.service);
     service.servers.insert(id);
     if (service.primary.empty() && entry.claims_primary && !entry.draining) {
@@ -68,13 +69,13 @@
 
 int Proxy::ConnectionShare(const ServerPool& pool) const {
   const auto it = services_.find(pool.entry.service);
+  if (pool.shared) return options_.forwarded_connections;
   const int limit =
       it == services_.end() ? 1 : it->second.limits.max_connections;
-  const int instances = instances_.empty()
-                            ? options_.assumed_instances
-                            : static_cast<int>(instances_.size());
-  const int share =
-      std::max(1, (limit - options_.reserved_connections) / instances);
+  const int share = instances_.empty()
+                        ? std::max(1, (limit - options_.reserved_connections) /
+                                          options_.assumed_instances)
+                        : (ForwardsTo(pool) ? 1 : pool.plan.connections);
   return pool.connection_cap > 0 ? std::min(share, pool.connection_cap) : share;
 }
 
@@ -89,26 +90,30 @@
 }
 
 ConnectionId Proxy::OpenConnection(ServerPool& pool) {
-  return OpenOnPath(pool, pool.relay, false);
+  return OpenOnPath(pool, pool.relay, pool.shared, false);
 }
 
 ConnectionId Proxy::OpenOnPath(ServerPool& pool, const InstanceId& relay,
-                               bool path_probe) {
+                               bool shared, bool path_probe) {
   const ConnectionId id = next_connection_++;
   Connection& connection = connections_[id];
   connection.server = pool.entry.id;
   connection.service = pool.entry.service;
   connection.last_used = now_;
   connection.relay = relay;
+  connection.shared = shared;
   connection.path_probe = path_probe;
   pool.connections.insert(id);
   ++(path_probe ? pool.opening_path_probes : pool.opening);
   const auto relay_entry = instances_.find(relay);
-  Count(relay.empty() ? "connections_opened" : "connections_relayed");
+  const bool known = relay_entry != instances_.end();
+  Count(relay.empty() ? "connections_opened"
+        : shared      ? "connections_shared"
+                      : "connections_relayed");
   Emit(OpenServerConnection{
       id, pool.entry.id, pool.entry.service, pool.entry.address,
-      relay_entry == instances_.end() ? std::string()
-                                      : relay_entry->second.relay_address});
+      known && !shared ? relay_entry->second.relay_address : std::string(),
+      known && shared ? relay_entry->second.share_address : std::string()});
   ScheduleAfter(
       path_probe ? options_.path_probe_timeout : options_.connect_timeout,
       {TimerKind::kConnectTimeout, id, 0});
@@ -125,7 +130,9 @@
   }
   connection.open = true;
   --(connection.path_probe ? pool.opening_path_probes : pool.opening);
-  if (connection.path_probe) SwitchPath(pool, connection.relay);
+  if (connection.path_probe) {
+    SwitchPath(pool, connection.relay, connection.shared);
+  }
   NoteHeard(pool);
   auto commands = std::exchange(connection.commands_on_open, {});
   for (auto& [step, command] : commands) {
@@ -144,8 +151,15 @@
              " connections=" + std::to_string(pool.connections.size()));
   Count("connections_refused");
   const bool path_probe = connection.path_probe;
+  const bool shared = connection.shared;
+  const bool direct = connection.relay.empty();
   CloseConnection(id, false);
+  if (direct && error == ErrorCode::kTooMany) pool.last_refused_full = now_;
   if (path_probe) return;
+  if (shared) {
+    if (!TryNextOwner(pool)) NoteFailing(pool);
+    return;
+  }
   pool.connect_after = now_ + options_.connect_backoff;
   if (error == ErrorCode::kTooMany) {
     pool.connection_cap =
@@ -199,7 +213,7 @@
   if (it == connections_.end()) return;
   const Connection& connection = it->second;
   if (!connection.open || connection.bound_session != 0 ||
-      !connection.expected.empty()) {
+      connection.bound_peer != 0 || !connection.expected.empty()) {
     return;
   }
   ServerPool& pool = pools_.at(connection.server);
@@ -208,7 +222,8 @@
   }
   const bool over =
       static_cast<int>(pool.connections.size()) > ConnectionShare(pool);
-  const bool other_path = connection.relay != pool.relay;
+  const bool other_path =
+      connection.relay != pool.relay || connection.shared != pool.shared;
   if (over || other_path || !InUse(pool)) return CloseConnection(id, false);
   it->second.last_used = now_;
   pool.idle.push_back(id);
@@ -237,6 +252,11 @@
   }
   Emit(CloseServerConnection{id});
   services_to_dispatch_.insert(connection.service);
+  if (connection.bound_peer != 0) {
+    const auto peer = peers_.find(connection.bound_peer);
+    if (peer != peers_.end()) peer->second.bound_connection = 0;
+    ClosePeerOf(connection.bound_peer);
+  }
   if (!fail_statement || connection.bound_session == 0) return;
   const auto session = sessions_.find(connection.bound_session);
   if (session == sessions_.end()) return;
@@ -268,8 +288,11 @@
   ServerPool& pool = pools_.at(it->second.server);
   Count("connections_lost");
   Log("connection lost server=" + it->second.server);
-  NoteFailing(pool);
+  const bool shared = it->second.shared;
   CloseConnection(event.connection, true);
+  // The instance that shares its connections may have failed, not the server.
+  if (shared && TryNextOwner(pool)) return;
+  NoteFailing(pool);
 }
 
 void Proxy::Send(ConnectionId id, std::vector<ServerCommand> commands,
@@ -297,11 +320,15 @@
   Connection& connection = it->second;
   ServerPool& pool = pools_.at(connection.server);
   if (connection.expected.empty()) {
+    if (connection.shared) return OnOwnerDraining(event.connection);
     Log("connection closed server=" + connection.server +
         " reason=unexpected reply");
     return CloseConnection(event.connection, true);
   }
   const ExpectedReply expected = connection.expected.front();
+  if (connection.shared && event.reply.error == ErrorCode::kTooMany) {
+    return OnOwnerDraining(event.connection);
+  }
   connection.expected.pop_front();
   if (expected.uses_slot) --pool.running;
   NoteHeard(pool);
@@ -316,6 +343,9 @@
     case Step::kStatement:
       OnStatementReply(event.connection, expected, reply);
       break;
+    case Step::kPeer:
+      OnPeerReply(event.connection, reply);
+      break;
     case Step::kProbe:
       if (reply.error == ErrorCode::kNone) {
         NotePrimary(pool, reply.position, expected.sent);
@@ -344,6 +374,7 @@
 void Proxy::NoteHeard(ServerPool& pool) {
   pool.last_heard = now_;
   pool.connect_failures = 0;
+  pool.owner_failures = 0;
   if (!pool.failing) return;
   pool.failing = false;
   Log("server recovered id=" + pool.entry.id);
@@ -354,6 +385,8 @@
   if (pool.failing) return;
   pool.failing = true;
   pool.relay.clear();
+  pool.shared = false;
+  ClosePeersOf(pool);
   pool.failing_since = now_;
   Log("server fails id=" + pool.entry.id);
 }
@@ -380,6 +413,7 @@
     CheckUnresponsive(pool);
     ProbePaths(pool);
     TrimIdle(pool);
+    RefuseLatePeers(pool);
     if (!InUse(pool) || now_ < pool.connect_after || pool.opening > 0) continue;
     const bool prewarm = pool.connections.empty() && ConnectionShare(pool) > 1;
     const bool retry =
@@ -405,6 +439,13 @@
     pool.last_probe = now_;
     return ProbeLeadership(pool);
   }
+  if (pool.shared && TryNextOwner(pool)) {
+    const auto connections = pool.connections;
+    for (const ConnectionId it : connections) {
+      if (connections_.at(it).open) CloseConnection(it, true);
+    }
+    return;
+  }
   NoteFailing(pool);
   pool.failing_since = since;
   ProbeAll();
@@ -429,7 +470,9 @@
   std::vector<ConnectionId> stuck;
   for (const ConnectionId id : pool.connections) {
     const Connection& connection = connections_.at(id);
-    if (connection.bound_session != 0 || connection.expected.empty()) continue;
+    const bool bound =
+        connection.bound_session != 0 || connection.bound_peer != 0;
+    if (bound || connection.expected.empty()) continue;
     const TimePoint sent = connection.expected.front().sent;
     if (now_ - sent >= options_.attempt_timeout) stuck.push_back(id);
   }
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -292,8 +292,8 @@
     CloseIdleSessions("stopping");
   }
   const bool grace_ending = elapsed >= stop_grace_ - kExitMargin;
-  if (!grace_ending &&
-      (elapsed < options_.load_balancer_drain_time || !sessions_.empty())) {
+  if (!grace_ending && (elapsed < options_.load_balancer_drain_time ||
+                        !sessions_.empty() || PeersBound())) {
     return;
   }
   stop_finished_ = true;
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -26,6 +26,8 @@
 using asio::ip::tcp;
 
 constexpr Milliseconds kReadyTimeout{8000};
+/// Deeper than the JSON library allows.
+constexpr std::size_t kDeepNesting = 5000;
 
 /// Below the ephemeral port range of the system.
 constexpr int kFirstPort = 24000;
@@ -87,7 +89,10 @@
              R"(],"has_more":true,"current_rev":9})";
     } else if (request.target.ends_with("&after=servers/i-0")) {
       body = R"({"items":[)" + Item("servers/i-1", entry_) + "," +
-             Item("servers/i-2", "not json") + R"(],"current_rev":9})";
+             Item("servers/i-2", "not json") + "," +
+             Item("servers/i-3", std::string(kDeepNesting, '[')) + "," +
+             Item("x", entry_) + R"(,7,"text",[],{"key":["a"]},)" +
+             R"({"key":"servers/i-4","value":{}}],"current_rev":9})";
     } else if (request.target.starts_with("/kv-watch")) {
       return AnswerWatch(respond);
     }
@@ -100,7 +105,9 @@
     timer->async_wait([timer, respond](boost::system::error_code) {
       net::HttpResponse response;
       response.make_body = [] {
-        return std::string(R"({"events":[],"current_rev":9})");
+        return std::string(
+            R"({"events":[3,"text",{"key":[]},)"
+            R"({"key":"op/config","deleted":"yes","value":7}],"current_rev":9})");
       };
       respond(response);
     });
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -133,6 +133,104 @@
   CHECK(out == "READY I -\r\n");
 }
 
+TEST_CASE("a command for a server is parsed as it was written") {
+  const auto check = [](ServerCommand command) {
+    std::string line;
+    platform::AppendCommand(line, command);
+    line.resize(line.size() - 2);
+    const auto parsed = platform::ParsePeerMessage(line);
+    REQUIRE(parsed.type == platform::PeerMessage::Type::kCommand);
+    CHECK(parsed.command.id == command.id);
+    CHECK(parsed.command.after == command.after);
+    CHECK(parsed.command.term == command.term);
+    CHECK(parsed.command.statement.verb == command.statement.verb);
+    CHECK(parsed.command.statement.name == command.statement.name);
+    CHECK(parsed.command.statement.text == command.statement.text);
+  };
+  check({"q", {Verb::kRead, {}, "1a4"}, Position{3, 17}, 0});
+  check({"q", {Verb::kWrite, {}, "1a4 some data"}, {}, 0});
+  check({"q", {Verb::kExecute, "w_q1", "1a4 data"}, {}, 0});
+  check({{}, {Verb::kBegin, {}, {}}, {}, 0});
+  check({{}, {Verb::kBeginRead, {}, {}}, Position{3, 17}, 0});
+  check({"q", {Verb::kCommit, {}, {}}, {}, 0});
+  check({{}, {Verb::kRollback, {}, {}}, {}, 0});
+  check({{}, {Verb::kSet, "a", "1"}, {}, 0});
+  check({{}, {Verb::kPrepareWrite, "w_q1", "q1"}, {}, 0});
+  check({{}, {Verb::kPrepareRead, "r_q1", "q1"}, {}, 0});
+  check({{}, {Verb::kReset, {}, {}}, {}, 0});
+  check({{}, {Verb::kStatus, {}, {}}, {}, 0});
+  check({{}, {Verb::kHold, {}, {}}, {}, 4});
+  check({{}, {Verb::kDemote, {}, {}}, {}, 4});
+  check({{}, {Verb::kResume, {}, {}}, {}, 0});
+  const auto start = platform::ParsePeerMessage("START books front-1 i-1");
+  CHECK(start.type == platform::PeerMessage::Type::kStart);
+  CHECK(start.service == "books");
+  CHECK(start.server == "i-1");
+}
+
+TEST_CASE("an invalid line of another instance is rejected") {
+  for (const char* line :
+       {"", "START", "START books", "START books me", "QUERY", "QUERY -",
+        "QUERY - ", "QUERY q HOLD", "QUERY q HOLD x", "QUERY q DEMOTE -1",
+        "QUERY q AFTER READ a", "QUERY q AFTER 1 READ a", "QUERY q NOTHING",
+        "QUERY q HOLD 99999999999999999999", "BYE"}) {
+    CHECK(platform::ParsePeerMessage(line).type ==
+          platform::PeerMessage::Type::kUnknown);
+  }
+}
+
+TEST_CASE("random and mutated lines do not crash the parsers") {
+  CHECK(rc::check([](const std::string& bytes) {
+    (void)platform::ParsePeerMessage(bytes);
+    (void)platform::ParsePeerMessage("QUERY " + bytes);
+    (void)platform::ParsePeerMessage("QUERY q AFTER " + bytes);
+    (void)platform::ParseStatus(bytes);
+    (void)ParseClientMessage("QUERY q " + bytes);
+  }));
+  const std::string valid = "QUERY 5c0e AFTER 3.1207 EXEC w_q2c 1a4 data";
+  CHECK(rc::check([&](std::uint8_t at, char byte, std::uint8_t cut) {
+    std::string line = valid;
+    line[at % line.size()] = byte;
+    line.resize(cut % (line.size() + 1));
+    (void)platform::ParsePeerMessage(line);
+  }));
+}
+
+TEST_CASE("documents that are nested too deeply are rejected") {
+  for (const char* text : {"[", "{\"a\":"}) {
+    std::string nested;
+    for (int n = 0; n < 5000; ++n) nested += text;
+    CHECK_FALSE(platform::ParseJson(nested));
+    CHECK_FALSE(platform::DecodeServer("i-1", nested));
+    CHECK_FALSE(platform::DecodeConfig(nested));
+    CHECK_FALSE(platform::ParseSettings(nested));
+    CHECK(platform::DecodeInstance(nested).zone.empty());
+  }
+}
+
+TEST_CASE("a mutated document is decoded or rejected") {
+  const std::string entry =
+      R"({"backend":"books","addr":"10.1.0.8:1","zone":"z","slots":2,)"
+      R"("state":"ready","db_role":"primary","born":17})";
+  const std::string config =
+      R"({"version":3,"routes":[{"host":"db","type":"bounded","backend":)"
+      R"("books","timeout_ms":800,"goal_ms":1e300,"max_stale_ms":-1}],)"
+      R"("backends":[{"name":"books","max_conns":16}],"limits":[]})";
+  CHECK(rc::check([&](std::uint16_t at, char byte, std::uint16_t cut) {
+    for (std::string text : {entry, config}) {
+      text[at % text.size()] = byte;
+      (void)platform::DecodeServer("i-1", text);
+      (void)platform::DecodeConfig(text);
+      (void)platform::DecodeInstance(text);
+      (void)platform::ParseSettings(text);
+      text.resize(cut % (text.size() + 1));
+      (void)platform::DecodeServer("i-1", text);
+      (void)platform::DecodeConfig(text);
+    }
+  }));
+  CHECK(platform::DecodeConfig(config));
+}
+
 TEST_CASE("an invalid server entry is rejected") {
   const std::string good =
       R"({"backend":"s","addr":"10.0.0.1:80","zone":"z","slots":2,)"
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -280,6 +280,8 @@
   std::set<ServerId> answers_status{"a", "b", "c"};
   std::vector<AnswerSession> answers;
   std::vector<session::CloseSession> closed;
+  std::vector<session::AnswerPeer> peer_answers;
+  std::vector<session::ClosePeer> peers_closed;
   std::vector<session::PromoteServer> promotions;
   std::vector<session::ClaimPromotion> claims;
   /// Pending connection attempts.
@@ -287,6 +289,7 @@
   std::map<ConnectionId, ServerId> server_of;
   /// Only of connections through a relay.
   std::map<ConnectionId, std::string> relay_addresses;
+  std::map<ConnectionId, std::string> share_addresses;  ///< only if shared
   int statements = 0;
   bool stop_finished = false;
 
@@ -301,7 +304,12 @@
     if (!it.relay_address.empty()) {
       relay_addresses[it.connection] = it.relay_address;
     }
+    if (!it.share_address.empty()) {
+      share_addresses[it.connection] = it.share_address;
+    }
   }
+  void Record(const session::AnswerPeer& it) { peer_answers.push_back(it); }
+  void Record(const session::ClosePeer& it) { peers_closed.push_back(it); }
   void Record(const session::CloseServerConnection& it) {
     const auto of_connection = [&](const SendCommand& command) {
       return command.connection == it.connection;
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -285,6 +285,10 @@
     Schedule(milliseconds(50), [this, n] { OpenClient(n); });
   }
 
+  // No instance announces a share address, so none opens shared connections.
+  void Apply(std::size_t /*n*/, const AnswerPeer& /*effect*/) {}
+  void Apply(std::size_t /*n*/, const ClosePeer& /*effect*/) {}
+
   void Apply(std::size_t n, const ClaimPromotion& effect) {
     Schedule(milliseconds(8), [this, n, effect] {
       if (store_unreachable_) {
