--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -129,6 +129,7 @@
     Term newest_term = 0;              ///< highest log term of a primary
     std::uint64_t fallback_token = 0;  ///< 0 if there is none
     Duration fallback_token_delay{0};  ///< after the loss of the primary
+    Duration claim_delay{0};           ///< after the loss of the primary
     /// Replicas that an acknowledged commit may depend on; true if draining.
     std::map<ServerId, bool> replicas;
     bool replicas_reachable = true;  ///< no replica is failing
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -380,7 +380,9 @@
       const ServerPool& pool) const;
   [[nodiscard]] bool InUse(const ServerPool& pool) const;
   [[nodiscard]] bool DrainLimitReached(const ServerPool& pool) const;
+  [[nodiscard]] int PromotionRank(const Service& service) const;
   [[nodiscard]] Duration FallbackTokenDelay(const Service& service) const;
+  [[nodiscard]] Duration ClaimDelay(const Service& service) const;
   [[nodiscard]] ServerId PrimaryOfService(const ServerPool& pool) const;
   [[nodiscard]] bool MayHoldCommits(const ServerPool& pool) const;
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -35,6 +35,7 @@
       }
       if (!situation.primary_lost || !situation.server_list_complete ||
           now < next_claim_at_ || situation.replicas.empty() ||
+          now - *primary_lost_since_ < situation.claim_delay ||
           !ReplicasReachableLongEnough(now)) {
         return {};
       }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -17,6 +17,14 @@
 /// Time reserved for each instance to fence the replicas under its fallback
 /// token. The next instance then finds the fences and does not promote.
 constexpr Duration kFallbackTokenTurn = std::chrono::milliseconds(600);
+/// Instances that claim a promotion as soon as the primary is lost, and the
+/// time between their claims.
+constexpr int kEarlyClaimants = 4;
+constexpr Duration kEarlyClaimTurn = std::chrono::milliseconds(40);
+/// Delays of the others, which exceed the usual time of a promotion.
+constexpr Duration kLateClaimDelay = std::chrono::milliseconds(1200);
+constexpr Duration kLateClaimTurn = std::chrono::milliseconds(20);
+constexpr Duration kMaxClaimDelay = std::chrono::milliseconds(2000);
 /// A primary that still answers this long after a replica began to fail is not
 /// behind the same partition as the replica.
 constexpr Duration kSeparationEvidence = std::chrono::milliseconds(1000);
@@ -217,12 +225,10 @@
   return it == services_.end() ? ServerId() : it->second.primary;
 }
 
-/// Delay before this instance may promote under its fallback token. Without the
-/// store, instances take turns in an order that all of them compute alike,
-/// because concurrent promotions could invalidate each other's fence reports.
-/// Instances in the zone of the lost primary go last: a partition may hide
-/// replicas from them.
-Duration Proxy::FallbackTokenDelay(const Service& service) const {
+/// Number of instances that come before this one in promoting a server of
+/// `service`, in an order that all instances compute alike. Instances in the
+/// zone of the lost primary go last: a partition may hide replicas from them.
+int Proxy::PromotionRank(const Service& service) const {
   const std::string salt =
       service.servers.empty() ? std::string() : *service.servers.begin();
   const auto primary = pools_.find(service.primary);
@@ -232,10 +238,25 @@
     return std::pair(zone == lost, std::hash<std::string>{}(id + "/" + salt));
   };
   const auto own = rank(self_.id, self_.zone);
-  const auto before = std::count_if(
+  return static_cast<int>(std::count_if(
       instances_.begin(), instances_.end(),
-      [&](const auto& it) { return rank(it.first, it.second.zone) < own; });
-  return kFallbackTokenTurn * before;
+      [&](const auto& it) { return rank(it.first, it.second.zone) < own; }));
+}
+
+/// Delay before this instance may promote under its fallback token. Without the
+/// store, instances take turns, because concurrent promotions could invalidate
+/// each other's fence reports.
+Duration Proxy::FallbackTokenDelay(const Service& service) const {
+  return kFallbackTokenTurn * PromotionRank(service);
+}
+
+/// Delay before this instance claims a promotion at the store. A few instances
+/// claim early; the others only when these had time to finish, so that a large
+/// fleet asks the store a few times for each promotion.
+Duration Proxy::ClaimDelay(const Service& service) const {
+  const int rank = PromotionRank(service);
+  if (rank < kEarlyClaimants) return kEarlyClaimTurn * rank;
+  return std::min(kLateClaimDelay + kLateClaimTurn * rank, kMaxClaimDelay);
 }
 
 /// Whether a commit may have been acknowledged because this server received it.
@@ -272,6 +293,7 @@
   situation.server_list_complete = server_list_complete_;
   situation.fallback_token = fallback_token_;
   situation.fallback_token_delay = FallbackTokenDelay(service);
+  if (situation.primary_lost) situation.claim_delay = ClaimDelay(service);
   situation.replicas_reachable = true;
   const auto primary = pools_.find(service.primary);
   situation.primary_leaving =
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -248,6 +248,37 @@
   CHECK(std::get<Failover::Order>(actions.back()).server == "a");
 }
 
+namespace {
+
+/// How many of `count` instances claim within a second of a primary's loss.
+int ClaimantsOf(int count) {
+  int claimants = 0;
+  for (int n = 0; n < count; ++n) {
+    session::InstanceList list;
+    for (int k = 0; k < count; ++k)
+      list["p" + std::to_string(k)] = {"zone", ""};
+    ProxyDriver member({}, "p" + std::to_string(n));
+    member.Feed(session::InstancesRead{list});
+    member.OpenSession(1, "claims");
+    member.Query(1, Verb::kWrite, {}, "item data");
+    for (int step = 0; step < 60; ++step) {
+      member.AdvanceTime(Milliseconds(25));
+      member.CompleteConnectsTo({"b", "c"});
+      member.AnswerReplicas();
+    }
+    claimants += member.claims.empty() ? 0 : 1;
+  }
+  return claimants;
+}
+
+}  // namespace
+
+TEST_CASE("in a large fleet few instances claim one promotion") {
+  CHECK(ClaimantsOf(4) == 4);
+  CHECK(ClaimantsOf(40) <= 4);
+  CHECK(ClaimantsOf(40) >= 1);
+}
+
 TEST_CASE("an order waits for a server that joins to be listed and fenced") {
   Fixture it;
   it.situation.joiner_expected = true;
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -32,8 +32,9 @@
 /// A proxy and one service with the primary "a" and the replicas "b" and "c".
 class ProxyDriver {
  public:
-  explicit ProxyDriver(session::ProxyOptions options = {})
-      : proxy({"self", "zone"}, options) {
+  explicit ProxyDriver(session::ProxyOptions options = {},
+                       const InstanceId& self = "self")
+      : proxy({self, "zone"}, options) {
     auto config = std::make_shared<session::RoutingConfig>();
     config->version = 1;
     config->transaction_idle_timeout = std::chrono::seconds(3);
@@ -42,7 +43,7 @@
     AddRoute(*config, "lookups", Freshness::kBoundedStaleness);
     AddRoute(*config, "updates", Freshness::kReadYourWrites);
     Feed(session::ConfigRead{config});
-    Feed(session::InstancesRead{{{"self", {"zone", ""}}}});
+    Feed(session::InstancesRead{{{self, {"zone", ""}}}});
     ListServers({"a", "b", "c"});
     AdvanceTime(Milliseconds(30));
     CompleteConnects();
