An owner opens one connection to each server at first

Cause: after everything was switched off, a server counts the connections of before for 3 s; with four connections an owner, the first owners took what was left and the others had none.

--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -36,6 +36,10 @@
   /// Connections to each server that are kept out of the instances' shares, for
   /// instances that just started or died.
   int reserved_connections = 2;
+  /// Time for which a server counts the connections of an instance that stopped
+  /// without closing them. An owner opens one connection to each server until
+  /// this time has passed since it started.
+  Duration stale_connection_time = std::chrono::milliseconds(3500);
   /// Values and prepared statements of one session; more are refused.
   std::size_t max_session_values = 64;
   std::size_t max_prepared_statements = 256;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -501,6 +501,7 @@
   std::optional<TimePoint> isolated_since_;   ///< all other zones are failing
   std::optional<TimePoint> isolation_ended_;  ///< end of the last isolation
   bool check_scheduled_ = false;
+  TimePoint started_at_;  ///< first event
   bool stop_finished_ = false;
   std::optional<TimePoint> stop_requested_at_;
   Duration stop_grace_{0};
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -15,6 +15,7 @@
   now_ = now;
   if (!check_scheduled_) {
     check_scheduled_ = true;
+    started_at_ = now;
     ScheduleAfter(options_.check_interval, {TimerKind::kCheck, 0, 0});
   }
   std::visit([this](const auto& it) { On(it); }, event);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -76,6 +76,11 @@
                         ? std::max(1, (limit - options_.reserved_connections) /
                                           options_.assumed_instances)
                         : (ForwardsTo(pool) ? 1 : pool.plan.connections);
+  // If all instances restarted, their earlier connections still count at the
+  // server. What it has left then serves more instances if each owner takes
+  // one.
+  const bool starting = now_ - started_at_ < options_.stale_connection_time;
+  if (starting && !pool.owners.empty()) return 1;
   return pool.connection_cap > 0 ? std::min(share, pool.connection_cap) : share;
 }
 
