--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -68,6 +68,9 @@
   /// Initial and longest pause between probes of relays to a failing server.
   Duration path_probe_backoff = std::chrono::milliseconds(100);
   Duration max_path_probe_backoff = std::chrono::milliseconds(1600);
+  /// The same where other instances own the connections. They are many, and
+  /// after a restart of all of them each is up again soon.
+  Duration max_owner_probe_backoff = std::chrono::milliseconds(200);
   /// Interval of probes of the direct path to a server reached by a relay.
   Duration direct_probe_interval = std::chrono::milliseconds(1000);
   /// How long a replica that left the server list may have the only copy of an
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -27,16 +27,18 @@
       (1 << std::min(pool.path_probes, kMaxBackoffDoublings));
   const Duration pause =
       relayed ? options_.direct_probe_interval
-              : std::min(growing, options_.max_path_probe_backoff);
+              : std::min(growing, forwards ? options_.max_owner_probe_backoff
+                                           : options_.max_path_probe_backoff);
   if (now_ - pool.last_path_probe < pause) return;
   const auto n = static_cast<std::size_t>(pool.path_probes);
-  const bool shared = forwards && (relayed || n < pool.owners.size());
+  // Once all owners were tried, a relay is, and then the owners again.
+  const std::size_t turn = n % (pool.owners.size() + 1);
   InstanceId relay;
-  if (shared) {
-    relay = pool.owners[n % pool.owners.size()];
-  } else if (!relayed) {
+  if (!relayed && (!forwards || turn == pool.owners.size())) {
     relay = NextRelay(pool);
   }
+  const bool shared = forwards && relay.empty();
+  if (shared) relay = pool.owners[turn % pool.owners.size()];
   if (!relayed && relay.empty()) return;
   pool.last_path_probe = now_;
   ++pool.path_probes;
--- a/tests/session_peers_test.cc
+++ b/tests/session_peers_test.cc
@@ -47,14 +47,14 @@
   const ServerEntry server = Server("s", "z0");
   CHECK(PlanConnections(server, 16, kReserved, Instances(4)).owners.empty());
   CHECK(PlanConnections(server, 16, kReserved, Instances(4)).connections == 3);
-  // The boundary: one connection each, then too few.
-  CHECK(PlanConnections(server, 58, kReserved, Instances(56)).owners.empty());
+  // The boundary: two connections each, then too few.
+  CHECK(PlanConnections(server, 58, kReserved, Instances(28)).owners.empty());
   CHECK_FALSE(
-      PlanConnections(server, 58, kReserved, Instances(57)).owners.empty());
+      PlanConnections(server, 58, kReserved, Instances(29)).owners.empty());
 }
 
 TEST_CASE("more instances than connections: owners stay within the limit") {
-  for (const int count : {57, 77, 300, 1000}) {
+  for (const int count : {29, 57, 77, 300, 1000}) {
     for (const int limit : {1, 5, 58}) {
       const auto plan = PlanConnections(Server("s", "z0"), limit, kReserved,
                                         Instances(count));
@@ -377,6 +377,33 @@
   CHECK(opened() <= 1);
 }
 
+TEST_CASE("all instances start at once: owners are tried until one is up") {
+  ProxyDriver driver;
+  driver.Feed(session::InstancesRead{ForwardingFleet()});
+  driver.OpenSession(1, "claims");
+  const auto pass = [&](Duration time, bool owners_up) {
+    for (Duration passed{0}; passed < time; passed += Milliseconds(25)) {
+      driver.AdvanceTime(Milliseconds(25));
+      for (const auto& [id, server] : std::exchange(driver.opening, {})) {
+        const bool up = owners_up && driver.share_addresses.contains(id);
+        if (up) driver.server_of[id] = server;
+        const auto error = driver.share_addresses.contains(id)
+                               ? ErrorCode::kOther
+                               : ErrorCode::kTooMany;
+        driver.Feed(session::ServerConnected{id, up ? ErrorCode::kNone : error,
+                                             Position{1, 0}});
+      }
+      driver.AnswerAll({});
+    }
+  };
+  driver.LoseAllConnections();
+  pass(std::chrono::seconds(4), false);
+  pass(Milliseconds(500), true);
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  pass(Milliseconds(100), true);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+}
+
 TEST_CASE("a command is forwarded at most once") {
   ProxyDriver driver;
   driver.Feed(session::InstancesRead{ForwardingFleet()});
