--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -495,13 +495,13 @@
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
-  bool servers_known_ = false;
   TimePoint servers_read_at_;
+  TimePoint started_at_;  ///< first event
+  bool servers_known_ = false;
   bool server_list_complete_ = false;
   std::optional<TimePoint> isolated_since_;   ///< all other zones are failing
   std::optional<TimePoint> isolation_ended_;  ///< end of the last isolation
   bool check_scheduled_ = false;
-  TimePoint started_at_;  ///< first event
   bool stop_finished_ = false;
   std::optional<TimePoint> stop_requested_at_;
   Duration stop_grace_{0};
--- a/src/session/connection_owners.cc
+++ b/src/session/connection_owners.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Connections of each instance to a server below which owners share them: a
-/// transaction holds one until it ends, and none is left for anything else.
-constexpr int kMinDirectConnections = 2;
 /// Part of a server's connections that owners leave free: connections of an
 /// owner that was killed count until the server notices.
 constexpr int kOwnerReserveDivisor = 5;
@@ -29,7 +26,7 @@
   const int count = std::max<int>(1, static_cast<int>(instances.size()));
   const int share = (max_connections - reserved) / count;
   plan.connections = std::max(1, share);
-  if (share >= kMinDirectConnections) return plan;
+  if (share >= 1) return plan;
   const int usable = max_connections - max_connections / kOwnerReserveDivisor;
   plan.connections = std::clamp(server.slots, 1, std::max(1, usable));
   using Candidate = std::tuple<bool, std::uint64_t, InstanceId>;
