--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -171,7 +171,9 @@
                     now_ - pool.last_refused_full < primary_loss_timeout;
   if (pool.failing && !full && now_ - pool.failing_since >= limit) return true;
   const auto fenced_since = service.proof.fenced_since();
-  if (fenced_since && now_ - *fenced_since >= kForeignFenceLimit) return true;
+  // Old reports may be of fences that were released since.
+  const bool fenced = fenced_since && service.proof.FenceReported(now_);
+  if (fenced && now_ - *fenced_since >= kForeignFenceLimit) return true;
   return service.switching_over || CommitsStall(pool);
 }
 
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -160,6 +160,37 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
 }
 
+TEST_CASE("a primary without replicas needs no proof") {
+  ProxyDriver driver(PrimaryContinues());
+  driver.ListServers({"a"});
+  driver.AdvanceTime(std::chrono::seconds(7));
+  driver.sent.clear();
+  driver.answers_status = {"a"};
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.CompleteConnects();
+  CHECK(SentToServer(driver));
+}
+
+TEST_CASE("fences that were released while a service was idle are no loss") {
+  ProxyDriver driver(PrimaryContinues());
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  PassTime(driver, {});
+  for (int n = 0; n < 8; ++n) PassTime(driver, {"b", "c"});
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  const ConnectionId connection = driver.ReplicaQuery();
+  REQUIRE(connection != 0);
+  Reply fenced;
+  fenced.status = Fenced(1, 10);
+  driver.Feed(session::ServerReplied{connection, fenced});
+  driver.answers_status = {"a", "b", "c"};
+  for (int n = 0; n < 60; ++n) PassTime(driver, {});
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  PassTime(driver, {});
+  CHECK(driver.claims.empty());
+}
+
 TEST_CASE("a proof is valid for a bounded time") {
   ProxyDriver driver(PrimaryContinues());
   driver.OpenSession(1, "claims");
