--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -25,6 +25,8 @@
 constexpr Ms kBeat{1200};
 constexpr int kBeatsUntilGone = 3;
 constexpr Ms kTick{1};
+// There and back between two zones, at 1.4 ms one way.
+constexpr std::chrono::microseconds kCrossZone{2'800};
 constexpr char kProgram[] = "target/corianderdock-proxy";
 
 std::string ToText(const Json::Value& value) {
@@ -532,6 +534,10 @@
       }
       if (fields[0] != "QUERY" || fields.size() < 3) break;
       if (!co_await AwaitLink(it)) break;
+      if (!group_.IsNear(it.instance, zone_)) {
+        asio::steady_timer timer(io_, kCrossZone);
+        co_await timer.async_wait(use_awaitable);
+      }
       const bool from_client = fields[1] != "-";
       const Answer answer = co_await Run(it, fields[1], fields[2]);
       if (!alive_) co_return;
@@ -848,6 +854,7 @@
     }
     const bool receives = from != nullptr && it->held_term_ <= from->term_;
     if (!receives) continue;
+    if (it->term_ < from->term_) it->held_term_ = 0;  // after a promotion
     it->term_ = from->term_;
     if (it->end() == from->end()) continue;
     std::size_t same = 0;
@@ -865,7 +872,6 @@
       it->log_.push_back(from->log_[n]);
       it->received_at_.push_back(Clock::now());
     }
-    it->held_term_ = 0;
   }
 }
 
@@ -1212,6 +1218,7 @@
   const int cloud_port = cloud.Listen(name);
   proxies.push_back(std::make_unique<Proxy>(record, deployment, name, zone,
                                             store_port, cloud_port));
+  for (Group& group : groups) group.SetZone(name, zone);
   return *proxies.back();
 }
 
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -258,6 +258,15 @@
   void Promote(const std::string& id, bool stops_old);
   /// Lets the replicas receive what the primaries have.
   void Replicate();
+  /// Tells the zone of an instance; links between zones are slower.
+  void SetZone(const std::string& instance, const std::string& zone) {
+    zones_[instance] = zone;
+  }
+  [[nodiscard]] bool IsNear(const std::string& instance,
+                            const std::string& zone) const {
+    const auto it = zones_.find(instance);
+    return it == zones_.end() || it->second == zone;
+  }
   /// Whether a zone is cut off from the others.
   void CutZone(const std::string& zone, bool cut) { cut_zones_[zone] = cut; }
   /// Receives on a timer, in `delay` steps.
@@ -274,6 +283,7 @@
 
   std::uint64_t newest_term_ = 1;
   std::vector<std::unique_ptr<Server>> servers_;
+  std::map<std::string, std::string> zones_;  ///< of instances
   std::map<std::string, bool> cut_zones_;
   std::map<std::string, Clock::time_point> reaches_newer_since_;
 };
