--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -23,10 +23,10 @@
 lab::Task KeepWriting(lab::World& world, int port, Acknowledged& acknowledged) {
   while (!acknowledged.stop) {
     lab::Client client(world.io, world.record, "c1");
-    (void)co_await client.Start(port, "stock");
+    (void)co_await client.Start(port, "order");
     for (int n = 0; !acknowledged.stop && client.connected(); ++n) {
       const auto reply = co_await client.Query(
-          "WRITE hide" + std::to_string(n % 7) + " d" + std::to_string(n));
+          "WRITE film" + std::to_string(n % 7) + " d" + std::to_string(n));
       if (reply.ok()) acknowledged.writes.push_back(client.last_id());
       co_await lab::Sleep(Ms(40));
     }
@@ -36,17 +36,19 @@
 
 lab::asio::awaitable<bool> Body(lab::asio::io_context& io,
                                 lab::Record& record) {
-  auto& world = *new lab::World(io, record, {}, Ms(600));
+  lab::Deployment deployment;
+  deployment.fencing = false;
+  auto& world = *new lab::World(io, record, deployment, Ms(1000));
   lab::Group& group = world.AddGroup("books");
-  lab::Server& primary = group.Add("i-p1", "osu");
-  lab::Server& unseen = group.Add("i-r1", "tema");
-  lab::Server& deaf = group.Add("i-r2", "kaneshie");
+  lab::Server& primary = group.Add("i-p1", "osijek");
+  lab::Server& unseen = group.Add("i-r1", "zagreb");
+  lab::Server& deaf = group.Add("i-r2", "varazdin");
   world.store.Put(
       "op/config",
-      lab::ConfigText(3, {{"stock", "primary", "books"}}, {"books"}, 16, 1));
-  world.AddProxy("front-osu-1", "osu");
-  world.AddProxy("front-tema-1", "tema");
-  world.AddProxy("front-kaneshie-1", "kaneshie");
+      lab::ConfigText(3, {{"order", "primary", "books"}}, {"books"}, 34, 1));
+  world.AddProxy("front-osijek-1", "osijek");
+  world.AddProxy("front-zagreb-1", "zagreb");
+  world.AddProxy("front-varazdin-1", "varazdin");
   co_await world.StartAll();
   co_await lab::Sleep(Ms(5000));
 
