Hold commits that may be only on a server that just joined

Cause: the primary acknowledges a commit once any server has received it. In a zone that is cut off, that can be a server that joins there and that no other instance has listed. The instance held answers back only for an old server list, a draining server or a change of the list; for the first 2 s of a cut none of these applies.

Ruled out: the order of the promotion itself (it has all known replicas, fenced for 0.6 s), and the age of the list (under 1 s).

Change: CommitEvidence decides whether an acknowledgement may count at once. A known replica must have answered a command sent with the commit (a transaction without statements, which takes no slot), no commit may have waited 100 ms or have had no answer, and answered commits must be seen at a known replica within a second. Otherwise, and after a reported fence, the answer waits until a known replica has the commit.

Why it works: the promotion that loses a commit has fenced all known replicas without it, so the commit either waited for the joining server, or follows one that did, or no known replica can be reached.

Tests, seen failing on the code before: session_proof "a commit is not answered while no known replica answers" and "a commit that stalled waits until a known replica has it".

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderdock/detail/timers.h"
+#include "corianderdock/session/commit_evidence.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
 #include "corianderdock/session/events.h"
@@ -89,6 +90,7 @@
     kStatement,  ///< client statement
     kEnd,        ///< ends a transaction; the reply is ignored
     kProbe,      ///< BEGIN that only a primary accepts
+    kContact,    ///< BEGIN READ that shows that a replica can be reached
     kInspect,    ///< queries whether a replica is fenced
     kWitness,    ///< queries role, term and fence of any server
     kFence,      ///< fences a replica and returns its log position
@@ -157,9 +159,10 @@
     int opening_path_probes = 0;
     int path_probes = 0;  ///< started since a path probe last succeeded
     TimePoint last_path_probe;
-    int connect_failures = 0;  ///< consecutive
-    int lost_commits = 0;      ///< closed unanswered since the last success
-    TimePoint last_heard;      ///< last reply or opened connection
+    int connect_failures = 0;     ///< consecutive
+    int lost_commits = 0;         ///< closed unanswered since the last success
+    bool commits_waited = false;  ///< until the last acknowledged commit
+    TimePoint last_heard;         ///< last reply or opened connection
     TimePoint connect_after;
     TimePoint avoid_reads_until;  ///< for reads that require a later position
     TimePoint busy_until;
@@ -210,6 +213,7 @@
     FreshnessSamples samples;
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
+    CommitEvidence commits;
     /// When the known primary last counted as lost, or another instance was
     /// found to have claimed its replacement.
     std::optional<TimePoint> primary_doubted_at;
@@ -243,8 +247,8 @@
     /// The reply to a commit, held until a replica has received the commit at
     /// `held_commit`.
     std::optional<Reply> held_reply;
-    Position held_commit;
-    TimePoint held_since;
+    CommitEvidence::Commit held_commit;
+    bool needs_receipt = false;  ///< no other evidence suffices
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
     TimePoint arrived;
@@ -422,6 +426,13 @@
   void QueryPositions(Service& service);
   [[nodiscard]] bool NeedsProof() const;
   [[nodiscard]] bool CommitsNeedProof(const Service& service) const;
+  void ContactReplica(ServerPool& pool);
+  void ContactNearestReplica(Service& service);
+  void NoteContact(ServerPool& pool, const Connection& connection,
+                   const ExpectedReply& expected, const Reply& reply);
+  [[nodiscard]] bool CommitProven(const Service& service,
+                                  const CommitEvidence::Commit& commit,
+                                  bool needs_receipt) const;
   void NotePosition(ServerPool& pool, TimePoint sent,
                     const std::optional<Position>& position);
   void OnServerStatus(ServerPool& pool, TimePoint sent,
@@ -429,7 +440,10 @@
   void NoteNewerTerm(Service& service, Term term);
   void DemoteStaleLeader(ServerPool& pool);
   void AddSample(Service& service, Position position, TimePoint sent);
-  void AnswerCommit(SessionId id, Session& session, Reply reply);
+  void NoteCommitAnswered(Service& service,
+                          const CommitEvidence::Commit& commit);
+  void AnswerCommit(SessionId id, Session& session, TimePoint sent,
+                    Reply reply);
   [[nodiscard]] bool LeadershipProven(const Service& service) const;
   [[nodiscard]] std::string ProofAge(const Service& service) const;
   void ReleaseProven(Service& service);
@@ -445,6 +459,7 @@
   void CheckServices();
   void SearchPrimary(Service& service);
   [[nodiscard]] bool CommitsStall(const ServerPool& pool) const;
+  [[nodiscard]] bool CommitWaits(const ServerPool& pool) const;
   [[nodiscard]] bool PrimaryLost(const Service& service) const;
   [[nodiscard]] bool SwitchoverHelps(const Service& service) const;
   void ConsiderSwitchover(const ServiceId& id, Service& service);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -25,8 +25,8 @@
 constexpr Duration kLateClaimDelay = std::chrono::milliseconds(1200);
 constexpr Duration kLateClaimTurn = std::chrono::milliseconds(20);
 constexpr Duration kMaxClaimDelay = std::chrono::milliseconds(2000);
-/// A primary that still answers this long after a replica began to fail is not
-/// behind the same partition as the replica.
+/// A primary that still answers this long after another server fell silent is
+/// not behind the same partition as that one.
 constexpr Duration kSeparationEvidence = std::chrono::milliseconds(1000);
 /// Time after which fences that no promotion followed are taken to be those of
 /// a claimant that stopped. Longer than a promotion takes.
@@ -155,6 +155,17 @@
   return stalled >= kStalledCommits;
 }
 
+/// Whether a commit had no answer, or still waits for one after a long time.
+bool Proxy::CommitWaits(const ServerPool& pool) const {
+  const auto waits = [&](ConnectionId id) {
+    const auto& expected = connections_.at(id).expected;
+    return !expected.empty() && expected.front().commits_writes &&
+           CommitEvidence::Stalls(expected.front().sent, now_);
+  };
+  return pool.lost_commits > 0 ||
+         std::any_of(pool.connections.begin(), pool.connections.end(), waits);
+}
+
 bool Proxy::PrimaryLost(const Service& service) const {
   const Duration primary_loss_timeout = options_.failover.primary_loss_timeout;
   if (service.primary.empty()) {
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -56,6 +56,7 @@
 /// replaced, the list is old, or a promotion may be under way.
 bool Proxy::CommitsNeedProof(const Service& service) const {
   if (now_ - servers_read_at_ >= kListMaxAge) return true;
+  if (service.proof.FenceReported(now_)) return true;
   // A claim made meanwhile may still lead to a promotion.
   if (service.primary_doubted_at &&
       now_ - *service.primary_doubted_at < options_.failover.max_order_delay) {
@@ -151,12 +152,7 @@
       ProbeLeadership(pool);
       continue;
     }
-    ServerCommand begin;
-    begin.statement.verb = Verb::kBeginRead;
-    ServerCommand end;
-    end.statement.verb = Verb::kRollback;
-    SendControl(id, std::move(begin), Step::kEnd);
-    SendControl(id, std::move(end), Step::kEnd);
+    ContactReplica(pool);
   }
 }
 
@@ -172,9 +168,60 @@
   if (primary == pools_.end() || !IsWitness(pool)) return;
   service.proof.AddReplicaPosition(pool.entry.id, *position,
                                    primary->second.leader_term);
+  service.commits.AddReceived(*position);
   if (NeedsProof() || !service.awaiting_proof.empty()) ReleaseProven(service);
 }
 
+/// Sends a command that uses no slot to a replica.
+void Proxy::ContactReplica(ServerPool& pool) {
+  ServerCommand begin;
+  begin.statement.verb = Verb::kBeginRead;
+  ServerCommand end;
+  end.statement.verb = Verb::kRollback;
+  SendControl(pool.entry.id, std::move(begin), Step::kContact);
+  SendControl(pool.entry.id, std::move(end), Step::kEnd);
+}
+
+/// Contacts a known replica, so that it is known to be reachable by the time a
+/// commit that was just sent is acknowledged.
+void Proxy::ContactNearestReplica(Service& service) {
+  if (service.limits.sync_replicas == 0) return;
+  if (!service.commits.NeedsContact(now_)) return;
+  ServerPool* nearest = nullptr;
+  for (const ServerId& id : service.servers) {
+    ServerPool& pool = pools_.at(id);
+    const bool usable = id != service.primary && IsWitness(pool) &&
+                        !pool.failing && !pool.idle.empty();
+    if (!usable) continue;
+    const bool near = pool.entry.zone == self_.zone;
+    if (nearest == nullptr || near) nearest = &pool;
+  }
+  if (nearest != nullptr) ContactReplica(*nearest);
+}
+
+/// Notes that a known replica itself replied, not the instance that shares its
+/// connections.
+void Proxy::NoteContact(ServerPool& pool, const Connection& connection,
+                        const ExpectedReply& expected, const Reply& reply) {
+  const bool by_owner = connection.shared && (expected.step == Step::kSetup ||
+                                              expected.step == Step::kEnd ||
+                                              reply.error == ErrorCode::kBusy);
+  Service& service = ServiceOf(pool.entry.service);
+  if (by_owner || service.primary == pool.entry.id || !IsWitness(pool)) return;
+  service.commits.AddContact(expected.sent);
+  if (!service.awaiting_proof.empty()) ReleaseProven(service);
+}
+
+/// Whether the client of an acknowledged commit may be answered: a known
+/// replica has it, or nothing suggests that only other servers do.
+bool Proxy::CommitProven(const Service& service,
+                         const CommitEvidence::Commit& commit,
+                         bool needs_receipt) const {
+  if (service.proof.HasReceived(commit.position, now_)) return true;
+  return !needs_receipt && !CommitsNeedProof(service) &&
+         service.commits.Suffices(commit);
+}
+
 /// Handles any status report of a server.
 void Proxy::OnServerStatus(ServerPool& pool, TimePoint sent,
                            const ServerStatus& status) {
@@ -192,6 +239,7 @@
     if (!IsWitness(pool)) return;
     const bool was_fenced = service.proof.FenceReported(now_);
     service.proof.Add(pool.entry.id, sent, now_, status, leader_term);
+    service.commits.AddReceived(status.received);
     if (service.proof.FenceReported(now_) != was_fenced) {
       Log("replica fence changed service=" + pool.entry.service + " id=" +
           pool.entry.id + " fence_term=" + std::to_string(status.fence_term));
@@ -261,22 +309,36 @@
   return std::to_string(age.count());
 }
 
+void Proxy::NoteCommitAnswered(Service& service,
+                               const CommitEvidence::Commit& commit) {
+  if (service.proof.HasReceived(commit.position, now_)) return;
+  service.commits.AddAnswered(commit.position, now_);
+}
+
 /// Answers a commit, once a known replica has received it if a server that a
 /// claimant may leave out could have acknowledged it.
-void Proxy::AnswerCommit(SessionId id, Session& session, Reply reply) {
+void Proxy::AnswerCommit(SessionId id, Session& session, TimePoint sent,
+                         Reply reply) {
   PendingStatement& pending = *session.pending;
   Service& service = ServiceOf(pending.route->service);
   const bool required = service.limits.sync_replicas > 0 && reply.position &&
-                        options_.safety->RequireReplicaProof() &&
-                        CommitsNeedProof(service);
-  if (!required || service.proof.HasReceived(*reply.position, now_)) {
+                        options_.safety->RequireReplicaProof();
+  if (!required) return Answer(id, session, std::move(reply));
+  const CommitEvidence::Commit commit{*reply.position, sent, now_};
+  const auto primary = pools_.find(service.primary);
+  service.commits.AddCommit(
+      commit, primary != pools_.end() && primary->second.commits_waited);
+  pending.needs_receipt =
+      CommitsNeedProof(service) || service.commits.NeedsReceipt(commit);
+  if (CommitProven(service, commit, pending.needs_receipt)) {
+    NoteCommitAnswered(service, commit);
     return Answer(id, session, std::move(reply));
   }
-  pending.held_commit = *reply.position;
+  Count("commits_held");
+  pending.held_commit = commit;
   pending.held_reply = std::move(reply);
-  pending.held_since = now_;
   service.awaiting_proof.insert(id);
-  QueryNextReplica(service);
+  if (pending.needs_receipt) QueryNextReplica(service);
 }
 
 /// Answers the held replies, and adopts the samples, that are proven by now.
@@ -297,12 +359,14 @@
     const auto it = sessions_.find(id);
     const bool held = it != sessions_.end() && it->second.pending &&
                       it->second.pending->held_reply;
-    const bool received = held && service.proof.HasReceived(
-                                      it->second.pending->held_commit, now_);
-    if (held && !received) continue;
+    if (held && !CommitProven(service, it->second.pending->held_commit,
+                              it->second.pending->needs_receipt)) {
+      continue;
+    }
     service.awaiting_proof.erase(id);
     if (!held) continue;
     ResetStatusBackoff(service);
+    NoteCommitAnswered(service, it->second.pending->held_commit);
     Reply reply = std::move(*it->second.pending->held_reply);
     Answer(id, it->second, std::move(reply));
   }
@@ -314,12 +378,12 @@
   PendingStatement& pending = *session.pending;
   Service& service = ServiceOf(pending.route->service);
   service.awaiting_proof.erase(id);
-  const auto held_ms =
-      std::chrono::duration_cast<Milliseconds>(now_ - pending.held_since);
-  LogRequest("commit not proven id=" + pending.id +
-             " database=" + session.database +
-             " position=" + std::to_string(pending.held_commit.term) + "." +
-             std::to_string(pending.held_commit.index) +
+  const auto held_ms = std::chrono::duration_cast<Milliseconds>(
+      now_ - pending.held_commit.acknowledged);
+  const Position position = pending.held_commit.position;
+  LogRequest("commit not proven id=" + pending.id + " database=" +
+             session.database + " position=" + std::to_string(position.term) +
+             "." + std::to_string(position.index) +
              " held_ms=" + std::to_string(held_ms.count()) +
              " fenced=" + std::to_string(service.proof.FenceReported(now_)));
   Count("commits_not_proven");
@@ -332,6 +396,7 @@
 /// it: what proves the new primary says nothing about them.
 void Proxy::ResetProof(Service& service) {
   service.proof.Reset();
+  service.commits.Reset();
   service.unproven_samples.clear();
   for (const SessionId id : std::exchange(service.awaiting_proof, {})) {
     const auto it = sessions_.find(id);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -183,7 +183,8 @@
 }
 
 /// Whether to keep connections to a server. A primary is used until it is
-/// replaced, even if it is no longer listed.
+/// replaced, even if it is no longer listed. Servers that a promotion waits for
+/// are contacted to learn whether they still run.
 bool Proxy::InUse(const ServerPool& pool) const {
   if (pool.listed) return true;
   const auto it = services_.find(pool.entry.service);
@@ -316,7 +317,9 @@
   expected.commits_writes = step == Step::kStatement && proves_leadership;
   if (expected.uses_slot) ++pools_.at(connection.server).running;
   connection.expected.push_back(expected);
+  const ServiceId service = connection.service;
   Emit(SendCommand{id, std::move(command)});
+  if (expected.commits_writes) ContactNearestReplica(ServiceOf(service));
 }
 
 void Proxy::On(const ServerReplied& event) {
@@ -341,6 +344,7 @@
   const Reply& reply = event.reply;
   pool.log_position = LaterPosition(pool.log_position, reply.position);
   NotePosition(pool, expected.sent, reply.position);
+  NoteContact(pool, connection, expected, reply);
   switch (expected.step) {
     case Step::kBegin:
       OnBeginReply(event.connection, expected, reply);
@@ -369,6 +373,7 @@
       Log("connection closed server=" + connection.server +
           " reason=setup failed detail=" + reply.detail);
       return CloseConnection(event.connection, true);
+    case Step::kContact:
     case Step::kEnd:
     case Step::kResume:
       break;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -186,7 +186,10 @@
     const double ms = ToMs(now_ - expected.sent);
     pool.latency_ms += kLatencySmoothing * (ms - pool.latency_ms);
     NoteRunTime(session, now_ - expected.sent);
-    if (expected.commits_writes) pool.lost_commits = 0;
+    if (expected.commits_writes) {
+      pool.commits_waited = CommitWaits(pool);
+      pool.lost_commits = 0;
+    }
     RaiseConcurrencyLimit(pool);
     pool.behind_backoff = Duration(0);
     pool.behind_since.reset();
@@ -222,7 +225,7 @@
 
 void Proxy::CompleteStatement(SessionId id, Session& session,
                               ConnectionId connection,
-                              const ExpectedReply& /*expected*/, Reply reply) {
+                              const ExpectedReply& expected, Reply reply) {
   PendingStatement& pending = *session.pending;
   Connection& server_connection = connections_.at(connection);
   const bool commit = pending.statement.verb == Verb::kCommit;
@@ -256,7 +259,9 @@
   const bool commits_writes =
       (commit && session.sent_write) || (autocommit && pending.writes);
   if (commit) EndTransaction(session);
-  if (commits_writes) return AnswerCommit(id, session, std::move(reply));
+  if (commits_writes) {
+    return AnswerCommit(id, session, expected.sent, std::move(reply));
+  }
   Answer(id, session, std::move(reply));
 }
 
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "corianderdock/session/commit_evidence.h"
 #include "corianderdock/session/leadership_proof.h"
 #include "support/proxy_driver.h"
 
@@ -165,7 +166,6 @@
   driver.ListServers({"a"});
   driver.AdvanceTime(std::chrono::seconds(7));
   driver.sent.clear();
-  driver.answers_status = {"a"};
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kWrite, {}, "item data");
   driver.CompleteConnects();
@@ -217,6 +217,88 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
 }
 
+namespace {
+
+/// Takes the client's statement that was sent last and is not answered.
+SendCommand TakeStatement(ProxyDriver& driver) {
+  const auto last = std::find_if(
+      driver.sent.rbegin(), driver.sent.rend(),
+      [](const SendCommand& it) { return !it.command.id.empty(); });
+  REQUIRE(last != driver.sent.rend());
+  const SendCommand statement = *last;
+  driver.sent.erase(std::next(last).base());
+  return statement;
+}
+
+/// Sends a write of a session and takes it.
+SendCommand SendWrite(ProxyDriver& driver, session::SessionId session) {
+  driver.Query(session, Verb::kWrite, {}, "item data");
+  return TakeStatement(driver);
+}
+
+/// Lets the primary acknowledge a write at `index`. Returns whether its client
+/// has an answer then.
+bool AnswersWrite(ProxyDriver& driver, const SendCommand& write,
+                  std::uint64_t index) {
+  const std::size_t answered = driver.answers.size();
+  Reply done;
+  done.receipt = "r";
+  done.position = Position{1, index};
+  driver.Answer(write.connection, done);
+  return driver.answers.size() > answered;
+}
+
+/// The same for a write that is sent now and acknowledged after `latency`.
+bool AnswersWrite(ProxyDriver& driver, Duration latency, std::uint64_t index,
+                  session::SessionId session = 1) {
+  const SendCommand write = SendWrite(driver, session);
+  driver.AdvanceTime(latency);
+  return AnswersWrite(driver, write, index);
+}
+
+/// A driver whose replicas have answered, with a session that writes. Status
+/// queries have no reply.
+ProxyDriver WritingDriver() {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.OpenSession(2, "claims");
+  for (int n = 0; n < 4; ++n) PassTime(driver, {});
+  driver.answers_status.clear();
+  return driver;
+}
+
+}  // namespace
+
+// Guards against the loss of commits that only a server which no list shows yet
+// has received, in a zone that is cut off.
+TEST_CASE("a commit is not answered while no known replica answers") {
+  ProxyDriver driver = WritingDriver();
+  driver.answers_contacts.clear();
+  CHECK_FALSE(AnswersWrite(driver, Milliseconds(5), 11));
+  const std::size_t answered = driver.answers.size();
+  driver.answers_contacts = {"b", "c"};
+  driver.AdvanceTime(Milliseconds(25));
+  REQUIRE(driver.answers.size() == answered + 1);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+}
+
+// Guards against the loss of commits that waited at the primary, cut off from
+// its replicas, until a server that no list shows yet received them.
+TEST_CASE("a commit that stalled waits until a known replica has it") {
+  ProxyDriver driver = WritingDriver();
+  CHECK_FALSE(AnswersWrite(driver, Milliseconds(150), 11));
+  // Nor is a commit answered that follows it without a delay.
+  CHECK_FALSE(AnswersWrite(driver, Milliseconds(5), 12, 2));
+  const std::size_t answered = driver.answers.size();
+  const ConnectionId query = driver.ReplicaQuery();
+  REQUIRE(query != 0);
+  Reply received;
+  received.status = Unfenced(1, 12);
+  driver.Feed(session::ServerReplied{query, received});
+  REQUIRE(driver.answers.size() == answered + 2);
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+}
+
 TEST_CASE("a held commit whose primary is replaced is in doubt") {
   ProxyDriver driver(PrimaryContinues());
   driver.OpenSession(1, "claims");
@@ -244,4 +326,53 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kUnsure);
 }
 
+// Guards against the loss of commits that follow, without a delay, others that
+// the primary, cut off from its replicas, never acknowledged.
+TEST_CASE("a commit acknowledged before older ones waits for a known replica") {
+  ProxyDriver driver = WritingDriver();
+  (void)SendWrite(driver, 1);
+  for (int n = 0; n < 4; ++n) {
+    driver.CompleteConnects();
+    driver.AnswerAll({});
+    driver.AdvanceTime(Milliseconds(15));
+  }
+  driver.answers_status.clear();
+  const SendCommand second = SendWrite(driver, 2);
+  driver.AdvanceTime(Milliseconds(60));
+  CHECK_FALSE(AnswersWrite(driver, second, 12));
+}
+
+// Guards against the loss of commits that an unlisted server acknowledges while
+// a claimant has fenced the known replicas.
+TEST_CASE("a commit after a reported fence waits for a known replica") {
+  ProxyDriver driver = WritingDriver();
+  CHECK_FALSE(AnswersWrite(driver, Milliseconds(150), 11));
+  const SendCommand second = SendWrite(driver, 2);
+  const ConnectionId query = driver.ReplicaQuery();
+  REQUIRE(query != 0);
+  Reply fenced;
+  fenced.status = Fenced(1, 11);
+  driver.Feed(session::ServerReplied{query, fenced});
+  CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+  CHECK_FALSE(AnswersWrite(driver, second, 12));
+}
+
+TEST_CASE("answered commits must be seen at a known replica in time") {
+  session::CommitEvidence evidence;
+  const session::CommitEvidence::Commit first{{1, 5}, At(0), At(10)};
+  evidence.AddContact(At(0));
+  evidence.AddCommit(first, false);
+  REQUIRE(evidence.Suffices(first));
+  evidence.AddAnswered(first.position, At(10));
+  evidence.AddContact(At(900));
+  CHECK(evidence.Suffices({{1, 6}, At(900), At(910)}));
+  evidence.AddContact(At(1100));
+  const session::CommitEvidence::Commit late{{1, 7}, At(1100), At(1110)};
+  CHECK_FALSE(evidence.Suffices(late));
+  evidence.AddReceived({2, 9});
+  CHECK_FALSE(evidence.Suffices(late));
+  evidence.AddReceived({1, 5});
+  CHECK(evidence.Suffices(late));
+}
+
 }  // namespace corianderdock::test
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -82,6 +82,24 @@
   void Feed(const session::Event& event) {
     for (auto& effect : proxy.Reduce(now, event)) Apply(std::move(effect));
     AnswerStatusQueries();
+    AnswerContacts();
+  }
+
+  /// Answers the transactions without statements at servers in
+  /// `answers_contacts`.
+  void AnswerContacts() {
+    for (const ConnectionId it : std::exchange(contacts, {})) {
+      if (!answers_contacts.contains(server_of[it]) || unanswered[it] > 0) {
+        contacts.push_back(it);
+        continue;
+      }
+      Reply reply;
+      reply.position = Position{1, contact_index};
+      reply.state = TransactionState::kOpen;
+      Feed(session::ServerReplied{it, reply});
+      reply.state = TransactionState::kIdle;
+      Feed(session::ServerReplied{it, reply});
+    }
   }
 
   /// Answers the queries of servers in `answers_status` as unfenced members of
@@ -277,8 +295,12 @@
   TimePoint now{std::chrono::seconds(100)};
   std::vector<SendCommand> sent;            ///< unanswered commands
   std::vector<SendCommand> status_queries;  ///< unanswered
-  std::map<ConnectionId, int> unanswered;   ///< other commands
+  /// Connections to replicas with unanswered transactions without statements.
+  std::vector<ConnectionId> contacts;
+  std::map<ConnectionId, int> unanswered;  ///< other commands
   std::set<ServerId> answers_status{"a", "b", "c"};
+  std::set<ServerId> answers_contacts{"a", "b", "c"};
+  std::uint64_t contact_index = 10;  ///< of the logs of the contacted replicas
   std::vector<AnswerSession> answers;
   std::vector<session::CloseSession> closed;
   std::vector<session::AnswerPeer> peer_answers;
@@ -317,12 +339,29 @@
     };
     std::erase_if(sent, of_connection);
     std::erase_if(status_queries, of_connection);
+    std::erase(contacts, it.connection);
   }
   void Record(const SendCommand& it) {
     const bool query = it.command.statement.verb == Verb::kStatus;
     if (query) return status_queries.push_back(it);
     sent.push_back(it);
     ++unanswered[it.connection];
+    RecordContact();
+  }
+  /// Moves a transaction without statements, BEGIN READ and ROLLBACK, from
+  /// `sent` to `contacts`.
+  void RecordContact() {
+    if (sent.size() < 2) return;
+    const SendCommand& begin = sent[sent.size() - 2];
+    const SendCommand& end = sent.back();
+    const bool contact = begin.connection == end.connection &&
+                         begin.command.statement.verb == Verb::kBeginRead &&
+                         end.command.statement.verb == Verb::kRollback;
+    if (!contact) return;
+    contacts.push_back(begin.connection);
+    unanswered[begin.connection] -= 2;
+    sent.pop_back();
+    sent.pop_back();
   }
   void Record(const session::ClaimPromotion& it) { claims.push_back(it); }
   void Record(const session::RenewToken& /*it*/) {}
