Await servers by what they may have, not by how long they are away

Cause: MayHoldCommits left a server out once it had been out of the list for 6 s, or as soon as the present primary answered a second after it fell silent. The first says nothing about a server that still answers.

Change, one rule: a server that answers is fenced, listed or not; one that does not is awaited, unless the server to promote has reached a position that the primary reported a second after that one fell silent. After 12 s out of the list without an answer a server counts as lost for good. Nothing is fenced for a promotion that the known logs show can't succeed, as the fences would stop a primary that returns.

Why it works: what a silent server acknowledged is in the primary's log by the time of the report, so a log that reaches the reported position has all of it.

Tried: allow one silent server of any kind while no primary is known (each commit is on two servers).

Tests, seen failing on the code before: session_failover "a replica that lacks commits of two silent servers isn't promoted", "a replica that left the list but answers is fenced", "a server is promoted only if its log has what others may have". "a silent server is awaited until another one has its address" was written with the change. In session_proof, "a primary without replicas needs no proof" now lets the primary answer while time passes, as servers that left the list are probed.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -132,7 +132,10 @@
     Duration claim_delay{0};           ///< after the loss of the primary
     /// Replicas that an acknowledged commit may depend on; true if draining.
     std::map<ServerId, bool> replicas;
-    bool replicas_reachable = true;  ///< no replica is failing
+    bool replicas_reachable = true;  ///< no server that counts is silent
+    /// Position that the log of the server to promote must have reached, as
+    /// servers that are left out may have commits up to it.
+    std::optional<Position> required;
     /// A server started to drain so recently that the one which replaces it may
     /// not be listed yet.
     bool joiner_expected = false;
@@ -192,6 +195,8 @@
   Actions StartDemoting(const Situation& situation);
   Actions StartFencing(const Situation& situation);
   [[nodiscard]] ServerId ChooseCandidate(const Situation& situation);
+  [[nodiscard]] bool ReachesRequired(const Situation& situation,
+                                     const ServerId& candidate) const;
   Actions FenceRemaining(const Situation& situation);
   [[nodiscard]] bool CanSkip(const Situation& situation,
                              const ServerId& replica) const;
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -73,9 +73,9 @@
   Duration max_owner_probe_backoff = std::chrono::milliseconds(200);
   /// Interval of probes of the direct path to a server reached by a relay.
   Duration direct_probe_interval = std::chrono::milliseconds(1000);
-  /// How long a replica that left the server list may have the only copy of an
-  /// acknowledged commit, as it keeps serving behind a partition.
-  Duration unlisted_replica_retention = std::chrono::milliseconds(6000);
+  /// How long a server that neither answers nor is listed may return with the
+  /// only copy of an acknowledged commit.
+  Duration unlisted_server_retention = std::chrono::milliseconds(12'000);
   /// Time from losing readiness until an isolated instance closes its idle
   /// sessions, so that their clients reconnect to other zones.
   Duration isolated_close_delay = std::chrono::milliseconds(1200);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -172,7 +172,12 @@
     bool failing = false;
     bool listed = true;
     TimePoint draining_since;
-    TimePoint unlisted_at;                 ///< when it left the server list
+    TimePoint unlisted_at;  ///< when it left the server list
+    /// Log position that the primary reported after this server had fallen
+    /// silent. A log that reaches it has every acknowledged commit of this one.
+    std::optional<Position> covered_by;
+    bool superseded = false;  ///< another one of its service has its address
+    std::optional<Position> received;      ///< as its status last showed
     double latency_ms = 5;                 ///< moving average over statements
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
@@ -375,6 +380,7 @@
                bool proves_leadership);
   void NoteHeard(ServerPool& pool);
   void NoteFailing(ServerPool& pool);
+  void ProbeUnlisted(ServerPool& pool);
   void CheckUnresponsive(ServerPool& pool);
   void ProbeAll();
   void CloseStuckConnections(ServerPool& pool);
@@ -388,7 +394,14 @@
   [[nodiscard]] Duration FallbackTokenDelay(const Service& service) const;
   [[nodiscard]] Duration ClaimDelay(const Service& service) const;
   [[nodiscard]] ServerId PrimaryOfService(const ServerPool& pool) const;
-  [[nodiscard]] bool MayHoldCommits(const ServerPool& pool) const;
+  [[nodiscard]] static bool HasOtherServers(const Service& service) {
+    return service.servers.size() > 1;
+  }
+  void NoteSuperseded();
+  [[nodiscard]] bool IsAwaited(const ServerPool& pool) const;
+  [[nodiscard]] bool Reaches(const ServerPool& pool, Position required) const;
+  void QueryReceived(Service& service);
+  void NoteCovered(const Service& service, Position position, TimePoint sent);
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
   void CheckServers();
 
@@ -440,10 +453,12 @@
   void NoteNewerTerm(Service& service, Term term);
   void DemoteStaleLeader(ServerPool& pool);
   void AddSample(Service& service, Position position, TimePoint sent);
+  void AdoptSample(Service& service, Position position, TimePoint sent);
   void NoteCommitAnswered(Service& service,
                           const CommitEvidence::Commit& commit);
   void AnswerCommit(SessionId id, Session& session, TimePoint sent,
                     Reply reply);
+  [[nodiscard]] bool MayRun(const ServerPool& pool) const;
   [[nodiscard]] bool LeadershipProven(const Service& service) const;
   [[nodiscard]] std::string ProofAge(const Service& service) const;
   void ReleaseProven(Service& service);
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -288,6 +288,16 @@
   return IsLater(demoted_end_, fence_reports_[best].received) ? demoted_ : best;
 }
 
+/// Whether the candidate's log has what the servers that are left out may have.
+bool Failover::ReachesRequired(const Situation& situation,
+                               const ServerId& candidate) const {
+  if (!situation.required) return true;
+  const auto report = fence_reports_.find(candidate);
+  const Position end =
+      report == fence_reports_.end() ? demoted_end_ : report->second.received;
+  return LogContains(end, *situation.required);
+}
+
 /// A restart lifts the fence of a replica, so old reports prove nothing.
 /// Returns whether any report was discarded.
 bool Failover::DiscardStaleReports(const Situation& situation) {
@@ -325,6 +335,7 @@
     return AbandonClaim(situation);
   }
   const ServerId chosen = ChooseCandidate(situation);
+  if (!ReachesRequired(situation, chosen)) return {};
   const bool other =
       unanswered_order_ && !candidate_.empty() && candidate_ != chosen;
   const bool may_be_executed =
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -34,6 +34,8 @@
 /// Time from the listing of a server as draining until the server that replaces
 /// it is listed as well.
 constexpr Duration kJoinerListedTime = std::chrono::milliseconds(2500);
+/// Interval of queries for the end of a log that a promotion waits for.
+constexpr Duration kReceivedQueryInterval = std::chrono::milliseconds(100);
 /// Age at which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
@@ -272,23 +274,32 @@
   return std::min(kLateClaimDelay + kLateClaimTurn * rank, kMaxClaimDelay);
 }
 
-/// Whether a commit may have been acknowledged because this server received it.
-bool Proxy::MayHoldCommits(const ServerPool& pool) const {
-  if (pool.listed) return true;
-  // A draining server is expected to leave the list. It can only take part in
-  // further commits if a partition hides both it and the primary.
-  const auto primary = pools_.find(PrimaryOfService(pool));
-  const bool known = primary != pools_.end();
-  const bool hidden = !known || primary->second.failing;
-  if (pool.entry.draining && !hidden) return false;
-  // The server does not answer this instance or the relays and has left the
-  // store, while the primary still answered afterwards: they are not behind the
-  // same partition.
-  const bool separated =
-      known && pool.failing &&
-      primary->second.last_heard >= pool.failing_since + kSeparationEvidence;
-  if (separated) return false;
-  return now_ - pool.unlisted_at < options_.unlisted_replica_retention;
+/// Whether a promotion waits for this server, as it may have the only copy of
+/// an acknowledged commit. Servers keep their log when they crash or leave the
+/// list. One may be left out if another has its address; if neither this
+/// instance and the relays nor the store hear from it, and the primary reported
+/// a position afterwards, which the logs of the others must then reach; or if
+/// it has been gone for so long that it won't return.
+bool Proxy::IsAwaited(const ServerPool& pool) const {
+  if (pool.superseded) return false;
+  if (pool.listed || !pool.failing) return true;
+  if (pool.covered_by) return false;
+  const TimePoint gone_since = std::max(pool.unlisted_at, pool.failing_since);
+  return now_ - gone_since < options_.unlisted_server_retention;
+}
+
+/// Notes a position of the primary for the servers that fell silent before it
+/// was reported.
+void Proxy::NoteCovered(const Service& service, Position position,
+                        TimePoint sent) {
+  for (const ServerId& id : service.servers) {
+    ServerPool& pool = pools_.at(id);
+    if (!pool.failing || pool.covered_by) continue;
+    if (sent < pool.failing_since + kSeparationEvidence) continue;
+    pool.covered_by = position;
+    Log("silent server not awaited id=" + id +
+        " position=" + FormatPosition(position));
+  }
 }
 
 Failover::Situation Proxy::SituationOf(const Service& service) const {
@@ -317,13 +328,45 @@
     if (pool.entry.draining && now_ - pool.draining_since < kJoinerListedTime) {
       situation.joiner_expected = true;
     }
-    if (id == service.primary || !MayHoldCommits(pool)) continue;
+    if (id == service.primary) continue;
+    if (pool.superseded) continue;
+    if (!IsAwaited(pool)) {
+      situation.required = LaterPosition(situation.required, pool.covered_by);
+      continue;
+    }
     situation.replicas[id] = pool.entry.draining;
     if (pool.failing) situation.replicas_reachable = false;
   }
+  // Fences would keep a primary that returns from acknowledging commits, so
+  // none are set for a promotion that can't succeed.
+  const bool reached =
+      !situation.required ||
+      std::any_of(situation.replicas.begin(), situation.replicas.end(),
+                  [&](const auto& it) {
+                    return Reaches(pools_.at(it.first), *situation.required);
+                  });
+  if (!reached) situation.replicas_reachable = false;
   return situation;
 }
 
+bool Proxy::Reaches(const ServerPool& pool, Position required) const {
+  const auto end = LaterPosition(pool.log_position, pool.received);
+  return end && LogContains(*end, required);
+}
+
+/// Asks the replicas for the ends of their logs while a promotion waits for one
+/// that reaches what servers that are left out may have.
+void Proxy::QueryReceived(Service& service) {
+  if (!PrimaryLost(service)) return;
+  const Failover::Situation situation = SituationOf(service);
+  if (!situation.required) return;
+  for (const auto& [id, draining] : situation.replicas) {
+    ServerPool& pool = pools_.at(id);
+    const bool due = now_ - pool.last_query >= kReceivedQueryInterval;
+    if (due && !Reaches(pool, *situation.required)) QueryServer(pool);
+  }
+}
+
 /// Refreshes log position samples, searches for unknown or failing primaries
 /// and advances failovers.
 void Proxy::CheckServices() {
@@ -350,6 +393,7 @@
       ProbeLeadership(pool->second);
     }
     CheckProofs(service);
+    QueryReceived(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
     const bool doubted =
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -27,6 +27,11 @@
 constexpr Duration kJoinTime = std::chrono::milliseconds(4000);
 /// Time for which a draining server may run after it left the list.
 constexpr Duration kLeaveTime = std::chrono::milliseconds(6000);
+/// A primary that still answers this long after another server fell silent is
+/// not behind the same partition as that one.
+constexpr Duration kSeparationTime = std::chrono::milliseconds(1000);
+/// Time for which a server that left the list may run behind a partition.
+constexpr Duration kHiddenTime = std::chrono::milliseconds(6000);
 /// Unanswered queries to one server.
 constexpr int kMaxQueries = 2;
 /// Interval at which a stale leader is told of the newer term.
@@ -218,14 +223,15 @@
                          const CommitEvidence::Commit& commit,
                          bool needs_receipt) const {
   if (service.proof.HasReceived(commit.position, now_)) return true;
-  return !needs_receipt && !CommitsNeedProof(service) &&
-         service.commits.Suffices(commit);
+  if (needs_receipt || CommitsNeedProof(service)) return false;
+  return !HasOtherServers(service) || service.commits.Suffices(commit);
 }
 
 /// Handles any status report of a server.
 void Proxy::OnServerStatus(ServerPool& pool, TimePoint sent,
                            const ServerStatus& status) {
   Service& service = ServiceOf(pool.entry.service);
+  pool.received = LaterPosition(pool.received, status.received);
   if (status.primary) pool.leader_term = status.term;
   if (status.term > service.newest_term) NoteNewerTerm(service, status.term);
   if (status.primary) {
@@ -276,10 +282,7 @@
 }
 
 void Proxy::AddSample(Service& service, Position position, TimePoint sent) {
-  if (!NeedsProof()) {
-    service.samples.Add(position, sent);
-    return service.samples.DiscardBefore(now_ - kSampleRetention);
-  }
+  if (!NeedsProof()) return AdoptSample(service, position, sent);
   service.unproven_samples.push_back({sent, position});
   if (service.unproven_samples.size() > kMaxUnprovenSamples) {
     service.unproven_samples.pop_front();
@@ -287,6 +290,13 @@
   ReleaseProven(service);
 }
 
+/// Adds a sample of a server that led when its command was sent.
+void Proxy::AdoptSample(Service& service, Position position, TimePoint sent) {
+  service.samples.Add(position, sent);
+  service.samples.DiscardBefore(now_ - kSampleRetention);
+  NoteCovered(service, position, sent);
+}
+
 /// Whether no commit that the primary lacks was acknowledged before now. A
 /// proof is valid for some time, as a claimant orders a promotion only that
 /// long after it has fenced all replicas.
@@ -296,11 +306,25 @@
   // Without another server there is none to promote.
   const bool alone = std::all_of(
       service.servers.begin(), service.servers.end(), [&](const ServerId& id) {
-        return id == service.primary || !MayHoldCommits(pools_.at(id));
+        return id == service.primary || !MayRun(pools_.at(id));
       });
   return alone && server_list_complete_;
 }
 
+/// Whether a server may run where this instance can't reach it, so that another
+/// one could promote it.
+bool Proxy::MayRun(const ServerPool& pool) const {
+  if (pool.listed) return true;
+  const auto primary = pools_.find(PrimaryOfService(pool));
+  const bool known = primary != pools_.end();
+  if (known && pool.entry.draining && !primary->second.failing) return false;
+  if (known && pool.failing &&
+      primary->second.last_heard >= pool.failing_since + kSeparationTime) {
+    return false;
+  }
+  return now_ - pool.unlisted_at < kHiddenTime;
+}
+
 /// Age of the proof of leadership in milliseconds, for log lines.
 std::string Proxy::ProofAge(const Service& service) const {
   const auto proven_at = service.proof.proven_at();
@@ -329,7 +353,8 @@
   service.commits.AddCommit(
       commit, primary != pools_.end() && primary->second.commits_waited);
   pending.needs_receipt =
-      CommitsNeedProof(service) || service.commits.NeedsReceipt(commit);
+      CommitsNeedProof(service) ||
+      (HasOtherServers(service) && service.commits.NeedsReceipt(commit));
   if (CommitProven(service, commit, pending.needs_receipt)) {
     NoteCommitAnswered(service, commit);
     return Answer(id, session, std::move(reply));
@@ -349,10 +374,9 @@
   std::erase_if(service.unproven_samples, [&](const UnprovenSample& it) {
     const bool proven =
         proven_at && *proven_at >= it.sent - options_.proof_validity;
-    if (proven) service.samples.Add(it.position, it.sent);
+    if (proven) AdoptSample(service, it.position, it.sent);
     return proven;
   });
-  service.samples.DiscardBefore(now_ - kSampleRetention);
   const std::vector<SessionId> awaiting(service.awaiting_proof.begin(),
                                         service.awaiting_proof.end());
   for (const SessionId id : awaiting) {
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -15,8 +15,7 @@
 /// Probes other instances as relays to a failing server, and the direct path to
 /// a server that is reached by a relay.
 void Proxy::ProbePaths(ServerPool& pool) {
-  const bool wanted = InUse(pool) || MayHoldCommits(pool);
-  if (pool.opening_path_probes > 0 || isolated_since_ || !wanted) return;
+  if (pool.opening_path_probes > 0 || isolated_since_ || !InUse(pool)) return;
   const bool forwards = ForwardsTo(pool);
   // The direct path is tried again, or the shared one where it is the plan.
   const bool relayed =
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -11,6 +11,8 @@
 constexpr int kMaxOpening = 2;
 /// Interval of reconnects to a failing server.
 constexpr Duration kReconnectInterval = std::chrono::milliseconds(200);
+/// Interval of probes of a server that left the list but still answers.
+constexpr Duration kUnlistedProbeInterval = std::chrono::milliseconds(500);
 /// How long a connection cap learned from a full server applies.
 constexpr Duration kConnectionCapDuration = std::chrono::milliseconds(500);
 
@@ -46,12 +48,15 @@
         replaced && pool.entry.process_start != entry.process_start;
     pool.entry = entry;
     pool.listed = true;
+    pool.superseded = false;
+    if (replaced) pool.received.reset();
     if (added) pool.concurrency_limit = entry.slots;
     NoteWitness(pool, added, restarted);
     if (replaced) {
       const auto connections = pool.connections;
       for (const ConnectionId it : connections) CloseConnection(it, true);
       pool.failing = false;
+      pool.covered_by.reset();
     }
     PlanPath(pool);
     Service& service = ServiceOf(entry.service);
@@ -62,11 +67,30 @@
     }
     services_to_dispatch_.insert(entry.service);
   }
+  NoteSuperseded();
   servers_read_at_ = now_;
   servers_known_ = servers_known_ || !event.servers.empty();
   server_list_complete_ = event.complete;
 }
 
+/// Finds the servers that left the list and whose address another server of the
+/// service has by now. A server that takes the place of another one, or that
+/// starts again, may do so under a new id; it has the log, if that still
+/// exists.
+void Proxy::NoteSuperseded() {
+  std::map<std::pair<ServiceId, std::string>, ServerId> listed;
+  for (const auto& [id, pool] : pools_) {
+    if (pool.listed) listed[{pool.entry.service, pool.entry.address}] = id;
+  }
+  for (auto& [id, pool] : pools_) {
+    if (pool.listed || pool.superseded) continue;
+    const auto it = listed.find({pool.entry.service, pool.entry.address});
+    if (it == listed.end()) continue;
+    pool.superseded = true;
+    Log("server superseded id=" + id + " by=" + it->second);
+  }
+}
+
 int Proxy::ConnectionShare(const ServerPool& pool) const {
   const auto it = services_.find(pool.entry.service);
   if (pool.shared) return options_.forwarded_connections;
@@ -186,7 +210,7 @@
 /// replaced, even if it is no longer listed. Servers that a promotion waits for
 /// are contacted to learn whether they still run.
 bool Proxy::InUse(const ServerPool& pool) const {
-  if (pool.listed) return true;
+  if (IsAwaited(pool)) return true;
   const auto it = services_.find(pool.entry.service);
   return it != services_.end() && it->second.primary == pool.entry.id;
 }
@@ -387,6 +411,7 @@
   pool.owner_failures = 0;
   if (!pool.failing) return;
   pool.failing = false;
+  pool.covered_by.reset();
   Log("server recovered id=" + pool.entry.id);
   services_to_dispatch_.insert(pool.entry.service);
 }
@@ -420,6 +445,7 @@
       pool.connection_cap = 0;
     }
     CloseStuckConnections(pool);
+    ProbeUnlisted(pool);
     CheckUnresponsive(pool);
     ProbePaths(pool);
     TrimIdle(pool);
@@ -435,6 +461,15 @@
   CheckIsolation();
 }
 
+/// Probes a server that left the list, as no statement shows whether it runs.
+void Proxy::ProbeUnlisted(ServerPool& pool) {
+  const TimePoint last = std::max(pool.last_heard, pool.last_probe);
+  if (pool.listed || pool.failing || pool.opening > 0) return;
+  if (now_ - last < kUnlistedProbeInterval) return;
+  pool.last_probe = now_;
+  ProbeLeadership(pool);
+}
+
 /// Marks a server with unanswered commands as failing when it does not answer a
 /// probe either. A server that runs a long statement still answers probes, as
 /// they use no slot.
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -607,6 +607,113 @@
   CHECK_FALSE(ClaimsWithoutReplica(Milliseconds(0)));
 }
 
+// Guards against the promotion of a replica that lacks commits which two other
+// servers have, both down at once, and which return with their logs.
+TEST_CASE("a replica that lacks commits of two silent servers isn't promoted") {
+  ProxyDriver driver;
+  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", 5}};
+  driver.contact_index = 5;
+  driver.OpenSession(1, "claims");
+  const auto pass = [&](Duration time, const ServerId& primary,
+                        const std::set<ServerId>& running) {
+    for (Duration passed{0}; passed < time; passed += Milliseconds(25)) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo(running);
+      const std::size_t ordered = driver.promotions.size();
+      driver.AnswerAs(primary, running);
+      if (driver.promotions.size() == ordered) continue;
+      driver.Feed(
+          session::PromotionAnswered{"books", driver.promotions.back().server,
+                                     session::PromotionResult::kAccepted});
+    }
+  };
+  const auto write = [&] { driver.Query(1, Verb::kWrite, {}, "item data"); };
+  write();
+  driver.LoseAllConnections();
+  pass(Milliseconds(1500), "", {"b", "c"});
+  REQUIRE(driver.promotions.size() == 1);
+  CHECK(driver.promotions.front().server == "b");
+  pass(Milliseconds(700), "b", {"b", "c"});
+  driver.LoseAllConnections();
+  pass(Milliseconds(1000), "", {"c"});
+  driver.ListServers({"b", "c"});
+  write();
+  pass(Milliseconds(4000), "", {"c"});
+  driver.ListServers({"c"});
+  write();
+  pass(Milliseconds(2500), "", {"c"});
+  CHECK(driver.promotions.size() == 1);
+  // The former primary returns with its log.
+  driver.ListServers({"a", "c"});
+  write();
+  pass(Milliseconds(4000), "", {"a", "c"});
+  REQUIRE(driver.promotions.size() == 2);
+  CHECK(driver.promotions.back().server == "a");
+}
+
+// Guards against a wait for a server that returned under another id.
+TEST_CASE("a silent server is awaited until another one has its address") {
+  ProxyDriver driver;
+  driver.addresses["d"] = "c";
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.LoseAllConnections();
+  const auto pass = [&](const std::set<ServerId>& running) {
+    driver.Query(1, Verb::kWrite, {}, "item data");
+    driver.AdvanceTimeWithReachable(running, std::chrono::milliseconds(1500));
+  };
+  pass({"b"});
+  driver.ListServers({"b"});
+  pass({"b"});
+  CHECK(driver.claims.empty());
+  driver.ListServers({"b", "d"});
+  pass({"b", "d"});
+  CHECK_FALSE(driver.claims.empty());
+}
+
+// Guards against the promotion of a replica that lacks commits of another one
+// which serves but has left the list.
+TEST_CASE("a replica that left the list but answers is fenced") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.ListServers({"a", "b"});
+  for (int n = 0; n < 300; ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnects();
+    driver.AnswerAll({});
+  }
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  std::set<ServerId> fenced;
+  for (int n = 0; n < 60; ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo({"b", "c"});
+    for (const auto& it : std::exchange(driver.claims, {})) {
+      driver.Feed(session::ClaimAnswered{it.service, 7, false});
+    }
+    for (const SendCommand& it : driver.sent) {
+      if (it.command.statement.verb != Verb::kHold) continue;
+      fenced.insert(driver.server_of[it.connection]);
+    }
+    driver.AnswerReplicas();
+  }
+  CHECK(fenced == std::set<ServerId>{"b", "c"});
+}
+
+TEST_CASE("a server is promoted only if its log has what others may have") {
+  Fixture it;
+  it.situation.required = Position{3, 12};
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  CHECK(it.AnswerFence("c", 11).empty());
+  // The server that was left out has returned.
+  it.situation.required.reset();
+  it.situation.replicas["d"] = false;
+  (void)it.Step(std::chrono::milliseconds(300));
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("d", 12)).server ==
+        "d");
+}
+
 TEST_CASE(
     "an isolated instance refuses statements at once and claims nothing") {
   ProxyDriver driver;
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -164,7 +164,7 @@
 TEST_CASE("a primary without replicas needs no proof") {
   ProxyDriver driver(PrimaryContinues());
   driver.ListServers({"a"});
-  driver.AdvanceTime(std::chrono::seconds(7));
+  for (int n = 0; n < 70; ++n) PassTime(driver, {"b", "c"});
   driver.sent.clear();
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kWrite, {}, "item data");
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -69,7 +69,7 @@
       session::ServerEntry entry;
       entry.id = id;
       entry.service = "books";
-      entry.address = id;
+      entry.address = addresses.contains(id) ? addresses.at(id) : id;
       entry.zone = zone;
       entry.slots = 2;
       entry.claims_primary = id == "a";
@@ -184,6 +184,33 @@
     }
   }
 
+  /// Answers all commands to the servers in `running`, of which `primary`
+  /// leads, and all claims. The logs end at the indices in `log_ends`.
+  void AnswerAs(const ServerId& primary, const std::set<ServerId>& running) {
+    answers_status.clear();
+    answers_contacts = running;
+    for (const SendCommand& it : std::exchange(sent, {})) {
+      const auto server = server_of.find(it.connection);
+      if (server == server_of.end() || !running.contains(server->second)) {
+        continue;
+      }
+      Reply reply;
+      reply.position = {1, log_ends[server->second]};
+      const Verb verb = it.command.statement.verb;
+      const Term fence_term = verb == Verb::kHold ? it.command.term : 0;
+      reply.status =
+          session::ServerStatus{false, 1, *reply.position, fence_term};
+      const bool begins = verb == Verb::kBegin;
+      const bool leads = server->second == primary;
+      if (begins && !leads) reply.error = ErrorCode::kReadOnly;
+      if (begins && leads) reply.state = TransactionState::kOpen;
+      Answer(it.connection, reply);
+    }
+    for (const auto& it : std::exchange(claims, {})) {
+      Feed(session::ClaimAnswered{it.service, ++claims_answered, false});
+    }
+  }
+
   /// Answers all commands except those to `silent` servers; "a" is the primary.
   void AnswerAll(const std::set<ServerId>& silent) {
     answers_status.clear();
@@ -313,6 +340,9 @@
   /// Only of connections through a relay.
   std::map<ConnectionId, std::string> relay_addresses;
   std::map<ConnectionId, std::string> share_addresses;  ///< only if shared
+  std::map<ServerId, std::string> addresses;   ///< of servers, if not the id
+  std::map<ServerId, std::uint64_t> log_ends;  ///< for `AnswerAs`
+  std::uint64_t claims_answered = 0;
   int statements = 0;
   bool stop_finished = false;
 
