--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -256,6 +256,29 @@
   }));
 }
 
+// Guards against a service that is never promoted in, as an entry that no
+// server can have counts as one of its replicas.
+TEST_CASE("a server entry without a usable address or number is rejected") {
+  const auto decode = [](const std::string& address, const std::string& slots) {
+    const std::string text = R"({"backend":"s","addr":)" + address +
+                             R"(,"zone":"z","slots":)" + slots +
+                             R"(,"state":"ready","db_role":"replica"})";
+    return platform::DecodeServer("i-1", text);
+  };
+  CHECK(decode("\"10.0.0.1:80\"", "2"));
+  for (const char* address :
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:70000\"", "\"10.0.0.1:0\"",
+        "\"10.0.0.1:-1\"", "\"10.0.0.1\"", "\"10.0.0.300:80\"", "\":80\"",
+        "\"10.0.0.1:99999999999999999999\"", "80"}) {
+    CHECK_FALSE(decode(address, "2"));
+  }
+  for (const char* slots :
+       {"0", "-1", "4294967296", "1e300", "1e999999",
+        "99999999999999999999999999999999", "2.5", "100000"}) {
+    CHECK_FALSE(decode("\"10.0.0.1:80\"", slots));
+  }
+}
+
 TEST_CASE("a configuration keeps its valid routes") {
   const auto config = platform::DecodeConfig(
       R"({"version":7,"routes":[{"host":"db","type":"bounded","backend":"s",)"
