Ask a server for its term before an outdated log position makes it the primary

Cause: where a replaced primary goes on, a BEGIN proves nothing. NotePrimary asked a server of unknown term for it only if the current primary answered. A former primary that accepted a BEGIN while its successor was silent became the primary, and its position a sample, counted as proven by the replicas' reports about the successor.

Change: a position of a term below the newest known one leads to the same query. Its reply names the term; then the server is demoted or, if it leads the newest term and has no commit of it yet, taken.

Test, seen failing on the code before: session_proof "a former primary isn't the primary by an outdated log position".

--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -70,9 +70,11 @@
   }
   const auto current = pools_.find(service.primary);
   const bool other_leads = current != pools_.end() && &current->second != &pool;
-  // Two servers accept work as the primary. The one with the higher term leads.
-  if (other_leads && !current->second.failing && pool.leader_term == 0 &&
-      NeedsProof()) {
+  // Another server accepts work as the primary, or led in a newer term than the
+  // log shows. The one with the highest term leads.
+  const bool outdated = position && position->term < service.newest_term;
+  const bool contested = other_leads && !current->second.failing;
+  if (pool.leader_term == 0 && NeedsProof() && (contested || outdated)) {
     return QueryServer(pool);
   }
   if (position) {
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -299,6 +299,54 @@
   CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
 }
 
+// Guards against stale reads on a former primary that accepts work again, as a
+// cut ends, while its successor is silent.
+TEST_CASE("a former primary isn't the primary by an outdated log position") {
+  ProxyDriver driver(PrimaryContinues());
+  driver.OpenSession(2, "claims");
+  driver.answers_status.clear();
+  // Passes time while the servers in `running` answer. Those in `leading`
+  // accept work as the primary; "a" answers no status query.
+  const auto pass = [&](Duration time, const std::set<ServerId>& leading,
+                        const std::set<ServerId>& running) {
+    for (Duration passed{0}; passed < time; passed += Milliseconds(25)) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo(running);
+      for (const SendCommand& it : std::exchange(driver.sent, {})) {
+        const ServerId id = driver.server_of[it.connection];
+        if (!running.contains(id)) continue;
+        const bool begins = it.command.statement.verb == Verb::kBegin;
+        Reply reply;
+        reply.position = id == "a" ? Position{1, 10} : Position{2, 12};
+        if (begins && !leading.contains(id)) reply.error = ErrorCode::kReadOnly;
+        if (begins && leading.contains(id)) {
+          reply.state = TransactionState::kOpen;
+        }
+        driver.Answer(it.connection, reply);
+      }
+      for (const auto& it : std::exchange(driver.status_queries, {})) {
+        const ServerId id = driver.server_of[it.connection];
+        if (id == "a" || !running.contains(id)) continue;
+        Reply reply;
+        reply.status = ServerStatus{leading.contains(id), 2, {2, 12}, 0};
+        driver.Feed(session::ServerReplied{it.connection, reply});
+      }
+    }
+  };
+  driver.Query(2, Verb::kWrite, {}, "item data");
+  driver.LoseAllConnections();
+  pass(Milliseconds(1500), {"b"}, {"b", "c"});
+  REQUIRE(driver.proxy.DumpState().find(R"("primary":"b")") !=
+          std::string::npos);
+  driver.LoseAllConnections();
+  driver.answers_contacts.clear();
+  for (int n = 0; n < 3; ++n) {
+    driver.Query(2, Verb::kRead, {}, "item");
+    pass(Milliseconds(500), {"a"}, {"a", "c"});
+  }
+  CHECK(driver.proxy.DumpState().find(R"("primary":"a")") == std::string::npos);
+}
+
 TEST_CASE("a held commit whose primary is replaced is in doubt") {
   ProxyDriver driver(PrimaryContinues());
   driver.OpenSession(1, "claims");
