Don't repeat an unchecked promotion order under a claim that has ended

Cause: an unanswered order was repeated each 1.2 s with the token of a claim that ends after 3 s in the store. Meanwhile another instance can claim and order under a higher token. A platform that checks tokens refuses the late one; this one does not.

Change: where tokens are not checked, an order is given only within 2 s after its claim was requested, otherwise after a new one. If another instance has the claim, or the store can't be reached, it claims again and orders nothing.

Test, seen failing on the code before: session_failover "an unchecked order isn't repeated under a claim that has ended".

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -45,6 +45,10 @@
   /// The platform refuses an order whose token is lower than one used before.
   /// Otherwise it executes every order, and none is given without the store.
   bool tokens_checked = true;
+  /// Age of a claim up to which an order may be given where tokens are not
+  /// checked. Shorter than the claim's lease at the store by the time that an
+  /// order may be under way.
+  Duration claim_validity = std::chrono::milliseconds(2000);
   /// Interval at which commands to a replica or the old primary are repeated.
   Duration fence_retry_interval = std::chrono::milliseconds(300);
   /// The primary must have been healthy for this long before the fences of an
@@ -205,6 +209,7 @@
   [[nodiscard]] bool DiscardStaleReports(const Situation& situation);
   [[nodiscard]] bool AllFenced(const Situation& situation) const;
   [[nodiscard]] bool AwaitsLease(const Situation& situation);
+  [[nodiscard]] bool ClaimValid(TimePoint now) const;
   Actions TryOrder(const Situation& situation);
   Actions IssueOrder(const Situation& situation);
   Actions DemoteOldPrimary(const Situation& situation);
@@ -221,6 +226,7 @@
   TimePoint next_retry_at_;
   TimePoint competing_claim_until_;
   std::uint64_t token_ = 0;
+  TimePoint claimed_at_;  ///< when the claim of `token_` was requested
   Term fence_term_ = 0;
   std::optional<TimePoint> replicas_reachable_since_;
   std::optional<TimePoint> primary_healthy_since_;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -113,7 +113,9 @@
     return {};
   }
   if (answer.store_unreachable && !options_.tokens_checked) {
-    return AbandonClaim(situation);
+    if (!unanswered_order_) return AbandonClaim(situation);
+    EnterPhase(Phase::kClaiming, situation.now);
+    return {};
   }
   const bool wanted = unanswered_order_ || (situation.primary_lost &&
                                             situation.server_list_complete);
@@ -121,6 +123,7 @@
     competing_claim_until_ = situation.now + options_.competing_claim_duration;
   }
   using_fallback_token_ = answer.store_unreachable;
+  claimed_at_ = phase_entered_at_;
   token_ = using_fallback_token_ ? situation.fallback_token : answer.token;
   // The platform may still execute an earlier order under a spent token.
   if (using_fallback_token_ && token_ <= spent_token_ && !unanswered_order_) {
@@ -349,9 +352,19 @@
     EnterPhase(Phase::kClaiming, situation.now);
     return {Claim{}};
   }
+  if (!ClaimValid(situation.now)) {
+    EnterPhase(Phase::kClaiming, situation.now);
+    return {Claim{}};
+  }
   return IssueOrder(situation);
 }
 
+/// Whether no other instance can have claimed the promotion since. A platform
+/// that checks tokens refuses the order otherwise.
+bool Failover::ClaimValid(TimePoint now) const {
+  return options_.tokens_checked || now - claimed_at_ < options_.claim_validity;
+}
+
 Failover::Actions Failover::IssueOrder(const Situation& situation) {
   EnterPhase(Phase::kOrdering, situation.now);
   next_retry_at_ = situation.now + options_.order_retry_interval;
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -394,6 +394,39 @@
   for (const ServerId& server : ordered) CHECK(server == "c");
 }
 
+// Guards against orders of two instances at a time: one repeats its order under
+// a claim that has ended, after another instance has claimed and ordered.
+TEST_CASE("an unchecked order isn't repeated under a claim that has ended") {
+  Fixture it = UncheckedFixture();
+  const auto fence_and_wait = [&] {
+    Failover::Actions actions;
+    for (int n = 0; n < 4; ++n) {
+      const ServerStatus held{false, 3, {3, 12}, 4};
+      for (const char* id : {"b", "c"}) {
+        (void)it.failover.OnFenced(it.situation, id, held);
+        (void)it.failover.OnInspected(it.situation, id, held);
+      }
+      actions = it.Step(std::chrono::milliseconds(210));
+      if (it.failover.phase() != Failover::Phase::kFencing) return actions;
+    }
+    return actions;
+  };
+  (void)it.AnswerClaim(7);
+  REQUIRE(std::holds_alternative<Failover::Order>(fence_and_wait().back()));
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  (void)it.Step(std::chrono::milliseconds(1500));
+  Fixture::OnlyAction<Failover::Claim>(fence_and_wait());
+  // Another instance has the claim.
+  CHECK(it.AnswerClaim(0).empty());
+  Fixture::OnlyAction<Failover::Claim>(it.Step(std::chrono::seconds(1)));
+  CHECK(it.AnswerClaim(0, true).empty());
+  Fixture::OnlyAction<Failover::Claim>(it.Step(std::chrono::seconds(1)));
+  (void)it.AnswerClaim(9);
+  const auto order = fence_and_wait();
+  REQUIRE(std::holds_alternative<Failover::Order>(order.back()));
+  CHECK(std::get<Failover::Order>(order.back()).token == 9);
+}
+
 TEST_CASE(
     "claimants choose the same server when the last primary has restarted") {
   Fixture it;
