--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -159,10 +159,9 @@
     int opening_path_probes = 0;
     int path_probes = 0;  ///< started since a path probe last succeeded
     TimePoint last_path_probe;
-    int connect_failures = 0;     ///< consecutive
-    int lost_commits = 0;         ///< closed unanswered since the last success
-    bool commits_waited = false;  ///< until the last acknowledged commit
-    TimePoint last_heard;         ///< last reply or opened connection
+    int connect_failures = 0;  ///< consecutive
+    int lost_commits = 0;      ///< closed unanswered since the last success
+    TimePoint last_heard;      ///< last reply or opened connection
     TimePoint connect_after;
     TimePoint avoid_reads_until;  ///< for reads that require a later position
     TimePoint busy_until;
@@ -171,12 +170,14 @@
     TimePoint last_probe;  ///< last leadership probe or reconnect
     bool failing = false;
     bool listed = true;
+    bool superseded = false;  ///< another one of its service has its address
+    /// Commits had waited long, or had no answer, before the last one.
+    bool commits_waited = false;
     TimePoint draining_since;
     TimePoint unlisted_at;  ///< when it left the server list
     /// Log position that the primary reported after this server had fallen
     /// silent. A log that reaches it has every acknowledged commit of this one.
     std::optional<Position> covered_by;
-    bool superseded = false;  ///< another one of its service has its address
     std::optional<Position> received;      ///< as its status last showed
     double latency_ms = 5;                 ///< moving average over statements
     std::optional<Position> log_position;  ///< highest position reported
