Servers that don't return hold up a promotion for a bounded time

Found on reading the change again: the position that a silent server is covered by was required of a candidate for ever. If the primary reported entries that no other server ever received, and is lost for good as well, its service would have had no primary again.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -400,7 +400,8 @@
   }
   void NoteSuperseded();
   [[nodiscard]] bool IsAwaited(const ServerPool& pool) const;
-  [[nodiscard]] bool Reaches(const ServerPool& pool, Position required) const;
+  [[nodiscard]] bool MayReturn(const ServerPool& pool) const;
+  [[nodiscard]] static bool Reaches(const ServerPool& pool, Position required);
   void QueryReceived(Service& service);
   void NoteCovered(const Service& service, Position position, TimePoint sent);
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -285,7 +285,11 @@
 bool Proxy::IsAwaited(const ServerPool& pool) const {
   if (pool.superseded) return false;
   if (pool.listed || !pool.failing) return true;
-  if (pool.covered_by) return false;
+  return !pool.covered_by && MayReturn(pool);
+}
+
+/// Whether a server that neither answers nor is listed may still return.
+bool Proxy::MayReturn(const ServerPool& pool) const {
   const TimePoint gone_since = std::max(pool.unlisted_at, pool.failing_since);
   return now_ - gone_since < options_.unlisted_server_retention;
 }
@@ -333,7 +337,9 @@
     if (id == service.primary) continue;
     if (pool.superseded) continue;
     if (!IsAwaited(pool)) {
-      situation.required = LaterPosition(situation.required, pool.covered_by);
+      if (MayReturn(pool)) {
+        situation.required = LaterPosition(situation.required, pool.covered_by);
+      }
       continue;
     }
     situation.replicas[id] = pool.entry.draining;
@@ -351,7 +357,7 @@
   return situation;
 }
 
-bool Proxy::Reaches(const ServerPool& pool, Position required) const {
+bool Proxy::Reaches(const ServerPool& pool, Position required) {
   const auto end = LaterPosition(pool.log_position, pool.received);
   return end && LogContains(*end, required);
 }
