Record in the store which servers may hold acknowledged commits

Cause: an instance learns of servers from the list, and what it knew of those that had left ended with its process. A promotion then left out a replica because of which the primary had acknowledged commits.

Change: a member record for each service in the store, read at the start and required at its newest revision by the transaction that takes a claim. One instance writes it when a server joins. Until it was read nothing is promoted; until it names the listed replicas, commits wait for a known one.

Ruled out: learning from other instances (all may be killed at once), from the servers (no answer names replicas), reading the records regularly (bytes at the target size).

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "corianderdock/session/member_record.h"
 #include "corianderdock/session/model.h"
 #include "corianderdock/session/statement.h"
 
@@ -77,6 +78,14 @@
 struct ServersRead {
   ServerList servers;
   bool complete = false;  ///< every live server is listed
+  /// Servers whose entries were written again since they were first read.
+  std::set<ServerId> renewed = {};
+};
+
+/// The store returned records of members.
+struct MembersRead {
+  MemberRecords records;
+  bool all = false;  ///< services that are not named have no record
 };
 
 /// The store returned the list of live instances.
@@ -119,8 +128,8 @@
     std::variant<SessionOpened, StatementReceived, SessionClosed,
                  ServerConnected, ServerReplied, ServerConnectionLost,
                  PeerOpened, PeerCommand, PeerClosed, ConfigRead, ServersRead,
-                 InstancesRead, ClaimAnswered, TokenObtained, PromotionAnswered,
-                 TimerFired, StopRequested>;
+                 MembersRead, InstancesRead, ClaimAnswered, TokenObtained,
+                 PromotionAnswered, TimerFired, StopRequested>;
 
 /// Answer the outstanding statement of a session, or accept the session.
 struct AnswerSession {
@@ -175,8 +184,22 @@
 };
 
 /// Obtain a new fencing token for `service`; completes with `ClaimAnswered`.
+/// The claim succeeds only while the service's member record has this revision;
+/// a newer one is reported with `MembersRead` before the claim is repeated.
 struct ClaimPromotion {
   ServiceId service;
+  std::uint64_t member_revision = 0;  ///< 0 while there is no record
+};
+
+/// Read the member records of all services, which may be seconds old; completes
+/// with `MembersRead`, or not at all.
+struct ReadMembers {};
+
+/// Replace the member record of a service if it still has the revision in
+/// `record`; completes with `MembersRead`, or not at all.
+struct WriteMembers {
+  ServiceId service;
+  MemberRecord record;
 };
 
 /// Replace the fallback token, which a promotion under a higher token may have
@@ -198,10 +221,11 @@
 /// Shutdown is complete; the process may exit.
 struct StopFinished {};
 
-using Effect = std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
-                            OpenServerConnection, CloseServerConnection,
-                            SendCommand, ClaimPromotion, RenewToken,
-                            PromoteServer, LogDecision, StopFinished>;
+using Effect =
+    std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
+                 OpenServerConnection, CloseServerConnection, SendCommand,
+                 ClaimPromotion, ReadMembers, WriteMembers, RenewToken,
+                 PromoteServer, LogDecision, StopFinished>;
 
 using Effects = std::vector<Effect>;
 
--- /dev/null
+++ b/include/corianderdock/session/member_record.h
@@ -0,0 +1,82 @@
+/// \file
+/// Servers of a service that may hold acknowledged commits, as kept in the
+/// store.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "corianderdock/session/model.h"
+
+namespace corianderdock::session {
+
+/// Members of one service. An instance learns of a server from the list of
+/// servers, which drops those whose reports don't reach the store, although
+/// they go on receiving commits. The record keeps them known to instances that
+/// start later.
+struct MemberRecord {
+  std::uint64_t revision = 0;  ///< of its key; 0 while there is none
+  ServerList servers;
+
+  bool operator==(const MemberRecord&) const = default;
+};
+
+using MemberRecords = std::map<ServiceId, MemberRecord>;
+
+/// Largest number of servers that a record names.
+inline constexpr std::size_t kMaxMembers = 32;
+
+/// Returns the text under which a record is stored.
+[[nodiscard]] std::string EncodeMembers(const ServerList& servers);
+
+/// Parses a stored record of `service`; null if the text is not one. Servers
+/// that are malformed are left out.
+[[nodiscard]] std::optional<ServerList> DecodeMembers(const ServiceId& service,
+                                                      std::string_view text);
+
+/// Decides when this instance reads or replaces the record of one service.
+///
+/// The instance that ranks first writes at once. The others read the record
+/// after a pause, and write only if it still lacks a server. So a change of
+/// members costs a large fleet one write, and nothing is read or written while
+/// the members stay the same. Not thread-safe; times must not decrease.
+class MemberRecorder {
+ public:
+  /// What is known of the service's servers at the time of a step.
+  struct Situation {
+    TimePoint now;
+    ServerList required;  ///< to be named by the record
+    /// Servers that the record names but no longer has to.
+    std::set<ServerId> obsolete;
+    int rank = 0;  ///< of this instance among all; 0 is the first
+  };
+
+  enum class Step { kNone, kRead, kWrite };
+
+  /// Decides what is due. After `kRead` or `kWrite` the result is awaited for
+  /// some time; `OnRecord` ends the wait.
+  [[nodiscard]] Step Next(const Situation& situation);
+
+  /// Notes the state of the record in the store.
+  void OnRecord(MemberRecord record);
+
+  /// Returns the record that replaces the present one.
+  [[nodiscard]] MemberRecord Replacement(const Situation& situation) const;
+
+  /// Whether the record is known to name the server at its address.
+  [[nodiscard]] bool Names(const ServerEntry& server) const;
+
+  [[nodiscard]] const MemberRecord& record() const noexcept { return record_; }
+
+ private:
+  MemberRecord record_;
+  std::optional<TimePoint> lacking_since_;
+  std::optional<TimePoint> obsolete_since_;
+  TimePoint next_attempt_;
+};
+
+}  // namespace corianderdock::session
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -20,6 +20,7 @@
 #include "corianderdock/session/failover.h"
 #include "corianderdock/session/freshness.h"
 #include "corianderdock/session/leadership_proof.h"
+#include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
 #include "corianderdock/session/statement_queue.h"
@@ -170,6 +171,8 @@
     TimePoint last_probe;  ///< last leadership probe or reconnect
     bool failing = false;
     bool listed = true;
+    bool renewed = false;     ///< its entry was written again since it is known
+    TimePoint known_since;    ///< when this instance learned of it
     bool superseded = false;  ///< another one of its service has its address
     /// Commits had waited long, or had no answer, before the last one.
     bool commits_waited = false;
@@ -220,6 +223,7 @@
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
     CommitEvidence commits;
+    MemberRecorder members;
     /// When the known primary last counted as lost, or another instance was
     /// found to have claimed its replacement.
     std::optional<TimePoint> primary_doubted_at;
@@ -291,6 +295,7 @@
   void On(const PeerClosed& event);
   void On(const ConfigRead& event);
   void On(const ServersRead& event);
+  void On(const MembersRead& event);
   void On(const InstancesRead& event);
   void On(const ClaimAnswered& event);
   void On(const TokenObtained& event);
@@ -407,6 +412,15 @@
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
   void CheckServers();
 
+  // Members of services (proxy_members.cc).
+  void AddRecordedServers(Service& service);
+  [[nodiscard]] MemberRecorder::Situation MembersOf(
+      const Service& service) const;
+  [[nodiscard]] bool IsConfirmed(const ServerPool& pool) const;
+  [[nodiscard]] bool MembersRecorded(const Service& service) const;
+  void CheckMembers();
+  void RecordMembers(Service& service);
+
   // Shared connections (proxy_peers.cc).
   void PlanPaths();
   void PlanPath(ServerPool& pool);
@@ -531,6 +545,9 @@
   TimePoint started_at_;  ///< first event
   bool servers_known_ = false;
   bool server_list_complete_ = false;
+  bool members_known_ = false;  ///< the records were read once
+  TimePoint members_read_at_;   ///< last `ReadMembers` effect
+  TimePoint members_checked_at_;
   std::optional<TimePoint> isolated_since_;   ///< all other zones are failing
   std::optional<TimePoint> isolation_ended_;  ///< end of the last isolation
   bool check_scheduled_ = false;
--- a/include/corianderdock/session/safety.h
+++ b/include/corianderdock/session/safety.h
@@ -32,6 +32,10 @@
   /// a replica that the primary was not replaced.
   [[nodiscard]] virtual bool RequireReplicaProof() const { return true; }
 
+  /// Whether servers that may hold acknowledged commits are recorded in the
+  /// store, for instances that start after these left the list.
+  [[nodiscard]] virtual bool RememberMembers() const { return true; }
+
   /// Whether a server must have reached the log position that the staleness
   /// bound of a read requires.
   [[nodiscard]] virtual bool RequireFreshPosition() const { return true; }
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -1,6 +1,6 @@
 /// \file
-/// Follows the platform's key-value store: configuration, servers, instances,
-/// leases and claims.
+/// Follows the platform's key-value store: configuration, servers, members,
+/// instances, leases and claims.
 #pragma once
 
 #include <cstdint>
@@ -26,10 +26,15 @@
   kListInstances,  ///< may be stale
   kGrantLease,
   kKeepLease,
-  kAnnounce,  ///< puts this instance's key under its lease
+  kAnnounce,          ///< puts this instance's key under its lease
+  kReadMembers,       ///< records of all services; linearizable
+  kReadMembersStale,  ///< the same, which may be stale
+  kWriteMembers,      ///< compare-and-swap of one record
   kReadClaim,
   kGrantClaimLease,
-  kTakeClaim,  ///< compare-and-swap of a claim under a lease
+  /// Compare-and-swap of a claim under a lease, while the service's member
+  /// record has an expected revision.
+  kTakeClaim,
 };
 
 /// A call to the store, answered by a `StoreResult` with the same number.
@@ -37,11 +42,13 @@
   std::uint64_t number = 0;
   StoreRequest request = StoreRequest::kReadConfig;
   std::uint64_t revision = 0;  ///< to watch from, or expected for the key
+  std::uint64_t member_revision = 0;  ///< of the record, for `kTakeClaim`
   std::uint64_t lease = 0;
   Duration wait{0};     ///< how long a watch waits for a change
   Duration ttl{0};      ///< of a lease
   Duration timeout{0};  ///< after it the call counts as unanswered
-  std::string key;      ///< of an announcement or claim: last segment
+  std::string key;      ///< of an announcement, claim or record: last segment
+  std::string value;    ///< of a record
 };
 
 enum class StoreStatus {
@@ -53,6 +60,12 @@
   kNoAnswer,     ///< the call may have taken effect
 };
 
+/// An item of the store.
+struct StoreItem {
+  std::string value;
+  std::uint64_t revision = 0;
+};
+
 struct StoreResult {
   std::uint64_t number = 0;
   StoreStatus status = StoreStatus::kNoAnswer;
@@ -62,7 +75,11 @@
   std::string value;                            ///< of a claim
   std::shared_ptr<const RoutingConfig> config;  ///< null: unchanged
   ServerList servers;
+  std::map<ServerId, std::uint64_t> heartbeats;  ///< numbers, of `servers`
   InstanceList instances;
+  /// Member records by service: those read, or those whose expected revision
+  /// was wrong.
+  std::map<ServiceId, StoreItem> members;
 };
 
 /// Intervals and time-outs of `StoreFollower`.
@@ -120,6 +137,13 @@
   /// Requests a fencing token; ends in `ClaimAnswered`.
   [[nodiscard]] Outputs Claim(TimePoint now, const ClaimPromotion& claim);
 
+  /// Reads the member records; ends in `MembersRead` unless it fails.
+  [[nodiscard]] Outputs ReadMemberRecords(TimePoint now);
+
+  /// Replaces a member record; ends in `MembersRead` unless it fails.
+  [[nodiscard]] Outputs WriteMemberRecord(TimePoint now,
+                                          const WriteMembers& write);
+
   /// Requests a newer fallback token; ends in `TokenObtained`. Has no effect
   /// without a lease.
   [[nodiscard]] Outputs RenewToken(TimePoint now);
@@ -133,12 +157,14 @@
  private:
   struct PendingCall {
     StoreRequest request;
-    ServiceId service;                ///< of a claim
+    ServiceId service;                ///< of a claim or record
     std::uint64_t expected_revision;  ///< revision of the claim's key
+    std::uint64_t member_revision;    ///< of the record, for a claim
+    ServerList members;               ///< written
   };
 
-  void Call(StoreCall call, const ServiceId& service = {},
-            std::uint64_t expected_revision = 0);
+  void Call(StoreCall call, PendingCall pending);
+  void StartClaim(const ServiceId& service, std::uint64_t member_revision);
   void Schedule(StoreRequest request, Duration delay);
   void Issue(StoreRequest request);
   void OnConfig(const StoreResult& result, StoreRequest request);
@@ -146,6 +172,9 @@
   void OnInstances(const StoreResult& result);
   void OnLease(const StoreResult& result, const PendingCall& pending);
   void OnClaim(const StoreResult& result, const PendingCall& pending);
+  void OnTakeClaim(const StoreResult& result, const PendingCall& pending);
+  void OnMembers(const StoreResult& result, const PendingCall& pending);
+  void ReportMembers(const std::map<ServiceId, StoreItem>& items, bool all);
   void SetReachable(bool reachable);
   [[nodiscard]] Duration RetryPause(int failures) const;
   void ReportClaimFailure(const ServiceId& service, bool store_unreachable);
@@ -161,6 +190,8 @@
   std::uint64_t lease_ = 0;
   ServerList servers_;
   std::map<ServerId, TimePoint> last_listed_;  ///< of each server in `servers_`
+  std::map<ServerId, std::uint64_t> first_heartbeats_;  ///< of the same
+  std::set<ServerId> renewed_;  ///< those with a later heartbeat
   bool reachable_ = true;
   TimePoint store_reachable_since_;  ///< when it last became reachable
   /// First list since the start or the last change of `reachable_`.
--- /dev/null
+++ b/src/session/member_record.cc
@@ -0,0 +1,132 @@
+#include "corianderdock/session/member_record.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace corianderdock::session {
+
+namespace {
+
+/// Pause before an instance that doesn't rank first reads the record, and
+/// between its reads. A stale read may be seconds old.
+constexpr Duration kFirstReadDelay = std::chrono::milliseconds(1000);
+constexpr Duration kReadInterval = std::chrono::milliseconds(2000);
+/// Time for which the record lacks a server before an instance that doesn't
+/// rank first writes it, and the further delay for each rank.
+constexpr Duration kWriteDelay = std::chrono::milliseconds(3000);
+constexpr Duration kWriteTurn = std::chrono::milliseconds(250);
+constexpr int kMaxWriteTurns = 20;
+/// Time for which the result of a read or write is awaited.
+constexpr Duration kResultTimeout = std::chrono::milliseconds(1500);
+/// Time for which a server must have been obsolete before a write is made only
+/// to remove it. A server that is cut off from this instance and the store may
+/// still serve others.
+constexpr Duration kRemovalDelay = std::chrono::seconds(60);
+
+std::string StringOf(const Json::Value& value) {
+  return value.isString() ? value.asString() : std::string();
+}
+
+}  // namespace
+
+std::string EncodeMembers(const ServerList& servers) {
+  Json::Value root;
+  root["servers"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, entry] : servers) {
+    Json::Value item;
+    item["id"] = id;
+    item["address"] = entry.address;
+    item["zone"] = entry.zone;
+    item["slots"] = entry.slots;
+    root["servers"].append(std::move(item));
+  }
+  Json::StreamWriterBuilder writer;
+  writer["indentation"] = "";
+  return Json::writeString(writer, root);
+}
+
+std::optional<ServerList> DecodeMembers(const ServiceId& service,
+                                        std::string_view text) {
+  Json::Value root;
+  const std::unique_ptr<Json::CharReader> reader(
+      Json::CharReaderBuilder().newCharReader());
+  try {
+    const char* begin = text.data();
+    if (!reader->parse(begin, begin + text.size(), &root, nullptr)) {
+      return std::nullopt;
+    }
+  } catch (const Json::Exception&) {  // nested too deeply
+    return std::nullopt;
+  }
+  if (!root.isObject() || !root["servers"].isArray()) return std::nullopt;
+  ServerList servers;
+  for (const Json::Value& it : root["servers"]) {
+    if (!it.isObject() || servers.size() == kMaxMembers) continue;
+    ServerEntry entry;
+    entry.id = StringOf(it["id"]);
+    entry.service = service;
+    entry.address = StringOf(it["address"]);
+    entry.zone = StringOf(it["zone"]);
+    entry.slots = it["slots"].isInt() ? std::max(1, it["slots"].asInt()) : 1;
+    const bool usable = !entry.id.empty() && !entry.address.empty();
+    if (usable) servers[entry.id] = std::move(entry);
+  }
+  return servers;
+}
+
+bool MemberRecorder::Names(const ServerEntry& server) const {
+  const auto it = record_.servers.find(server.id);
+  return it != record_.servers.end() && it->second.address == server.address;
+}
+
+MemberRecorder::Step MemberRecorder::Next(const Situation& situation) {
+  const TimePoint now = situation.now;
+  const auto& required = situation.required;
+  const bool lacks =
+      !std::all_of(required.begin(), required.end(),
+                   [this](const auto& it) { return Names(it.second); });
+  if (!lacks) lacking_since_.reset();
+  if (lacks && !lacking_since_) {
+    lacking_since_ = now;
+    next_attempt_ = situation.rank == 0 ? now : now + kFirstReadDelay;
+  }
+  if (situation.obsolete.empty()) obsolete_since_.reset();
+  if (!situation.obsolete.empty() && !obsolete_since_) obsolete_since_ = now;
+  const bool removes = situation.rank == 0 && obsolete_since_ &&
+                       now - *obsolete_since_ >= kRemovalDelay;
+  if ((!lacks && !removes) || now < next_attempt_) return Step::kNone;
+  const Duration delay =
+      kWriteDelay + kWriteTurn * std::min(situation.rank, kMaxWriteTurns);
+  if (situation.rank == 0 || now - *lacking_since_ >= delay) {
+    next_attempt_ = now + kResultTimeout;
+    return Step::kWrite;
+  }
+  next_attempt_ = now + kReadInterval;
+  return Step::kRead;
+}
+
+void MemberRecorder::OnRecord(MemberRecord record) {
+  // Answers of a stale replica of the store may be older than what is known.
+  if (record.revision < record_.revision) return;
+  record_ = std::move(record);
+}
+
+MemberRecord MemberRecorder::Replacement(const Situation& situation) const {
+  MemberRecord replacement = record_;
+  for (const ServerId& id : situation.obsolete) replacement.servers.erase(id);
+  for (const auto& [id, entry] : situation.required) {
+    replacement.servers[id] = entry;
+  }
+  // Required servers stay, so that no more than what is surplus is dropped.
+  auto it = replacement.servers.begin();
+  while (replacement.servers.size() > kMaxMembers &&
+         it != replacement.servers.end()) {
+    it = situation.required.contains(it->first) ? std::next(it)
+                                                : replacement.servers.erase(it);
+  }
+  return replacement;
+}
+
+}  // namespace corianderdock::session
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -65,6 +65,7 @@
       }
       case TimerKind::kCheck:
         CheckServers();
+        CheckMembers();
         CheckServices();
         CheckShutdown();
         ScheduleAfter(options_.check_interval, {TimerKind::kCheck, 0, 0});
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -320,7 +320,7 @@
       (!isolation_ended_ ||
        now_ - *isolation_ended_ >= options_.isolation_settle_time);
   situation.primary_lost = view_is_fresh && PrimaryLost(service);
-  situation.server_list_complete = server_list_complete_;
+  situation.server_list_complete = server_list_complete_ && members_known_;
   situation.fallback_token = fallback_token_;
   situation.fallback_token_delay = FallbackTokenDelay(service);
   if (situation.primary_lost) situation.claim_delay = ClaimDelay(service);
@@ -435,7 +435,7 @@
   Log("promotion claim requested service=" + id +
       " primary=" + ServiceOf(id).primary);
   Count("promotion_claims");
-  Emit(ClaimPromotion{id});
+  Emit(ClaimPromotion{id, ServiceOf(id).members.record().revision});
 }
 
 void Proxy::Do(const ServiceId& /*id*/, const Failover::Inspect& inspect) {
--- /dev/null
+++ b/src/session/proxy_members.cc
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <utility>
+
+#include "corianderdock/session/proxy.h"
+
+namespace corianderdock::session {
+
+namespace {
+
+/// Shortest interval of reads of the member records, each of which returns
+/// those of all services.
+constexpr Duration kMembersReadInterval = std::chrono::milliseconds(1000);
+/// Interval of checks whether the records name all listed servers.
+constexpr Duration kMembersCheckInterval = std::chrono::milliseconds(100);
+/// Time since the start until the list of instances names the others, from
+/// which their ranks follow.
+constexpr Duration kInstancesListedTime = std::chrono::milliseconds(3000);
+
+}  // namespace
+
+void Proxy::On(const MembersRead& event) {
+  const auto apply = [this](const ServiceId& id, const MemberRecord& record) {
+    Service& service = ServiceOf(id);
+    if (record == service.members.record()) return;
+    Log("member record read service=" + id +
+        " revision=" + std::to_string(record.revision) +
+        " servers=" + std::to_string(record.servers.size()));
+    service.members.OnRecord(record);
+    AddRecordedServers(service);
+  };
+  for (const auto& [id, record] : event.records) apply(id, record);
+  members_known_ = members_known_ || event.all;
+}
+
+/// Adds the servers that only the record names. They are probed like those that
+/// left the list, as they may still serve.
+void Proxy::AddRecordedServers(Service& service) {
+  if (!options_.safety->RememberMembers()) return;
+  for (const auto& [id, entry] : service.members.record().servers) {
+    if (pools_.contains(id)) continue;
+    Log("server known from member record id=" + id + " service=" + service.id);
+    ServerPool& pool = pools_[id];
+    pool.entry = entry;
+    pool.listed = false;
+    pool.unlisted_at = now_;
+    pool.known_since = now_;
+    pool.listed_since = now_;
+    pool.concurrency_limit = entry.slots;
+    service.servers.insert(id);
+    PlanPath(pool);
+  }
+  NoteSuperseded();
+}
+
+/// The record must name every listed server that exists. One whose address
+/// another server has by now, or that neither answers nor is listed for long,
+/// may be removed.
+MemberRecorder::Situation Proxy::MembersOf(const Service& service) const {
+  MemberRecorder::Situation situation;
+  situation.now = now_;
+  for (const ServerId& id : service.servers) {
+    const ServerPool& pool = pools_.at(id);
+    if (pool.listed) {
+      if (IsConfirmed(pool)) situation.required[id] = pool.entry;
+    } else if (!IsAwaited(pool) && (pool.superseded || !MayReturn(pool))) {
+      situation.obsolete.insert(id);
+    }
+  }
+  std::erase_if(situation.obsolete, [&](const ServerId& id) {
+    return !service.members.record().servers.contains(id);
+  });
+  situation.rank = PromotionRank(service);
+  return situation;
+}
+
+/// Whether something other than one entry in the list shows that a server
+/// exists: it answered this instance, its entry was renewed, or the record
+/// names it, because another instance found it to exist.
+bool Proxy::IsConfirmed(const ServerPool& pool) const {
+  if (pool.renewed || pool.last_heard != TimePoint{}) return true;
+  const auto service = services_.find(pool.entry.service);
+  return service != services_.end() &&
+         service->second.members.Names(pool.entry);
+}
+
+/// Whether an instance that starts now would learn of all servers to which the
+/// primary may replicate its commits.
+bool Proxy::MembersRecorded(const Service& service) const {
+  if (!options_.safety->RememberMembers()) return true;
+  return std::all_of(
+      service.servers.begin(), service.servers.end(), [&](const ServerId& id) {
+        const ServerPool& pool = pools_.at(id);
+        return id == service.primary || !pool.listed ||
+               service.members.Names(pool.entry) || !IsConfirmed(pool);
+      });
+}
+
+/// Takes the steps that are due to have the records name all listed servers.
+void Proxy::CheckMembers() {
+  const bool due = now_ - members_checked_at_ >= kMembersCheckInterval;
+  const bool ranked =
+      !instances_.empty() && now_ - started_at_ >= kInstancesListedTime;
+  if (!members_known_ || !due || !ranked) return;
+  members_checked_at_ = now_;
+  for (auto& [id, service] : services_) RecordMembers(service);
+}
+
+void Proxy::RecordMembers(Service& service) {
+  const bool all_listed =
+      std::all_of(service.servers.begin(), service.servers.end(),
+                  [this](const ServerId& id) { return pools_.at(id).listed; });
+  if (all_listed && MembersRecorded(service)) return;
+  const auto situation = MembersOf(service);
+  switch (service.members.Next(situation)) {
+    case MemberRecorder::Step::kNone:
+      return;
+    case MemberRecorder::Step::kRead:
+      if (now_ - members_read_at_ < kMembersReadInterval) return;
+      members_read_at_ = now_;
+      Count("member_reads");
+      return Emit(ReadMembers{});
+    case MemberRecorder::Step::kWrite: {
+      MemberRecord record = service.members.Replacement(situation);
+      Log("member record written service=" + service.id +
+          " expected_revision=" + std::to_string(record.revision) +
+          " servers=" + std::to_string(record.servers.size()));
+      Count("member_writes");
+      return Emit(WriteMembers{service.id, std::move(record)});
+    }
+  }
+}
+
+}  // namespace corianderdock::session
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -61,6 +61,7 @@
 /// replaced, the list is old, or a promotion may be under way.
 bool Proxy::CommitsNeedProof(const Service& service) const {
   if (now_ - servers_read_at_ >= kListMaxAge) return true;
+  if (!members_known_ || !MembersRecorded(service)) return true;
   if (service.proof.FenceReported(now_)) return true;
   // A claim made meanwhile may still lead to a promotion.
   if (service.primary_doubted_at &&
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -50,7 +50,11 @@
     pool.listed = true;
     pool.superseded = false;
     if (replaced) pool.received.reset();
-    if (added) pool.concurrency_limit = entry.slots;
+    if (added) {
+      pool.concurrency_limit = entry.slots;
+      pool.known_since = now_;
+    }
+    pool.renewed = pool.renewed || event.renewed.contains(id);
     NoteWitness(pool, added, restarted);
     if (replaced) {
       const auto connections = pool.connections;
@@ -210,7 +214,7 @@
 /// replaced, even if it is no longer listed. Servers that a promotion waits for
 /// are contacted to learn whether they still run.
 bool Proxy::InUse(const ServerPool& pool) const {
-  if (IsAwaited(pool)) return true;
+  if (pool.listed || IsAwaited(pool)) return true;
   const auto it = services_.find(pool.entry.service);
   return it != services_.end() && it->second.primary == pool.entry.id;
 }
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -9,6 +9,7 @@
   now_ = now;
   Issue(StoreRequest::kReadConfig);
   Issue(StoreRequest::kListServers);
+  Issue(StoreRequest::kReadMembers);
   Issue(StoreRequest::kListInstances);
   Issue(StoreRequest::kGrantLease);
   return std::exchange(outputs_, {});
@@ -39,11 +40,11 @@
   scheduled_[request] = now_ + delay;
 }
 
-void StoreFollower::Call(StoreCall call, const ServiceId& service,
-                         std::uint64_t expected_revision) {
+void StoreFollower::Call(StoreCall call, PendingCall pending) {
   call.number = next_number_++;
   if (call.timeout == Duration(0)) call.timeout = options_.call_timeout;
-  pending_calls_[call.number] = {call.request, service, expected_revision};
+  pending.request = call.request;
+  pending_calls_[call.number] = std::move(pending);
   outputs_.emplace_back(std::move(call));
 }
 
@@ -69,7 +70,7 @@
     default:
       break;
   }
-  Call(std::move(call));
+  Call(std::move(call), {});
 }
 
 StoreFollower::Outputs StoreFollower::Claim(TimePoint now,
@@ -79,11 +80,40 @@
     ReportClaimFailure(claim.service, true);
     return std::exchange(outputs_, {});
   }
+  StartClaim(claim.service, claim.member_revision);
+  return std::exchange(outputs_, {});
+}
+
+void StoreFollower::StartClaim(const ServiceId& service,
+                               std::uint64_t member_revision) {
   StoreCall call;
   call.timeout = options_.claim_timeout;
   call.request = StoreRequest::kReadClaim;
-  call.key = claim.service;
-  Call(std::move(call), claim.service);
+  call.key = service;
+  PendingCall pending;
+  pending.service = service;
+  pending.member_revision = member_revision;
+  Call(std::move(call), std::move(pending));
+}
+
+StoreFollower::Outputs StoreFollower::ReadMemberRecords(TimePoint now) {
+  now_ = now;
+  Issue(StoreRequest::kReadMembersStale);
+  return std::exchange(outputs_, {});
+}
+
+StoreFollower::Outputs StoreFollower::WriteMemberRecord(
+    TimePoint now, const WriteMembers& write) {
+  now_ = now;
+  StoreCall call;
+  call.request = StoreRequest::kWriteMembers;
+  call.key = write.service;
+  call.revision = write.record.revision;
+  call.value = EncodeMembers(write.record.servers);
+  PendingCall pending;
+  pending.service = write.service;
+  pending.members = write.record.servers;
+  Call(std::move(call), std::move(pending));
   return std::exchange(outputs_, {});
 }
 
@@ -112,6 +142,11 @@
     case StoreRequest::kAnnounce:
       OnLease(result, pending);
       break;
+    case StoreRequest::kReadMembers:
+    case StoreRequest::kReadMembersStale:
+    case StoreRequest::kWriteMembers:
+      OnMembers(result, pending);
+      break;
     case StoreRequest::kReadClaim:
     case StoreRequest::kTakeClaim:
     case StoreRequest::kGrantClaimLease:
@@ -171,11 +206,18 @@
     servers_[id] = entry;
     last_listed_[id] = now_;
   }
+  for (const auto& [id, number] : result.heartbeats) {
+    const auto first = first_heartbeats_.try_emplace(id, number).first;
+    if (first->second != number) renewed_.insert(id);
+  }
   const TimePoint oldest = std::max(now_ - options_.missing_grace, TimePoint{});
   std::erase_if(last_listed_, [&](const auto& it) {
     const bool expired = std::max(it.second, store_reachable_since_) < oldest;
-    if (expired) servers_.erase(it.first);
-    return expired;
+    if (!expired) return false;
+    servers_.erase(it.first);
+    first_heartbeats_.erase(it.first);
+    renewed_.erase(it.first);
+    return true;
   });
   if (!first_listed_at_) first_listed_at_ = now_;
   const bool all_relisted = std::all_of(
@@ -184,7 +226,7 @@
   const bool complete = now_ - *first_listed_at_ >= options_.list_settle_time ||
                         (list_was_complete_ && all_relisted);
   list_was_complete_ = list_was_complete_ || complete;
-  outputs_.emplace_back(Event(ServersRead{servers_, complete}));
+  outputs_.emplace_back(Event(ServersRead{servers_, complete, renewed_}));
   Schedule(StoreRequest::kListServers, servers_.empty()
                                            ? options_.first_retry_pause
                                            : options_.server_interval);
@@ -232,25 +274,82 @@
       result.status == StoreStatus::kUnavailable) {
     return ReportClaimFailure(service, true);
   }
+  if (pending.request == StoreRequest::kTakeClaim) {
+    return OnTakeClaim(result, pending);
+  }
   StoreCall call;
   call.key = service;
+  PendingCall next = pending;
   if (pending.request == StoreRequest::kReadClaim) {
     const bool absent = result.status == StoreStatus::kAbsent;
     if (!absent && result.value != self_)
       return ReportClaimFailure(service, false);
     call.request = StoreRequest::kGrantClaimLease;
     call.ttl = options_.claim_ttl;
-    return Call(std::move(call), service, absent ? 0 : result.key_revision);
+    next.expected_revision = absent ? 0 : result.key_revision;
+    return Call(std::move(call), std::move(next));
   }
   if (result.status != StoreStatus::kOk)
     return ReportClaimFailure(service, false);
-  if (pending.request == StoreRequest::kGrantClaimLease) {
-    call.request = StoreRequest::kTakeClaim;
-    call.lease = result.lease;
-    call.revision = pending.expected_revision;
-    return Call(std::move(call), service);
+  call.request = StoreRequest::kTakeClaim;
+  call.lease = result.lease;
+  call.revision = pending.expected_revision;
+  call.member_revision = pending.member_revision;
+  Call(std::move(call), std::move(next));
+}
+
+void StoreFollower::OnTakeClaim(const StoreResult& result,
+                                const PendingCall& pending) {
+  const ServiceId& service = pending.service;
+  if (result.status == StoreStatus::kOk) {
+    outputs_.emplace_back(
+        Event(ClaimAnswered{service, result.revision, false}));
+    return;
+  }
+  const auto members = result.members.find(service);
+  const bool members_changed = result.status == StoreStatus::kConflict &&
+                               members != result.members.end();
+  if (!members_changed) return ReportClaimFailure(service, false);
+  // Other servers may have to be fenced: the claim is made again with them.
+  ReportMembers(result.members, false);
+  StartClaim(service, members->second.revision);
+}
+
+void StoreFollower::OnMembers(const StoreResult& result,
+                              const PendingCall& pending) {
+  const bool written = pending.request == StoreRequest::kWriteMembers;
+  const bool ok = result.status == StoreStatus::kOk;
+  if (written && ok) {
+    MembersRead read;
+    read.records[pending.service] = {result.revision, pending.members};
+    outputs_.emplace_back(Event(std::move(read)));
+    return;
+  }
+  if (written && result.status == StoreStatus::kConflict) {
+    return ReportMembers(result.members, false);
+  }
+  if (written) return;
+  if (ok) return ReportMembers(result.members, true);
+  if (pending.request == StoreRequest::kReadMembers) {
+    Schedule(StoreRequest::kReadMembers, options_.first_retry_pause);
+  }
+}
+
+void StoreFollower::ReportMembers(const std::map<ServiceId, StoreItem>& items,
+                                  bool all) {
+  MembersRead read;
+  read.all = all;
+  for (const auto& [service, item] : items) {
+    const bool absent = item.revision == 0;
+    auto servers = DecodeMembers(service, item.value);
+    if (!servers && !absent) {
+      outputs_.emplace_back(LogDecision{
+          "member record unusable service=" + service +
+          " revision=" + std::to_string(item.revision) + " used=empty"});
+    }
+    read.records[service] = {item.revision, servers.value_or(ServerList())};
   }
-  outputs_.emplace_back(Event(ClaimAnswered{service, result.revision, false}));
+  outputs_.emplace_back(Event(std::move(read)));
 }
 
 StoreFollower::Outputs StoreFollower::RenewToken(TimePoint now) {
--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -63,6 +63,10 @@
   [[nodiscard]] bool UnansweredWriteInDoubt() const override { return false; }
 };
 
+struct ForgetMembers : session::Safety {
+  [[nodiscard]] bool RememberMembers() const override { return false; }
+};
+
 struct SkipValueSynchronization : session::Safety {
   [[nodiscard]] bool SynchronizeValues() const override { return false; }
 };
@@ -154,4 +158,10 @@
   CHECK(ViolatesRule(SkipValueSynchronization{}, "PINNED values"));
 }
 
+TEST_CASE("instances that restart without the member records lose commits") {
+  WorldOptions options;
+  options.restarts = true;
+  CHECK(ViolatesRule(ForgetMembers{}, "LOST", options));
+}
+
 }  // namespace corianderdock::test
--- a/tests/session_store_test.cc
+++ b/tests/session_store_test.cc
@@ -1,6 +1,7 @@
 /// Reading the store through its failures: configuration, server list, claims.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "corianderdock/session/store_follower.h"
 
@@ -11,6 +12,7 @@
 using session::ClaimAnswered;
 using session::ConfigRead;
 using session::Event;
+using session::MembersRead;
 using session::ServersRead;
 using session::StoreCall;
 using session::StoreFollower;
@@ -216,6 +218,84 @@
   CHECK(it.Last<ClaimAnswered>().store_unreachable);
 }
 
+TEST_CASE("a claim is made again if the member record has changed") {
+  Fixture it;
+  it.Record(it.follower.Claim(it.now, {"books", 3}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kAbsent);
+  it.Answer(StoreRequest::kGrantClaimLease, StoreStatus::kOk);
+  CHECK(it.calls.back().member_revision == 3);
+  it.Answer(
+      StoreRequest::kTakeClaim, StoreStatus::kConflict, [](StoreResult& r) {
+        r.members["books"] = {R"({"servers":[{"id":"c","address":"c:1"}]})", 9};
+      });
+  const auto read = it.Last<MembersRead>();
+  CHECK_FALSE(read.all);
+  CHECK(read.records.at("books").revision == 9);
+  CHECK(read.records.at("books").servers.contains("c"));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kAbsent);
+  it.Answer(StoreRequest::kGrantClaimLease, StoreStatus::kOk);
+  CHECK(it.calls.back().member_revision == 9);
+  it.Answer(StoreRequest::kTakeClaim, StoreStatus::kOk,
+            [](StoreResult& r) { r.revision = 12; });
+  CHECK(it.Last<ClaimAnswered>().token == 12);
+}
+
+TEST_CASE("member records are read at the start until an answer comes") {
+  Fixture it;
+  for (const auto status :
+       {StoreStatus::kNoAnswer, StoreStatus::kUnavailable}) {
+    it.Answer(StoreRequest::kReadMembers, status);
+    it.AdvanceTime(std::chrono::milliseconds(200));
+  }
+  it.Answer(StoreRequest::kReadMembers, StoreStatus::kOk);
+  CHECK(it.Last<MembersRead>().all);
+  it.AdvanceTime(std::chrono::seconds(10));
+  CHECK_FALSE(it.IsPending(StoreRequest::kReadMembers));
+}
+
+TEST_CASE("a member record that another instance wrote first is reported") {
+  Fixture it;
+  it.Record(it.follower.WriteMemberRecord(it.now, {"books", {3, {}}}));
+  CHECK(it.calls.back().revision == 3);
+  it.Answer(StoreRequest::kWriteMembers, StoreStatus::kConflict,
+            [](StoreResult& r) {
+              r.members["books"] = {R"({"servers":[]})", 8};
+            });
+  CHECK(it.Last<MembersRead>().records.at("books").revision == 8);
+  it.Record(it.follower.WriteMemberRecord(it.now, {"books", {8, {}}}));
+  it.Answer(StoreRequest::kWriteMembers, StoreStatus::kOk,
+            [](StoreResult& r) { r.revision = 11; });
+  CHECK(it.Last<MembersRead>().records.at("books").revision == 11);
+}
+
+TEST_CASE("an unreadable member record is one without servers") {
+  Fixture it;
+  it.Answer(StoreRequest::kReadMembers, StoreStatus::kOk, [](StoreResult& r) {
+    r.members["books"] = {"not a record", 4};
+  });
+  const auto read = it.Last<MembersRead>();
+  CHECK(read.records.at("books").revision == 4);
+  CHECK(read.records.at("books").servers.empty());
+}
+
+TEST_CASE("a server counts as renewed once its heartbeat number changes") {
+  Fixture it;
+  const auto list = [&](std::uint64_t a, std::uint64_t b) {
+    it.Answer(StoreRequest::kListServers, StoreStatus::kOk,
+              [&](StoreResult& r) {
+                r.servers["a"].id = "a";
+                r.servers["b"].id = "b";
+                r.heartbeats = {{"a", a}, {"b", b}};
+              });
+    it.AdvanceTime(std::chrono::milliseconds(1000));
+  };
+  list(5, 7);
+  CHECK(it.Last<ServersRead>().renewed.empty());
+  list(6, 7);
+  list(6, 7);
+  CHECK(it.Last<ServersRead>().renewed == std::set<ServerId>{"a"});
+}
+
 TEST_CASE("an expired lease is replaced and the instance announced again") {
   Fixture it;
   it.Answer(StoreRequest::kGrantLease, StoreStatus::kOk,
--- a/tests/session_unfenced_test.cc
+++ b/tests/session_unfenced_test.cc
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t kSchedules = 60;
 
-void CheckSchedules(bool fencing, bool joiners) {
+void CheckSchedules(bool fencing, bool joiners, bool restarts = false) {
   const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
   const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
   WorldResult total;
@@ -22,6 +22,7 @@
     options.seed = seed;
     options.fencing = fencing;
     options.joiners = joiners;
+    options.restarts = restarts;
     const WorldResult result = RunSessionSchedule(options);
     if (!result.violations.empty()) {
       std::cout << result.violations.front() << "\n";
@@ -52,4 +53,8 @@
   CheckSchedules(false, true);
 }
 
+TEST_CASE("no schedule with restarts of all instances violates a guarantee") {
+  CheckSchedules(true, false, true);
+}
+
 }  // namespace corianderdock::test
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -33,7 +33,9 @@
 class ProxyDriver {
  public:
   explicit ProxyDriver(session::ProxyOptions options = {},
-                       const InstanceId& self = "self")
+                       const InstanceId& self = "self",
+                       bool members_read = true,
+                       const std::vector<std::string>& listed = {"a", "b", "c"})
       : proxy({self, "zone"}, options) {
     auto config = std::make_shared<session::RoutingConfig>();
     config->version = 1;
@@ -44,11 +46,31 @@
     AddRoute(*config, "updates", Freshness::kReadYourWrites);
     Feed(session::ConfigRead{config});
     Feed(session::InstancesRead{{{self, {"zone", ""}}}});
-    ListServers({"a", "b", "c"});
+    if (members_read) Feed(session::MembersRead{{}, true});
+    ListServers(listed);
+    if (members_read) RecordMembers({"a", "b", "c"});
     AdvanceTime(Milliseconds(30));
     CompleteConnects();
   }
 
+  /// Feeds a member record of the servers, as another instance wrote it.
+  void RecordMembers(const std::vector<std::string>& ids) {
+    session::MemberRecord record;
+    record.revision = ++member_revision;
+    for (const auto& id : ids) record.servers[id] = EntryOf(id);
+    Feed(session::MembersRead{{{"books", record}}, false});
+  }
+
+  [[nodiscard]] session::ServerEntry EntryOf(const ServerId& id) const {
+    session::ServerEntry entry;
+    entry.id = id;
+    entry.service = "books";
+    entry.address = addresses.contains(id) ? addresses.at(id) : id;
+    entry.zone = "zone";
+    entry.slots = 2;
+    return entry;
+  }
+
   static void AddRoute(session::RoutingConfig& config, const char* name,
                        Freshness freshness) {
     auto route = std::make_shared<session::Route>();
@@ -66,15 +88,12 @@
     session::ServersRead read;
     read.complete = true;
     for (const auto& id : ids) {
-      session::ServerEntry entry;
-      entry.id = id;
-      entry.service = "books";
-      entry.address = addresses.contains(id) ? addresses.at(id) : id;
+      session::ServerEntry entry = EntryOf(id);
       entry.zone = zone;
-      entry.slots = 2;
       entry.claims_primary = id == "a";
       entry.draining = id == draining;
       read.servers[id] = entry;
+      if (!not_renewed.contains(id)) read.renewed.insert(id);
     }
     Feed(read);
   }
@@ -346,6 +365,10 @@
   std::map<ServerId, std::string> addresses;   ///< of servers, if not the id
   std::map<ServerId, std::uint64_t> log_ends;  ///< for `AnswerAs`
   std::uint64_t claims_answered = 0;
+  std::uint64_t member_revision = 0;
+  std::set<ServerId> not_renewed;  ///< entries without later heartbeats
+  std::vector<session::WriteMembers> member_writes;
+  int member_reads = 0;
   int statements = 0;
   bool stop_finished = false;
 
@@ -398,6 +421,8 @@
   }
   void Record(const session::ClaimPromotion& it) { claims.push_back(it); }
   void Record(const session::RenewToken& /*it*/) {}
+  void Record(const session::ReadMembers& /*it*/) { ++member_reads; }
+  void Record(const session::WriteMembers& it) { member_writes.push_back(it); }
   void Record(const session::PromoteServer& it) { promotions.push_back(it); }
   void Record(const session::LogDecision& it) {
     if (std::getenv("TRACE") != nullptr) std::cout << it.text << "\n";
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -50,7 +50,8 @@
   Duration extra_lag{0};
   std::set<std::size_t> partitioned_from;  ///< indices of instances
   bool split = false;                      ///< cut off from all other servers
-  TimePoint listed_from;  ///< when it appears in the server list
+  TimePoint listed_from;   ///< when it appears in the server list
+  TimePoint hidden_until;  ///< its reports don't reach the store
   TimePoint drains_from = TimePoint::max();  ///< as the list shows
   std::uint64_t process_start = 1;
 
@@ -104,24 +105,20 @@
     if (!options.fencing) {
       options_.proxy.failover.leadership_lease = milliseconds(600);
     }
-    for (int n = 0; n < options.instances; ++n) {
-      proxies_.push_back(std::make_unique<Proxy>(
-          ProxyIdentity{"p" + std::to_string(n), "z"}, options_.proxy));
-      frozen_until_.push_back(TimePoint{});
-      timer_at_.push_back(TimePoint::max());
+    config_ = config;
+    for (const auto& [id, server] : servers_) {
+      members_.servers[id] = EntryOf(server);
     }
-    for (std::size_t n = 0; n < proxies_.size(); ++n) {
-      Feed(n, ConfigRead{config});
-      FeedServers(n);
-      Feed(n, InstancesRead{
-                  {{"p0", {"z", ""}}, {"p1", {"z", ""}}, {"p2", {"z", ""}}}});
-      Feed(n, TokenObtained{++token_});
+    members_.revision = ++token_;
+    for (int n = 0; n < options.instances; ++n) {
+      current_.push_back(AddInstance(static_cast<std::size_t>(n)));
     }
+    for (const std::size_t n : current_) StartInstance(n);
   }
 
   WorldResult Run() {
     const TimePoint end = now_ + options_.duration;
-    for (std::size_t n = 0; n < proxies_.size(); ++n) {
+    for (const std::size_t n : current_) {
       for (int c = 0; c < options_.clients_per_instance; ++c) OpenClient(n);
     }
     if (options_.faults_per_second > 0) ScheduleFault();
@@ -187,7 +184,53 @@
   }
 
   // Instances.
+
+  /// Adds the process of the instance `slot`; returns its number.
+  std::size_t AddInstance(std::size_t slot) {
+    proxies_.push_back(std::make_unique<Proxy>(
+        ProxyIdentity{"p" + std::to_string(slot), "z"}, options_.proxy));
+    slots_.push_back(slot);
+    ended_.push_back(false);
+    frozen_until_.push_back(TimePoint{});
+    timer_at_.push_back(TimePoint::max());
+    return proxies_.size() - 1;
+  }
+
+  /// Feeds a process what it reads at its start, once the store is reachable.
+  void StartInstance(std::size_t n) {
+    if (store_unreachable_) {
+      Schedule(milliseconds(100), [this, n] { StartInstance(n); });
+      return;
+    }
+    Feed(n, ConfigRead{config_});
+    FeedServers(n);
+    FeedMembers(n);
+    Feed(n, InstancesRead{
+                {{"p0", {"z", ""}}, {"p1", {"z", ""}}, {"p2", {"z", ""}}}});
+    Feed(n, TokenObtained{++token_});
+  }
+
+  /// Kills the process of an instance and starts another one.
+  void RestartInstance(std::size_t slot) {
+    const std::size_t old = current_[slot];
+    Trace("restarts p" + std::to_string(slot));
+    ended_[old] = true;
+    for (auto& [id, server] : servers_) {
+      std::erase_if(server.connections,
+                    [old](const auto& it) { return it.first.first == old; });
+    }
+    std::erase_if(server_of_connection_,
+                  [old](const auto& it) { return it.first.first == old; });
+    const std::size_t n = AddInstance(slot);
+    current_[slot] = n;
+    StartInstance(n);
+    const std::size_t closed = std::erase_if(
+        clients_, [old](const auto& it) { return it.second.instance == old; });
+    for (std::size_t c = 0; c < closed; ++c) OpenClient(n);
+  }
+
   void Feed(std::size_t n, const Event& event) {
+    if (ended_[n]) return;
     if (now_ < frozen_until_[n]) {
       Schedule(frozen_until_[n] - now_, [this, n, event] { Feed(n, event); });
       return;
@@ -207,28 +250,34 @@
   /// Instances read the list each second while the store is reachable.
   void ScheduleLists() {
     Schedule(std::chrono::seconds(1), [this] {
-      for (std::size_t n = 0; n < proxies_.size(); ++n) {
+      for (const std::size_t n : current_) {
         if (!store_unreachable_) FeedServers(n);
       }
       ScheduleLists();
     });
   }
 
+  [[nodiscard]] ServerEntry EntryOf(const Server& server) const {
+    ServerEntry entry;
+    entry.draining = now_ >= server.drains_from;
+    entry.process_start = server.process_start;
+    entry.id = server.id;
+    entry.service = kService;
+    entry.address = server.id;
+    entry.zone = "z";
+    entry.slots = 4;
+    entry.claims_primary = server.primary;
+    return entry;
+  }
+
   void FeedServers(std::size_t n) {
     ServersRead read;
     read.complete = true;
     for (const auto& [id, server] : servers_) {
       if (server.gone || now_ < server.listed_from) continue;
-      ServerEntry entry;
-      entry.draining = now_ >= server.drains_from;
-      entry.process_start = server.process_start;
-      entry.id = id;
-      entry.service = kService;
-      entry.address = id;
-      entry.zone = "z";
-      entry.slots = 4;
-      entry.claims_primary = server.primary;
-      read.servers[id] = entry;
+      if (now_ < server.hidden_until) continue;
+      read.servers[id] = EntryOf(server);
+      read.renewed.insert(id);
     }
     Feed(n, read);
   }
@@ -294,15 +343,39 @@
       if (store_unreachable_) {
         return Feed(n, ClaimAnswered{effect.service, 0, true});
       }
-      const bool taken = now_ < claimed_until_ && claim_holder_ != n;
+      FeedMembers(n);  // as the claim requires the newest record
+      const bool taken = now_ < claimed_until_ && claim_holder_ != slots_[n];
       if (!taken) {
-        claim_holder_ = n;
+        claim_holder_ = slots_[n];
         claimed_until_ = now_ + std::chrono::seconds(3);
       }
       Feed(n, ClaimAnswered{effect.service, taken ? 0 : ++token_, false});
     });
   }
 
+  void Apply(std::size_t n, const ReadMembers& /*effect*/) {
+    Schedule(milliseconds(8), [this, n] { FeedMembers(n); });
+  }
+
+  void Apply(std::size_t n, const WriteMembers& effect) {
+    Schedule(milliseconds(8), [this, n, effect] {
+      if (store_unreachable_) return;
+      if (effect.record.revision == members_.revision) {
+        members_ = effect.record;
+        members_.revision = ++token_;
+      }
+      FeedMembers(n);
+    });
+  }
+
+  void FeedMembers(std::size_t n) {
+    if (store_unreachable_) return;
+    MembersRead read;
+    read.all = true;
+    if (members_.revision != 0) read.records[kService] = members_;
+    Feed(n, read);
+  }
+
   void Apply(std::size_t n, const RenewToken& /*effect*/) {
     Schedule(milliseconds(8), [this, n] {
       if (!store_unreachable_) Feed(n, TokenObtained{++token_});
@@ -542,10 +615,11 @@
 
   /// Whether a commit counts as acknowledged when its client has the answer. A
   /// primary may acknowledge a commit to an instance through a server that
-  /// nobody knows of; the instance must not pass that on. Otherwise it counts
+  /// nobody knows of, or that was left out of a promotion and has returned
+  /// unlisted; the instance must not pass that on. Otherwise it counts
   /// when the primary acknowledges it.
   [[nodiscard]] bool ClientsJudge() const {
-    return options_.joiners || !options_.fencing;
+    return options_.joiners || options_.restarts || !options_.fencing;
   }
 
   void RecordCommit() {
@@ -746,7 +820,8 @@
   }
 
   // Clients.
-  void OpenClient(std::size_t n) {
+  void OpenClient(std::size_t process) {
+    const std::size_t n = current_[slots_[process]];
     const std::uint64_t id = next_client_++;
     Client& client = clients_[id];
     client.id = id;
@@ -894,9 +969,16 @@
     auto it = servers_.begin();
     std::advance(it, RandomBelow(static_cast<int>(servers_.size())));
     const ServerId id = it->first;
-    const auto n = static_cast<std::size_t>(RandomBelow(options_.instances));
+    const std::size_t n =
+        current_[static_cast<std::size_t>(RandomBelow(options_.instances))];
     const Duration time = milliseconds(200 + RandomBelow(1800));
-    const int kind = RandomBelow(options_.joiners ? 9 : 7);
+    constexpr int kCommonKinds = 7;
+    constexpr int kJoinerKinds = 2;
+    constexpr int kRestartKinds = 2;
+    int kind =
+        RandomBelow(kCommonKinds + (options_.joiners ? kJoinerKinds : 0) +
+                    (options_.restarts ? kRestartKinds : 0));
+    if (!options_.joiners && kind >= kCommonKinds) kind += kJoinerKinds;
     Trace("fault " + std::to_string(kind) + " " + id + " p" +
           std::to_string(n));
     switch (kind) {
@@ -924,6 +1006,11 @@
         return Schedule(time, [this, id] { servers_[id].split = false; });
       case 8:
         return ReplacePrimary();
+      case 9:
+        servers_[id].hidden_until = now_ + 2 * time;
+        return;
+      case 10:
+        return RestartAll();
       default:
         return ResetConnections(n);
     }
@@ -956,6 +1043,37 @@
     });
   }
 
+  /// Restarts all instances in turn while the reports of a replica don't reach
+  /// the store. Afterwards, the other replicas receive nothing for some time,
+  /// within which the primary crashes.
+  void RestartAll() {
+    const Server* leader = NewestLeader();
+    if (leader == nullptr) return;
+    const ServerId primary = leader->id;
+    bool hidden = false;
+    const Duration gap = milliseconds(100 + RandomBelow(200));
+    const Duration end = gap * static_cast<int>(current_.size());
+    const Duration deaf = milliseconds(300 + RandomBelow(900));
+    for (auto& [id, server] : servers_) {
+      if (id == primary || server.gone) continue;
+      if (!std::exchange(hidden, true)) {
+        server.hidden_until = now_ + end + std::chrono::seconds(3);
+        continue;
+      }
+      Schedule(end + milliseconds(200), [this, other = id, deaf] {
+        replication_stopped_.insert(other);
+        Schedule(deaf * 2,
+                 [this, other] { replication_stopped_.erase(other); });
+      });
+    }
+    for (std::size_t slot = 0; slot < current_.size(); ++slot) {
+      Schedule(gap * static_cast<int>(slot),
+               [this, slot] { RestartInstance(slot); });
+    }
+    Schedule(end + milliseconds(200) + deaf,
+             [this, primary] { Crash(primary, milliseconds(3000)); });
+  }
+
   /// Stops the server for `time`; it keeps its log.
   void Crash(const ServerId& id, Duration time) {
     Server& server = servers_[id];
@@ -1014,7 +1132,12 @@
   TimePoint now_{std::chrono::seconds(100)};
   std::priority_queue<Item> queue_;
   std::uint64_t next_sequence_ = 0;
-  std::vector<std::unique_ptr<Proxy>> proxies_;
+  std::shared_ptr<const RoutingConfig> config_;
+  MemberRecord members_;                         ///< as the store has it
+  std::vector<std::unique_ptr<Proxy>> proxies_;  ///< one for each process
+  std::vector<std::size_t> slots_;               ///< instance of each process
+  std::vector<bool> ended_;                      ///< of each process
+  std::vector<std::size_t> current_;             ///< process of each instance
   std::vector<TimePoint> frozen_until_;
   std::vector<TimePoint> timer_at_;
   std::map<ServerId, Server> servers_;
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -35,6 +35,9 @@
   /// Faults also cut a server off from the others, and replace primaries by
   /// servers that join before they are listed.
   bool joiners = false;
+  /// Faults also restart all instances in turn, and keep the reports of a
+  /// server that goes on serving from the store.
+  bool restarts = false;
   session::ProxyOptions proxy;
 };
 
