Don't await a listed server that nothing shows to exist

What callers saw: a service stayed without a primary after a crash for as long as one odd entry, never renewed and with no server behind it, stood in the server list.

Cause: every silent listed server was awaited. Now an entry counts only if its heartbeat number changed, a server answered under its id, or the member record names it.

Evidence: session_members "a listed server that nothing shows to exist holds up no promotion" failed with the branch in IsAwaited left out; a silent server whose entry is renewed is awaited as before (same test).

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -417,6 +417,7 @@
   [[nodiscard]] MemberRecorder::Situation MembersOf(
       const Service& service) const;
   [[nodiscard]] bool IsConfirmed(const ServerPool& pool) const;
+  [[nodiscard]] bool IsPhantom(const ServerPool& pool) const;
   [[nodiscard]] bool MembersRecorded(const Service& service) const;
   void CheckMembers();
   void RecordMembers(Service& service);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -284,6 +284,7 @@
 /// it has been gone for so long that it won't return.
 bool Proxy::IsAwaited(const ServerPool& pool) const {
   if (pool.superseded) return false;
+  if (pool.listed && pool.failing) return !IsPhantom(pool);
   if (pool.listed || !pool.failing) return true;
   return !pool.covered_by && MayReturn(pool);
 }
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -15,6 +15,10 @@
 /// Time since the start until the list of instances names the others, from
 /// which their ranks follow.
 constexpr Duration kInstancesListedTime = std::chrono::milliseconds(3000);
+/// Time after which a server whose entry was not renewed, although entries
+/// expire after three heartbeats, and that never answered any instance, is
+/// taken not to exist.
+constexpr Duration kConfirmTime = std::chrono::milliseconds(5000);
 
 }  // namespace
 
@@ -83,6 +87,11 @@
          service->second.members.Names(pool.entry);
 }
 
+/// Whether an entry in the list is taken to name no server.
+bool Proxy::IsPhantom(const ServerPool& pool) const {
+  return now_ - pool.known_since >= kConfirmTime && !IsConfirmed(pool);
+}
+
 /// Whether an instance that starts now would learn of all servers to which the
 /// primary may replicate its commits.
 bool Proxy::MembersRecorded(const Service& service) const {
--- a/tests/session_members_test.cc
+++ b/tests/session_members_test.cc
@@ -224,4 +224,28 @@
   CHECK(driver.member_writes.front().record.revision == 1);
 }
 
+// Guards against a service without a primary for as long as an odd entry stands
+// in the list.
+TEST_CASE("a listed server that nothing shows to exist holds up no promotion") {
+  for (const bool renewed : {false, true}) {
+    ProxyDriver driver;
+    if (!renewed) driver.not_renewed = {"x"};
+    driver.ListServers({"a", "b", "c", "x"});
+    for (int n = 0; n < 300; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo({"a", "b", "c"});
+      driver.AnswerAll({"x"});
+    }
+    driver.OpenSession(1, "claims");
+    driver.Query(1, Verb::kWrite, {}, "item data");
+    driver.LoseAllConnections();
+    for (int n = 0; n < 80; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo({"b", "c"});
+      driver.AnswerReplicas();
+    }
+    CHECK(driver.claims.empty() == renewed);
+  }
+}
+
 }  // namespace corianderdock::test
