Reach unlisted servers that serve through owners and relays too

Cause: PeerOpened and KnowsServerAt asked whether the server is listed.

Evidence: session_peers "a server that left the list but answers is reached through others" failed before.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -59,7 +59,8 @@
     return counters_;
   }
 
-  /// Whether a listed server has this address.
+  /// Whether a server that is listed, or that may serve although it is not, has
+  /// this address.
   [[nodiscard]] bool KnowsServerAt(std::string_view address) const;
 
   /// Returns the state as JSON text.
@@ -405,6 +406,10 @@
   }
   void NoteSuperseded();
   [[nodiscard]] bool IsAwaited(const ServerPool& pool) const;
+  /// Whether a server is listed, or may serve although it is not.
+  [[nodiscard]] bool MayServe(const ServerPool& pool) const {
+    return pool.listed || IsAwaited(pool);
+  }
   [[nodiscard]] bool MayReturn(const ServerPool& pool) const;
   [[nodiscard]] static bool Reaches(const ServerPool& pool, Position required);
   void QueryReceived(Service& service);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -65,7 +65,7 @@
 
 void Proxy::On(const PeerOpened& event) {
   const auto it = pools_.find(event.server);
-  const bool known = it != pools_.end() && it->second.listed &&
+  const bool known = it != pools_.end() && MayServe(it->second) &&
                      it->second.entry.service == event.service;
   if (!known) {
     return Emit(ClosePeer{event.peer, ErrorCode::kMisrouted});
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -76,7 +76,7 @@
 
 bool Proxy::KnowsServerAt(std::string_view address) const {
   return std::any_of(pools_.begin(), pools_.end(), [&](const auto& it) {
-    return it.second.listed && it.second.entry.address == address;
+    return MayServe(it.second) && it.second.entry.address == address;
   });
 }
 
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -214,7 +214,7 @@
 /// replaced, even if it is no longer listed. Servers that a promotion waits for
 /// are contacted to learn whether they still run.
 bool Proxy::InUse(const ServerPool& pool) const {
-  if (pool.listed || IsAwaited(pool)) return true;
+  if (MayServe(pool)) return true;
   const auto it = services_.find(pool.entry.service);
   return it != services_.end() && it->second.primary == pool.entry.id;
 }
--- a/tests/session_peers_test.cc
+++ b/tests/session_peers_test.cc
@@ -417,4 +417,26 @@
   CHECK(it.driver.peers_closed.front().error == ErrorCode::kMisrouted);
 }
 
+// Guards against a promotion without a replica that serves but is not listed:
+// instances that reach it only through others must not take it for silent.
+TEST_CASE("a server that left the list but answers is reached through others") {
+  ProxyDriver driver;
+  driver.addresses = {{"c", "c:1"}};
+  driver.ListServers({"a", "b", "c"});
+  driver.CompleteConnects();
+  driver.ListServers({"a", "b"});
+  CHECK(driver.proxy.KnowsServerAt("c:1"));
+  driver.Feed(PeerOpened{1, "books", "c"});
+  CHECK(driver.peers_closed.empty());
+  // One that neither answers nor returns is given up.
+  for (int n = 0; n < 600; ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo({"a", "b"});
+    driver.AnswerAll({"c"});
+  }
+  CHECK_FALSE(driver.proxy.KnowsServerAt("c:1"));
+  driver.Feed(PeerOpened{2, "books", "c"});
+  CHECK(driver.peers_closed.size() >= 1);
+}
+
 }  // namespace corianderdock::test
