Order no second server while an order may be executed

Cause: two servers of a service were under orders at a time. The former primary was ordered when it returned; a repeated order was executed again after its server had led; the next claimant ordered another server after the claim had ended.

The former primary's term had to be asked for, as positions show it only after the first commit.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -191,6 +191,12 @@
   std::uint64_t member_revision = 0;  ///< 0 while there is no record
 };
 
+/// Keep the claim of a service that this instance has, so that no other
+/// instance claims it; completes without an event.
+struct KeepClaim {
+  ServiceId service;
+};
+
 /// Read the member records of all services, which may be seconds old; completes
 /// with `MembersRead`, or not at all.
 struct ReadMembers {};
@@ -224,8 +230,8 @@
 using Effect =
     std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
                  OpenServerConnection, CloseServerConnection, SendCommand,
-                 ClaimPromotion, ReadMembers, WriteMembers, RenewToken,
-                 PromoteServer, LogDecision, StopFinished>;
+                 ClaimPromotion, KeepClaim, ReadMembers, WriteMembers,
+                 RenewToken, PromoteServer, LogDecision, StopFinished>;
 
 using Effects = std::vector<Effect>;
 
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -55,6 +55,9 @@
   /// abandoned claim are released. Longer than a promotion that another
   /// instance ordered in the meantime takes.
   Duration release_delay = std::chrono::milliseconds(4000);
+  /// Interval at which a claim is kept while an order may be executed; a third
+  /// of the claim's lease at the store.
+  Duration claim_keep_interval = std::chrono::milliseconds(1000);
   /// Interval at which an unanswered promotion order is repeated.
   Duration order_retry_interval = std::chrono::milliseconds(600);
   /// Time within which the promoted server must prove to be the primary.
@@ -68,8 +71,15 @@
 ///
 /// All replicas are fenced first, so that no further commit is acknowledged.
 /// Every acknowledged commit is on at least one replica, so the most advanced
-/// replica has all of them. An unanswered promotion order is repeated only for
-/// the same server under the same token.
+/// replica has all of them.
+///
+/// An unanswered order may be executed until `max_order_delay` has passed. It
+/// is repeated until its server leads, even if the former primary returns: of
+/// two orders under way, the later one could end the lead of a server that has
+/// acknowledged commits under the earlier one. Another server is ordered only
+/// when the time has passed, or if it restarted, which lifted its fence, and
+/// received more. The claim is kept for as long, so that no other instance
+/// orders another server.
 ///
 /// The fencing token comes from the store, which grants one claim at a time.
 /// While the store is unavailable, the instance uses its fallback token. The
@@ -83,6 +93,8 @@
  public:
   /// Claims a promotion at the store, which returns a fencing token.
   struct Claim {};
+  /// Keeps the claim while an order may be executed.
+  struct KeepClaim {};
   /// Asks a replica whether it is fenced.
   struct Inspect {
     ServerId server;
@@ -106,7 +118,8 @@
     ServerId server;
     std::uint64_t token = 0;
   };
-  using Action = std::variant<Claim, Inspect, Fence, Demote, Resume, Order>;
+  using Action =
+      std::variant<Claim, KeepClaim, Inspect, Fence, Demote, Resume, Order>;
   using Actions = std::vector<Action>;
 
   enum class Phase {
@@ -126,6 +139,7 @@
     bool primary_lost = false;
     bool server_list_complete = true;  ///< no live replica is missing
     ServerId primary;                  ///< empty when unknown
+    Term primary_term = 0;             ///< in which it leads; 0 while unknown
     /// The primary still answers, but is draining or to be switched over.
     bool primary_leaving = false;
     ServerId last_primary;             ///< the last proven primary
@@ -193,6 +207,7 @@
     TimePoint reported_at;
   };
 
+  Actions Advance(const Situation& situation);
   [[nodiscard]] bool ReplicasReachableLongEnough(TimePoint now) const;
   void MarkOrderUnanswered();
   Actions OnOrderRefused(const Situation& situation);
@@ -210,8 +225,14 @@
   [[nodiscard]] bool AllFenced(const Situation& situation) const;
   [[nodiscard]] bool AwaitsLease(const Situation& situation);
   [[nodiscard]] bool ClaimValid(TimePoint now) const;
+  [[nodiscard]] bool OrderMayBeExecuted(TimePoint now) const;
+  [[nodiscard]] static bool FoundPrimaryOfUnknownTerm(
+      const Situation& situation);
+  [[nodiscard]] bool AnotherPromoted(const Situation& situation) const;
   Actions TryOrder(const Situation& situation);
   Actions IssueOrder(const Situation& situation);
+  [[nodiscard]] ServerId PendingOrder(TimePoint now) const;
+  [[nodiscard]] ServerId HasGrownBeyond(const ServerId& server) const;
   Actions DemoteOldPrimary(const Situation& situation);
   Actions ReleaseFences(const Situation& situation);
   Actions OnReleaseClaim(const Situation& situation,
@@ -241,10 +262,14 @@
   /// When a replica was first found fenced by another instance.
   std::optional<TimePoint> foreign_fence_since_;
   TimePoint next_demote_at_;
+  TimePoint next_keep_at_;
   std::map<ServerId, FenceReport> fence_reports_;
   /// Since when all replicas have been fenced without interruption.
   std::optional<TimePoint> all_fenced_since_;
   TimePoint last_order_at_;
+  Term order_fence_term_ = 0;  ///< `fence_term_` at the last order
+  /// Ends of the fenced replicas' logs at the first order for its server.
+  std::map<ServerId, Position> order_ends_;
   /// The primary that was demoted before its replicas were fenced, and the end
   /// of its log, which no acknowledged commit exceeds.
   ServerId demoted_;
@@ -256,6 +281,9 @@
   /// again as the fallback token.
   std::uint64_t spent_token_ = 0;
   bool unanswered_order_ = false;  ///< an order may still be executed
+  /// Server of the last unanswered order, and when it was given.
+  ServerId unanswered_server_;
+  TimePoint unanswered_order_at_;
 };
 
 }  // namespace corianderdock::session
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -504,6 +504,7 @@
   [[nodiscard]] Failover::Situation SituationOf(const Service& service) const;
   void Perform(const ServiceId& id, const Failover::Actions& actions);
   void Do(const ServiceId& id, const Failover::Claim& claim);
+  void Do(const ServiceId& id, const Failover::KeepClaim& keep);
   void Do(const ServiceId& id, const Failover::Inspect& inspect);
   void Do(const ServiceId& id, const Failover::Fence& fence);
   void Do(const ServiceId& id, const Failover::Demote& demote);
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -35,6 +35,7 @@
   /// Compare-and-swap of a claim under a lease, while the service's member
   /// record has an expected revision.
   kTakeClaim,
+  kKeepClaim,  ///< renews the lease of a claim
 };
 
 /// A call to the store, answered by a `StoreResult` with the same number.
@@ -137,6 +138,9 @@
   /// Requests a fencing token; ends in `ClaimAnswered`.
   [[nodiscard]] Outputs Claim(TimePoint now, const ClaimPromotion& claim);
 
+  /// Renews the lease of a claim that was granted, if any.
+  [[nodiscard]] Outputs Keep(TimePoint now, const KeepClaim& claim);
+
   /// Reads the member records; ends in `MembersRead` unless it fails.
   [[nodiscard]] Outputs ReadMemberRecords(TimePoint now);
 
@@ -160,6 +164,7 @@
     ServiceId service;                ///< of a claim or record
     std::uint64_t expected_revision;  ///< revision of the claim's key
     std::uint64_t member_revision;    ///< of the record, for a claim
+    std::uint64_t claim_lease;        ///< under which a claim is taken
     ServerList members;               ///< written
   };
 
@@ -188,6 +193,7 @@
   std::map<StoreRequest, TimePoint> scheduled_;  ///< when each is due
   std::uint64_t watched_revision_ = 0;
   std::uint64_t lease_ = 0;
+  std::map<ServiceId, std::uint64_t> claim_leases_;  ///< of the last claims
   ServerList servers_;
   std::map<ServerId, TimePoint> last_listed_;  ///< of each server in `servers_`
   std::map<ServerId, std::uint64_t> first_heartbeats_;  ///< of the same
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -20,6 +20,17 @@
 }
 
 Failover::Actions Failover::Step(const Situation& situation) {
+  Actions actions = Advance(situation);
+  const bool keeps =
+      !PendingOrder(situation.now).empty() && !using_fallback_token_;
+  if (keeps && situation.now >= next_keep_at_) {
+    next_keep_at_ = situation.now + options_.claim_keep_interval;
+    actions.emplace_back(KeepClaim{});
+  }
+  return actions;
+}
+
+Failover::Actions Failover::Advance(const Situation& situation) {
   const TimePoint now = situation.now;
   if (!situation.replicas_reachable) replicas_reachable_since_.reset();
   if (situation.replicas_reachable && !replicas_reachable_since_) {
@@ -43,12 +54,11 @@
       return {Claim{}};
     case Phase::kClaiming:
       if (now - phase_entered_at_ < options_.claim_timeout) return {};
-      if (unanswered_order_ &&
-          now - phase_entered_at_ >= options_.claim_retry_delay) {
+      if (OrderMayBeExecuted(now)) {
+        if (now - phase_entered_at_ < options_.claim_retry_delay) return {};
         EnterPhase(Phase::kClaiming, now);
         return {Claim{}};
       }
-      if (unanswered_order_) return {};
       return OnClaim(situation, ClaimAnswered{{}, 0, true});
     case Phase::kDemoting:
       if (now - phase_entered_at_ >= options_.demote_timeout ||
@@ -57,17 +67,23 @@
       }
       return DemoteOldPrimary(situation);
     case Phase::kFencing:
-      if (!situation.primary_lost && !unanswered_order_ && demoted_.empty()) {
+      if (!situation.primary_lost && !OrderMayBeExecuted(now) &&
+          demoted_.empty()) {
         return AbandonClaim(situation);
       }
       if (now - phase_entered_at_ >= options_.fence_timeout &&
-          !unanswered_order_) {
+          !OrderMayBeExecuted(now)) {
         return AbandonClaim(situation);
       }
-      if (unanswered_order_ && !situation.primary_lost &&
-          !situation.primary.empty() && options_.tokens_checked) {
-        // Another server was promoted. A claim under a higher token keeps the
-        // unanswered order from undoing that.
+      if (unanswered_order_ && FoundPrimaryOfUnknownTerm(situation)) {
+        if (now < next_retry_at_) return {};
+        next_retry_at_ = now + options_.fence_retry_interval;
+        return {Inspect{situation.primary}};
+      }
+      if (unanswered_order_ && AnotherPromoted(situation) &&
+          options_.tokens_checked) {
+        // A claim under a higher token keeps the unanswered order from undoing
+        // that promotion.
         EnterPhase(Phase::kClaiming, now);
         return {Claim{}};
       }
@@ -117,8 +133,9 @@
     EnterPhase(Phase::kClaiming, situation.now);
     return {};
   }
-  const bool wanted = unanswered_order_ || (situation.primary_lost &&
-                                            situation.server_list_complete);
+  const bool wanted =
+      OrderMayBeExecuted(situation.now) ||
+      (situation.primary_lost && situation.server_list_complete);
   if (answer.token == 0 && !answer.store_unreachable) {
     competing_claim_until_ = situation.now + options_.competing_claim_duration;
   }
@@ -130,16 +147,18 @@
     token_ = 0;
   }
   if (unanswered_order_ && token_ <= unanswered_order_token_) {
+    if (!OrderMayBeExecuted(situation.now)) return AbandonClaim(situation);
     EnterPhase(Phase::kClaiming, situation.now);
     return {};
   }
   if (token_ == 0 || !wanted) return AbandonClaim(situation);
   demoted_.clear();
-  if (!situation.primary_lost && !situation.primary.empty()) {
+  if (unanswered_order_ && AnotherPromoted(situation)) {
     // Promoting the current primary again changes nothing at the server, but
     // its higher token invalidates earlier orders.
     candidate_ = situation.primary;
     EnterPhase(Phase::kOrdering, situation.now);
+    last_order_at_ = situation.now;
     next_retry_at_ = situation.now + options_.order_retry_interval;
     return {Order{candidate_, token_}};
   }
@@ -286,6 +305,12 @@
 /// has its whole log: a server that is not listed yet may have the only copy of
 /// an acknowledged commit.
 ServerId Failover::ChooseCandidate(const Situation& situation) {
+  // A server under an order may become the primary at any time.
+  const ServerId pending = PendingOrder(situation.now);
+  if (fence_reports_.contains(pending)) {
+    const ServerId grown = HasGrownBeyond(pending);
+    return grown.empty() ? pending : grown;
+  }
   ServerId best = MostAdvanced(situation);
   if (demoted_.empty() || best.empty()) return best;
   return IsLater(demoted_end_, fence_reports_[best].received) ? demoted_ : best;
@@ -334,31 +359,77 @@
     all_fenced_since_.reset();
     return FenceRemaining(situation);
   }
-  if (!situation.primary_lost && !unanswered_order_ && demoted_.empty()) {
+  if (!situation.primary_lost && !OrderMayBeExecuted(situation.now) &&
+      demoted_.empty()) {
     return AbandonClaim(situation);
   }
   const ServerId chosen = ChooseCandidate(situation);
   if (!ReachesRequired(situation, chosen)) return {};
-  const bool other =
-      unanswered_order_ && !candidate_.empty() && candidate_ != chosen;
-  const bool may_be_executed =
-      situation.now - last_order_at_ < options_.max_order_delay;
-  if (other && !options_.tokens_checked && may_be_executed) return {};
+  const ServerId pending = PendingOrder(situation.now);
+  const bool other = !pending.empty() && pending != chosen;
+  // An order that would lose commits must not be executed, so that a higher
+  // token is used at once where tokens are checked.
+  const bool supersedes =
+      options_.tokens_checked && HasGrownBeyond(pending) == chosen;
+  if (other && !supersedes) return {};
   candidate_ = chosen;
-  if (other) {
-    // Promoting a different server requires a higher token, which invalidates
-    // the earlier order.
-    candidate_.clear();
-    EnterPhase(Phase::kClaiming, situation.now);
-    return {Claim{}};
-  }
-  if (!ClaimValid(situation.now)) {
+  // Promoting a different server requires a higher token, which invalidates the
+  // earlier order.
+  const bool token_used = unanswered_order_ && unanswered_server_ != chosen &&
+                          token_ <= unanswered_order_token_;
+  if (token_used || !ClaimValid(situation.now)) {
     EnterPhase(Phase::kClaiming, situation.now);
     return {Claim{}};
   }
   return IssueOrder(situation);
 }
 
+/// Returns the server under an order that may still be executed; empty if there
+/// is none. An order that was repeated may be executed more than once, also
+/// after its server has led and was demoted.
+ServerId Failover::PendingOrder(TimePoint now) const {
+  const bool expired = now - unanswered_order_at_ >= options_.max_order_delay;
+  return expired ? ServerId() : unanswered_server_;
+}
+
+/// Returns the fenced replica that has received entries since `server` was
+/// ordered, which that one lacks; empty if there is none.
+ServerId Failover::HasGrownBeyond(const ServerId& server) const {
+  const auto report = fence_reports_.find(server);
+  if (report == fence_reports_.end() || server != unanswered_server_) return {};
+  ServerId best;
+  Position end = report->second.received;
+  for (const auto& [id, at_order] : order_ends_) {
+    const auto it = fence_reports_.find(id);
+    if (it == fence_reports_.end()) continue;
+    const Position received = it->second.received;
+    if (!IsLater(received, at_order) || !IsLater(received, end)) continue;
+    best = id;
+    end = received;
+  }
+  return best;
+}
+
+/// Whether the platform may still execute an unanswered order.
+bool Failover::OrderMayBeExecuted(TimePoint now) const {
+  return unanswered_order_ &&
+         now - unanswered_order_at_ < options_.max_order_delay;
+}
+
+/// Whether a primary was found that may be the former one or a new one.
+bool Failover::FoundPrimaryOfUnknownTerm(const Situation& situation) {
+  return !situation.primary_lost && !situation.primary.empty() &&
+         situation.primary_term == 0;
+}
+
+/// Whether a server other than the one ordered leads in a newer term than the
+/// primary that was to be replaced.
+bool Failover::AnotherPromoted(const Situation& situation) const {
+  return !situation.primary_lost && !situation.primary.empty() &&
+         situation.primary != unanswered_server_ &&
+         situation.primary_term >= order_fence_term_;
+}
+
 /// Whether no other instance can have claimed the promotion since. A platform
 /// that checks tokens refuses the order otherwise.
 bool Failover::ClaimValid(TimePoint now) const {
@@ -370,6 +441,13 @@
   next_retry_at_ = situation.now + options_.order_retry_interval;
   next_demote_at_ = situation.now;
   last_order_at_ = situation.now;
+  order_fence_term_ = fence_term_;
+  if (!unanswered_order_ || unanswered_server_ != candidate_) {
+    order_ends_.clear();
+    for (const auto& [id, report] : fence_reports_) {
+      order_ends_[id] = report.received;
+    }
+  }
   Actions actions = DemoteOldPrimary(situation);
   actions.push_back(Order{candidate_, token_});
   return actions;
@@ -396,6 +474,8 @@
   // Another instance used a higher token, or the server is not running.
   if (result == PromotionResult::kRefused) return OnOrderRefused(situation);
   unanswered_order_ = false;
+  // From now on the platform refuses orders under lower tokens.
+  if (token_ > unanswered_order_token_) unanswered_server_.clear();
   if (result == PromotionResult::kAccepted) {
     EnterPhase(Phase::kAwaitingPrimary, situation.now);
   }
@@ -406,6 +486,10 @@
 /// is used first.
 void Failover::MarkOrderUnanswered() {
   unanswered_order_ = true;
+  unanswered_server_ = candidate_;
+  unanswered_order_at_ = last_order_at_;
+  next_keep_at_ =
+      std::max(next_keep_at_, last_order_at_ + options_.claim_keep_interval);
   unanswered_order_token_ = std::max(unanswered_order_token_, token_);
   spent_token_ = std::max(spent_token_, token_);
 }
@@ -419,10 +503,10 @@
 }
 
 void Failover::OnPrimaryConfirmed(const ServerId& server) {
-  const bool ordered = phase_ == Phase::kFencing && unanswered_order_;
-  const bool started = phase_ == Phase::kAwaitingPrimary ||
-                       phase_ == Phase::kOrdering || ordered;
-  if (!started || server != candidate_) return;
+  const bool started =
+      phase_ == Phase::kAwaitingPrimary || phase_ == Phase::kOrdering;
+  const bool executed = unanswered_order_ && server == unanswered_server_;
+  if (!executed && (!started || server != candidate_)) return;
   phase_ = Phase::kIdle;
   unanswered_order_ = false;
   fence_requested_.clear();
@@ -437,6 +521,7 @@
   }
   fence_reports_.clear();
   candidate_.clear();
+  unanswered_order_ = OrderMayBeExecuted(situation.now);
   EnterPhase(Phase::kIdle, situation.now);
   next_claim_at_ = situation.now + options_.claim_retry_delay;
   return actions;
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -327,8 +327,10 @@
   if (situation.primary_lost) situation.claim_delay = ClaimDelay(service);
   situation.replicas_reachable = true;
   const auto primary = pools_.find(service.primary);
+  const bool known = primary != pools_.end();
+  if (known) situation.primary_term = primary->second.leader_term;
   situation.primary_leaving =
-      primary != pools_.end() && !primary->second.failing &&
+      known && !primary->second.failing &&
       (primary->second.entry.draining || service.switching_over);
   for (const ServerId& id : service.servers) {
     const ServerPool& pool = pools_.at(id);
@@ -439,6 +441,10 @@
   Emit(ClaimPromotion{id, ServiceOf(id).members.record().revision});
 }
 
+void Proxy::Do(const ServiceId& id, const Failover::KeepClaim& /*keep*/) {
+  Emit(KeepClaim{id});
+}
+
 void Proxy::Do(const ServiceId& /*id*/, const Failover::Inspect& inspect) {
   SendControl(inspect.server, ControlCommand(Verb::kStatus, 0), Step::kInspect);
 }
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -115,10 +115,12 @@
 }
 
 void Proxy::RecordMembers(Service& service) {
-  const bool all_listed =
-      std::all_of(service.servers.begin(), service.servers.end(),
-                  [this](const ServerId& id) { return pools_.at(id).listed; });
-  if (all_listed && MembersRecorded(service)) return;
+  const bool as_recorded = std::all_of(
+      service.servers.begin(), service.servers.end(), [&](const ServerId& id) {
+        const ServerPool& pool = pools_.at(id);
+        return pool.listed && service.members.Names(pool.entry);
+      });
+  if (as_recorded) return;
   const auto situation = MembersOf(service);
   switch (service.members.Next(situation)) {
     case MemberRecorder::Step::kNone:
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -96,6 +96,21 @@
   Call(std::move(call), std::move(pending));
 }
 
+StoreFollower::Outputs StoreFollower::Keep(TimePoint now,
+                                           const KeepClaim& claim) {
+  now_ = now;
+  const auto it = claim_leases_.find(claim.service);
+  if (it == claim_leases_.end() || !reachable_) return {};
+  StoreCall call;
+  call.request = StoreRequest::kKeepClaim;
+  call.timeout = options_.claim_timeout;
+  call.lease = it->second;
+  PendingCall pending;
+  pending.service = claim.service;
+  Call(std::move(call), std::move(pending));
+  return std::exchange(outputs_, {});
+}
+
 StoreFollower::Outputs StoreFollower::ReadMemberRecords(TimePoint now) {
   now_ = now;
   Issue(StoreRequest::kReadMembersStale);
@@ -152,6 +167,11 @@
     case StoreRequest::kGrantClaimLease:
       OnClaim(result, pending);
       break;
+    case StoreRequest::kKeepClaim:
+      if (result.status == StoreStatus::kAbsent) {
+        claim_leases_.erase(pending.service);
+      }
+      break;
   }
   return std::exchange(outputs_, {});
 }
@@ -295,6 +315,7 @@
   call.lease = result.lease;
   call.revision = pending.expected_revision;
   call.member_revision = pending.member_revision;
+  next.claim_lease = result.lease;
   Call(std::move(call), std::move(next));
 }
 
@@ -302,6 +323,7 @@
                                 const PendingCall& pending) {
   const ServiceId& service = pending.service;
   if (result.status == StoreStatus::kOk) {
+    claim_leases_[service] = pending.claim_lease;
     outputs_.emplace_back(
         Event(ClaimAnswered{service, result.revision, false}));
     return;
--- a/tests/session_late_orders_test.cc
+++ b/tests/session_late_orders_test.cc
@@ -28,12 +28,14 @@
   situation.primary_lost = true;
   situation.now += std::chrono::seconds(1);
   std::set<ServerId> ordered;
+  int orders = 0;
   std::uint64_t token = 7;
   const auto perform = [&](const Failover::Actions& actions) {
     for (const auto& it : actions) {
       const auto* order = std::get_if<Failover::Order>(&it);
       if (order == nullptr) continue;
       ordered.insert(order->server);
+      ++orders;
       (void)failover.OnOrdered(situation, PromotionResult::kUnknown);
     }
   };
@@ -62,6 +64,11 @@
   situation.primary = "a";
   pass(std::chrono::seconds(2));
   CHECK(ordered.size() == 1);
+  situation.primary_term = 3;
+  orders = 0;
+  pass(std::chrono::seconds(4));
+  CHECK(ordered.size() == 1);
+  CHECK(orders > 0);
 }
 
 }  // namespace corianderdock::test
--- a/tests/session_store_test.cc
+++ b/tests/session_store_test.cc
@@ -296,6 +296,23 @@
   CHECK(it.Last<ServersRead>().renewed == std::set<ServerId>{"a"});
 }
 
+TEST_CASE("a claim is kept under the lease under which it was taken") {
+  Fixture it;
+  it.Record(it.follower.Keep(it.now, {"books"}));
+  CHECK_FALSE(it.IsPending(StoreRequest::kKeepClaim));
+  it.Record(it.follower.Claim(it.now, {"books", 0}));
+  it.Answer(StoreRequest::kReadClaim, StoreStatus::kAbsent);
+  it.Answer(StoreRequest::kGrantClaimLease, StoreStatus::kOk,
+            [](StoreResult& r) { r.lease = 77; });
+  it.Answer(StoreRequest::kTakeClaim, StoreStatus::kOk,
+            [](StoreResult& r) { r.revision = 12; });
+  it.Record(it.follower.Keep(it.now, {"books"}));
+  CHECK(it.calls.back().lease == 77);
+  it.Answer(StoreRequest::kKeepClaim, StoreStatus::kAbsent);
+  it.Record(it.follower.Keep(it.now, {"books"}));
+  CHECK_FALSE(it.IsPending(StoreRequest::kKeepClaim));
+}
+
 TEST_CASE("an expired lease is replaced and the instance announced again") {
   Fixture it;
   it.Answer(StoreRequest::kGrantLease, StoreStatus::kOk,
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -421,6 +421,7 @@
   }
   void Record(const session::ClaimPromotion& it) { claims.push_back(it); }
   void Record(const session::RenewToken& /*it*/) {}
+  void Record(const session::KeepClaim& /*it*/) {}
   void Record(const session::ReadMembers& /*it*/) { ++member_reads; }
   void Record(const session::WriteMembers& it) { member_writes.push_back(it); }
   void Record(const session::PromoteServer& it) { promotions.push_back(it); }
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -38,6 +38,8 @@
   /// Faults also restart all instances in turn, and keep the reports of a
   /// server that goes on serving from the store.
   bool restarts = false;
+  /// Most orders get no answer and are executed up to 12 s later.
+  bool late_orders = false;
   session::ProxyOptions proxy;
 };
 
