Reject a configuration whose routes or services can't be used

What callers saw: after a document with a valid version and nothing else of use, each session was refused with NODB; after one that could not be parsed, the store counted as unreachable and was read four times a second.

Cause: what was not a list counted as an empty one, and a decoding error was reported as a state of the store. Now the last usable version stays in force, with one log line, a gauge of the rejected version, and a line for each route that is left out.

Evidence: platform_wire "a configuration without usable lists is rejected as a whole" failed before (the documents were accepted).

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -74,6 +74,11 @@
   std::shared_ptr<const RoutingConfig> config;
 };
 
+/// The store returned a configuration that can't be used.
+struct ConfigRejected {
+  ConfigRejection rejection;
+};
+
 /// The store returned the list of servers.
 struct ServersRead {
   ServerList servers;
@@ -124,12 +129,11 @@
   Duration grace{0};
 };
 
-using Event =
-    std::variant<SessionOpened, StatementReceived, SessionClosed,
-                 ServerConnected, ServerReplied, ServerConnectionLost,
-                 PeerOpened, PeerCommand, PeerClosed, ConfigRead, ServersRead,
-                 MembersRead, InstancesRead, ClaimAnswered, TokenObtained,
-                 PromotionAnswered, TimerFired, StopRequested>;
+using Event = std::variant<
+    SessionOpened, StatementReceived, SessionClosed, ServerConnected,
+    ServerReplied, ServerConnectionLost, PeerOpened, PeerCommand, PeerClosed,
+    ConfigRead, ConfigRejected, ServersRead, MembersRead, InstancesRead,
+    ClaimAnswered, TokenObtained, PromotionAnswered, TimerFired, StopRequested>;
 
 /// Answer the outstanding statement of a session, or accept the session.
 struct AnswerSession {
--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -50,6 +50,14 @@
   std::map<ServiceId, ServiceLimits> services;
   /// Idle transactions are rolled back after this time.
   Duration transaction_idle_timeout{0};
+  /// Databases of routes that are unusable; they are left out of `routes`.
+  std::vector<DatabaseName> rejected_routes;
+};
+
+/// A configuration that can't be used. The last usable one stays in force.
+struct ConfigRejection {
+  std::uint64_t version = 0;  ///< 0 if the document states none
+  std::string reason;
 };
 
 /// A backend server as it registered itself.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -59,6 +59,10 @@
     return counters_;
   }
 
+  [[nodiscard]] const std::map<std::string, double>& gauges() const {
+    return gauges_;
+  }
+
   /// Whether a server that is listed, or that may serve although it is not, has
   /// this address.
   [[nodiscard]] bool KnowsServerAt(std::string_view address) const;
@@ -295,6 +299,7 @@
   void On(const PeerCommand& event);
   void On(const PeerClosed& event);
   void On(const ConfigRead& event);
+  void On(const ConfigRejected& event);
   void On(const ServersRead& event);
   void On(const MembersRead& event);
   void On(const InstancesRead& event);
@@ -541,6 +546,7 @@
   std::map<ServiceId, Service> services_;
   std::set<ServiceId> services_to_dispatch_;
   std::map<std::string, std::uint64_t, std::less<>> counters_;
+  std::map<std::string, double> gauges_;
   ConnectionId next_connection_ = 1;
   std::uint64_t next_statement_serial_ = 1;
   TimePoint log_window_start_;
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -75,6 +75,7 @@
   std::uint64_t lease = 0;
   std::string value;                            ///< of a claim
   std::shared_ptr<const RoutingConfig> config;  ///< null: unchanged
+  std::optional<ConfigRejection> rejection;     ///< of the configuration read
   ServerList servers;
   std::map<ServerId, std::uint64_t> heartbeats;  ///< numbers, of `servers`
   InstanceList instances;
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -113,6 +113,13 @@
   Log("config installed version=" + std::to_string(event.config->version) +
       " previous=" + std::to_string(config_ ? config_->version : 0) +
       " routes=" + std::to_string(event.config->routes.size()));
+  for (const DatabaseName& it : event.config->rejected_routes) {
+    LogRequest("config route rejected version=" +
+               std::to_string(event.config->version) +
+               " database=" + (it.empty() ? "-" : it));
+  }
+  gauges_["config_version"] = static_cast<double>(event.config->version);
+  gauges_["config_rejected_version"] = 0;
   config_ = event.config;
   for (auto& [id, service] : services_) service.needs_samples = false;
   for (const auto& [name, limits] : config_->services) {
@@ -125,6 +132,15 @@
   PlanPaths();
 }
 
+void Proxy::On(const ConfigRejected& event) {
+  const ConfigRejection& rejection = event.rejection;
+  Log("config rejected version=" + std::to_string(rejection.version) +
+      " used=" + std::to_string(config_ ? config_->version : 0) +
+      " reason=" + rejection.reason);
+  Count("configs_rejected");
+  gauges_["config_rejected_version"] = static_cast<double>(rejection.version);
+}
+
 void Proxy::On(const InstancesRead& event) {
   if (event.instances == instances_) return;
   Log("instance list changed instances=" +
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -207,6 +207,13 @@
   }
   config_failures_ = 0;
   if (result.config) outputs_.emplace_back(Event(ConfigRead{result.config}));
+  if (result.rejection && request == StoreRequest::kWatchConfig) {
+    // The event may have been damaged on the way, so the key itself is read.
+    return Schedule(StoreRequest::kReadConfig, options_.retry_pause);
+  }
+  if (result.rejection) {
+    outputs_.emplace_back(Event(ConfigRejected{*result.rejection}));
+  }
   const bool regressed = result.revision < watched_revision_;
   if (request == StoreRequest::kReadConfig || !regressed) {
     watched_revision_ = std::max(watched_revision_, result.revision);
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -12,6 +12,15 @@
 
 namespace {
 
+/// The configuration in `text`, or null if it is rejected.
+std::shared_ptr<const session::RoutingConfig> UsableConfig(
+    const std::string& text) {
+  const platform::DecodedConfig decoded = platform::DecodeConfig(text);
+  const auto* config =
+      std::get_if<std::shared_ptr<const session::RoutingConfig>>(&decoded);
+  return config == nullptr ? nullptr : *config;
+}
+
 using platform::ClientMessage;
 using platform::ParseClientMessage;
 using session::ErrorCode;
@@ -202,7 +211,7 @@
     for (int n = 0; n < 5000; ++n) nested += text;
     CHECK_FALSE(platform::ParseJson(nested));
     CHECK_FALSE(platform::DecodeServer("i-1", nested));
-    CHECK_FALSE(platform::DecodeConfig(nested));
+    CHECK_FALSE(UsableConfig(nested));
     CHECK_FALSE(platform::ParseSettings(nested));
     CHECK(platform::DecodeInstance(nested).zone.empty());
   }
@@ -228,7 +237,7 @@
       (void)platform::DecodeConfig(text);
     }
   }));
-  CHECK(platform::DecodeConfig(config));
+  CHECK(UsableConfig(config));
 }
 
 TEST_CASE("an invalid server entry is rejected") {
@@ -280,18 +289,38 @@
 }
 
 TEST_CASE("a configuration keeps its valid routes") {
-  const auto config = platform::DecodeConfig(
+  const auto config = UsableConfig(
       R"({"version":7,"routes":[{"host":"db","type":"bounded","backend":"s",)"
       R"("timeout_ms":800,"goal_ms":200,"max_stale_ms":1500,"priority":2},)"
       R"({"host":5},{"host":"x","type":"odd","backend":"s"}],)"
       R"("backends":[{"name":"s","max_conns":16,"sync_replicas":1}],)"
       R"("limits":{"tx_idle_ms":3000}})");
   REQUIRE(config);
-  CHECK((*config)->version == 7);
-  REQUIRE((*config)->routes.size() == 1);
-  CHECK((*config)->routes.at("db")->max_age == Milliseconds(1500));
-  CHECK((*config)->services.at("s").max_connections == 16);
-  CHECK_FALSE(platform::DecodeConfig(R"({"routes":[]})"));
+  CHECK(config->version == 7);
+  REQUIRE(config->routes.size() == 1);
+  CHECK(config->routes.at("db")->max_age == Milliseconds(1500));
+  CHECK(config->services.at("s").max_connections == 16);
+  CHECK(config->rejected_routes == std::vector<std::string>{"", "x"});
+  CHECK_FALSE(UsableConfig(R"({"routes":[]})"));
+}
+
+// Guards against sessions refused on all databases, as a document with a valid
+// version and nothing else of use took effect.
+TEST_CASE("a configuration without usable lists is rejected as a whole") {
+  const std::string service = R"("backends":[{"name":"s"}])";
+  for (const std::string& rest :
+       {std::string(R"("routes":7,"backends":"x","limits":[])"),
+        std::string(R"("routes":[])"), service,
+        R"("routes":{"db":1},)" + service, R"("routes":[7,null],)" + service,
+        R"("routes":[{"host":"db"}],)" + service}) {
+    const auto decoded =
+        platform::DecodeConfig(R"({"version":4,)" + rest + "}");
+    const auto* rejection = std::get_if<session::ConfigRejection>(&decoded);
+    REQUIRE(rejection != nullptr);
+    CHECK(rejection->version == 4);
+    CHECK_FALSE(rejection->reason.empty());
+  }
+  CHECK(UsableConfig(R"({"version":4,"routes":[],"backends":[]})"));
 }
 
 TEST_CASE("an announced instance entry is decoded unchanged") {
--- a/tests/session_store_test.cc
+++ b/tests/session_store_test.cc
@@ -122,6 +122,25 @@
   }
 }
 
+// Guards against a store that counts as unreachable, so that no promotion is
+// claimed there, because its configuration can't be used.
+TEST_CASE("an unusable configuration is reported, and the next one awaited") {
+  Fixture it;
+  const auto reject = [](StoreResult& r) {
+    r.rejection = session::ConfigRejection{4, "routes are not a list"};
+    r.revision = 41;
+  };
+  it.AnswerConfig(StoreRequest::kReadConfig, 3, 40);
+  it.Answer(StoreRequest::kWatchConfig, StoreStatus::kOk, reject);
+  // An event may be damaged, so the key is read.
+  it.AdvanceTime(std::chrono::milliseconds(300));
+  it.Answer(StoreRequest::kReadConfig, StoreStatus::kOk, reject);
+  CHECK(it.Last<session::ConfigRejected>().rejection.version == 4);
+  CHECK(it.TakeCall(StoreRequest::kWatchConfig).revision == 41);
+  it.Record(it.follower.Claim(it.now, {"books", 0}));
+  CHECK(it.IsPending(StoreRequest::kReadClaim));
+}
+
 TEST_CASE("a server list is complete only after several seconds of answers") {
   Fixture it;
   it.AnswerServers({"a", "b"});
