Count and log what a promotion waits for

Time without a primary could not be told apart by its cause. A service now has a state, WaitsFor, that names it (a silent server, the claim, fences, an unanswered order, ...); a change is one log line, and promotion_wait_us_REASON_total counts the time.

Evidence: session_failover "a promotion tells what it waits for". No decision changes.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -131,6 +131,23 @@
     kAwaitingPrimary,
   };
 
+  /// What a promotion that is needed waits for.
+  enum class Wait {
+    kNone,             ///< no promotion is needed
+    kServerList,       ///< a complete list, and the member records
+    kSilentServer,     ///< an answer of a server that may have commits
+    kClaimTurn,        ///< instances that come before this one
+    kClaim,            ///< the claim, or the end of another instance's
+    kDemotion,         ///< the answer of the old primary
+    kFences,           ///< fence reports of all replicas
+    kLease,            ///< the end of leases on the old primary's leadership
+    kJoiner,           ///< the listing of a server that joins
+    kPosition,         ///< a log that has what silent servers may have
+    kUnansweredOrder,  ///< the end of an order for another server
+    kOrder,            ///< the platform's answer
+    kTakeover,         ///< the new primary
+  };
+
   /// The state of the service as known at the time of a step.
   struct Situation {
     TimePoint now;
@@ -196,6 +213,9 @@
   }
 
   [[nodiscard]] Phase phase() const noexcept { return phase_; }
+
+  /// Returns what the promotion waits for after the last step.
+  [[nodiscard]] Wait WaitsFor(const Situation& situation) const;
   [[nodiscard]] const ServerId& candidate() const noexcept {
     return candidate_;
   }
@@ -208,18 +228,20 @@
   };
 
   Actions Advance(const Situation& situation);
+  [[nodiscard]] Wait WaitsBeforeClaim(const Situation& situation) const;
+  [[nodiscard]] Wait WaitsBeforeOrder(const Situation& situation) const;
   [[nodiscard]] bool ReplicasReachableLongEnough(TimePoint now) const;
   void MarkOrderUnanswered();
   Actions OnOrderRefused(const Situation& situation);
   Actions StartDemoting(const Situation& situation);
   Actions StartFencing(const Situation& situation);
-  [[nodiscard]] ServerId ChooseCandidate(const Situation& situation);
+  [[nodiscard]] ServerId ChooseCandidate(const Situation& situation) const;
   [[nodiscard]] bool ReachesRequired(const Situation& situation,
                                      const ServerId& candidate) const;
   Actions FenceRemaining(const Situation& situation);
   [[nodiscard]] bool CanSkip(const Situation& situation,
                              const ServerId& replica) const;
-  [[nodiscard]] ServerId MostAdvanced(const Situation& situation);
+  [[nodiscard]] ServerId MostAdvanced(const Situation& situation) const;
   [[nodiscard]] bool MustInspect(const ServerId& replica) const;
   [[nodiscard]] bool DiscardStaleReports(const Situation& situation);
   [[nodiscard]] bool AllFenced(const Situation& situation) const;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -242,6 +242,9 @@
     StatementQueue primary_queue;
     StatementQueue read_queue;
     Failover failover;
+    Failover::Wait wait = Failover::Wait::kNone;  ///< of a promotion
+    TimePoint wait_since;
+    TimePoint wait_counted_at;
   };
 
   /// The outstanding statement of a session.
@@ -499,6 +502,8 @@
   void NoteNotPrimary(ServerPool& pool);
   void ProbeLeadership(ServerPool& pool);
   void CheckServices();
+  void NotePromotionWait(Service& service,
+                         const Failover::Situation& situation);
   void SearchPrimary(Service& service);
   [[nodiscard]] bool CommitsStall(const ServerPool& pool) const;
   [[nodiscard]] bool CommitWaits(const ServerPool& pool) const;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -286,15 +286,15 @@
 
 /// Returns the fenced replica with the most advanced log; empty if there is
 /// none. Among equal logs, prefers a replica that is not draining.
-ServerId Failover::MostAdvanced(const Situation& situation) {
+ServerId Failover::MostAdvanced(const Situation& situation) const {
   const auto& replicas = situation.replicas;
   ServerId best;
   for (const auto& [id, draining] : replicas) {
     if (!fence_reports_.contains(id) || CanSkip(situation, id)) continue;
-    const Position received = fence_reports_[id].received;
+    const Position received = fence_reports_.at(id).received;
     const bool better = best.empty() ||
-                        IsLater(received, fence_reports_[best].received) ||
-                        (received == fence_reports_[best].received &&
+                        IsLater(received, fence_reports_.at(best).received) ||
+                        (received == fence_reports_.at(best).received &&
                          replicas.at(best) && !draining);
     if (better) best = id;
   }
@@ -304,7 +304,7 @@
 /// Returns the server to promote. A demoted primary leads again if no replica
 /// has its whole log: a server that is not listed yet may have the only copy of
 /// an acknowledged commit.
-ServerId Failover::ChooseCandidate(const Situation& situation) {
+ServerId Failover::ChooseCandidate(const Situation& situation) const {
   // A server under an order may become the primary at any time.
   const ServerId pending = PendingOrder(situation.now);
   if (fence_reports_.contains(pending)) {
@@ -313,7 +313,8 @@
   }
   ServerId best = MostAdvanced(situation);
   if (demoted_.empty() || best.empty()) return best;
-  return IsLater(demoted_end_, fence_reports_[best].received) ? demoted_ : best;
+  return IsLater(demoted_end_, fence_reports_.at(best).received) ? demoted_
+                                                                 : best;
 }
 
 /// Whether the candidate's log has what the servers that are left out may have.
@@ -555,4 +556,45 @@
   return actions;
 }
 
+Failover::Wait Failover::WaitsFor(const Situation& situation) const {
+  switch (phase_) {
+    case Phase::kIdle:
+      return WaitsBeforeClaim(situation);
+    case Phase::kClaiming:
+      return claim_releases_fences_ ? Wait::kNone : Wait::kClaim;
+    case Phase::kDemoting:
+      return Wait::kDemotion;
+    case Phase::kFencing:
+      return WaitsBeforeOrder(situation);
+    case Phase::kOrdering:
+      return Wait::kOrder;
+    case Phase::kAwaitingPrimary:
+      return Wait::kTakeover;
+  }
+  return Wait::kNone;
+}
+
+Failover::Wait Failover::WaitsBeforeClaim(const Situation& situation) const {
+  if (!situation.primary_lost) return Wait::kNone;
+  if (!situation.server_list_complete) return Wait::kServerList;
+  if (!situation.replicas_reachable || situation.replicas.empty() ||
+      !ReplicasReachableLongEnough(situation.now)) {
+    return Wait::kSilentServer;
+  }
+  return situation.now < next_claim_at_ ? Wait::kClaim : Wait::kClaimTurn;
+}
+
+Failover::Wait Failover::WaitsBeforeOrder(const Situation& situation) const {
+  if (!AllFenced(situation) || !all_fenced_since_) return Wait::kFences;
+  const bool leased = demoted_.empty() && situation.now - *all_fenced_since_ <
+                                              options_.leadership_lease;
+  if (leased) return Wait::kLease;
+  if (situation.joiner_expected && demoted_.empty()) return Wait::kJoiner;
+  const ServerId chosen = ChooseCandidate(situation);
+  if (!ReachesRequired(situation, chosen)) return Wait::kPosition;
+  const ServerId pending = PendingOrder(situation.now);
+  const bool other = !pending.empty() && pending != chosen;
+  return other ? Wait::kUnansweredOrder : Wait::kFences;
+}
+
 }  // namespace corianderdock::session
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -39,6 +39,15 @@
 /// Age at which an unanswered commit counts as stalled.
 constexpr Duration kCommitStall = std::chrono::milliseconds(400);
 
+const char* NameOfWait(Failover::Wait wait) {
+  constexpr std::array<const char*, 13> kNames = {
+      "none",    "server_list", "silent_server",    "claim_turn",
+      "claim",   "demotion",    "fences",           "lease",
+      "joiner",  "position",    "unanswered_order", "order",
+      "takeover"};
+  return kNames[static_cast<std::size_t>(wait)];
+}
+
 const char* NameOfResult(PromotionResult result) {
   constexpr std::array<const char*, 3> kNames = {"accepted", "refused",
                                                  "unknown"};
@@ -412,8 +421,33 @@
         (service.failover.PromotionInProgress(now_) || PrimaryLost(service));
     if (doubted) service.primary_doubted_at = now_;
     if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
-    Perform(id, service.failover.Step(SituationOf(service)));
+    const Failover::Situation situation = SituationOf(service);
+    Perform(id, service.failover.Step(situation));
+    NotePromotionWait(service, situation);
+  }
+}
+
+/// Counts the time for which a promotion waits by what it waits for, and logs
+/// each change.
+void Proxy::NotePromotionWait(Service& service,
+                              const Failover::Situation& situation) {
+  const Failover::Wait wait = service.failover.WaitsFor(situation);
+  const Duration elapsed = now_ - service.wait_counted_at;
+  service.wait_counted_at = now_;
+  if (service.wait != Failover::Wait::kNone) {
+    const auto us =
+        std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
+    counters_[std::string("promotion_wait_us_") + NameOfWait(service.wait)] +=
+        static_cast<std::uint64_t>(us.count());
   }
+  if (wait == service.wait) return;
+  const auto waited =
+      std::chrono::duration_cast<Milliseconds>(now_ - service.wait_since);
+  Log("promotion waits service=" + service.id + " for=" + NameOfWait(wait) +
+      " before=" + NameOfWait(service.wait) +
+      " waited_ms=" + std::to_string(waited.count()));
+  service.wait = wait;
+  service.wait_since = now_;
 }
 
 /// Probes every reachable server of a service for leadership.
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -64,6 +64,40 @@
 
 }  // namespace
 
+TEST_CASE("a promotion tells what it waits for") {
+  using Wait = Failover::Wait;
+  Fixture it;
+  const auto waits = [&] { return it.failover.WaitsFor(it.situation); };
+  it.situation.server_list_complete = false;
+  CHECK(waits() == Wait::kServerList);
+  it.situation.server_list_complete = true;
+  it.situation.replicas_reachable = false;
+  CHECK(waits() == Wait::kSilentServer);
+  it.situation.replicas_reachable = true;
+  it.situation.claim_delay = std::chrono::seconds(3);
+  (void)it.Step();
+  CHECK(waits() == Wait::kClaimTurn);
+  (void)it.Step(std::chrono::seconds(4));
+  CHECK(waits() == Wait::kClaim);
+  (void)it.AnswerClaim(7);
+  CHECK(waits() == Wait::kFences);
+  it.situation.required = Position{3, 20};
+  (void)it.AnswerFence("b", 10);
+  (void)it.AnswerFence("c", 12);
+  CHECK(waits() == Wait::kPosition);
+  it.situation.required.reset();
+  (void)it.AnswerFence("c", 12);
+  CHECK(waits() == Wait::kOrder);
+  (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
+  it.situation.replicas = {{"b", false}};
+  (void)it.Step(std::chrono::milliseconds(700));
+  (void)it.AnswerFence("b", 10);
+  CHECK(waits() == Wait::kUnansweredOrder);
+  it.failover.OnPrimaryConfirmed("c");
+  it.situation.primary_lost = false;
+  CHECK(waits() == Wait::kNone);
+}
+
 TEST_CASE("the most advanced of all fenced replicas is promoted") {
   Fixture it;
   Fixture::OnlyAction<Failover::Claim>(it.Step());
