--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -95,7 +95,8 @@
   (void)second.OnClaim(situation, {"s", 8, false});
   const session::ServerStatus fence_status{false, 3, {3, 10}, 4};
   (void)second.OnFenced(situation, "b", fence_status);
-  const auto order = second.OnFenced(situation, "c", fence_status);
+  (void)second.OnFenced(situation, "c", fence_status);
+  const auto order = second.OnRecorded(situation, true);
   auto primary_found = situation;
   primary_found.primary_lost = false;
   std::set<ServerId> unfenced;
