--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -417,7 +417,7 @@
 /// Returns the server under an order of any instance that may still be
 /// executed; empty if there is none.
 ServerId Failover::PendingOrder(const Situation& situation) const {
-  const ServerId own = UnansweredServer(situation.now);
+  ServerId own = UnansweredServer(situation.now);
   if (!own.empty()) return own;
   return ForeignServer(situation.now);
 }
