--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -79,7 +79,8 @@
 /// acknowledged commits under the earlier one. Another server is ordered only
 /// when the time has passed, or if it restarted, which lifted its fence, and
 /// received more. The claim is kept for as long, so that no other instance
-/// orders another server.
+/// orders another server. An order is recorded at the store before it is given,
+/// so that the next claimant orders the same server if this one stops.
 ///
 /// The fencing token comes from the store, which grants one claim at a time.
 /// While the store is unavailable, the instance uses its fallback token. The
