Schedules whose faults overlap a promotion, which lose commits

Cause: no schedule paused a server, cut the primary off from most instances for longer than an order may be delayed, or struck while replicas were fenced or an order was pending, so that fences lifted by a restart and inherited orders went untested.

Change: the option overlap of the simulated world adds pauses of servers, which keep what they receive, long cuts of the primary from all instances but one, a store that is away for up to 8 s, and, while replicas are fenced or an order is pending, pauses and kills of the claimant and short restarts of servers. Commits count as acknowledged when the client has the answer. Other worlds draw the same schedules as before.

--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -13,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kNetworkDelay = milliseconds(1);
+/// Time after a pause at which what arrived meanwhile is handled, so that
+/// nothing that arrives as the pause ends overtakes it.
+constexpr Duration kBacklogDelay = std::chrono::microseconds(1);
 constexpr char kService[] = "books";
 constexpr char kPrimaryDb[] = "claims";
 constexpr char kBoundedStalenessDb[] = "lookups";
@@ -54,6 +57,7 @@
   TimePoint hidden_until;  ///< its reports don't reach the store
   TimePoint drains_from = TimePoint::max();  ///< as the list shows
   std::uint64_t process_start = 1;
+  TimePoint paused_until;  ///< executes nothing, and keeps what it receives
 
   ServerId joined_at;  ///< the server that it replaces, on whose side it is
 
@@ -231,8 +235,10 @@
 
   void Feed(std::size_t n, const Event& event) {
     if (ended_[n]) return;
-    if (now_ < frozen_until_[n]) {
-      Schedule(frozen_until_[n] - now_, [this, n, event] { Feed(n, event); });
+    const TimePoint thaws_at =
+        frozen_until_[n] + (options_.overlap ? kBacklogDelay : Duration(0));
+    if (now_ < thaws_at) {
+      Schedule(thaws_at - now_, [this, n, event] { Feed(n, event); });
       return;
     }
     for (auto& effect : proxies_[n]->Reduce(now_, event)) {
@@ -306,10 +312,30 @@
     const ServerId id = it->second;
     server_of_connection_.erase(it);
     Schedule(kNetworkDelay, [this, n, id, connection = effect.connection] {
-      servers_[id].connections.erase({n, connection});
+      EndConnection(n, id, connection);
     });
   }
 
+  /// A server that is paused executes what it has received before it learns
+  /// that the connection was closed.
+  void EndConnection(std::size_t n, const ServerId& id,
+                     ConnectionId connection) {
+    Server& server = servers_[id];
+    if (!Paused(server)) {
+      server.connections.erase({n, connection});
+      return;
+    }
+    Schedule(ResumesIn(server),
+             [this, n, id, connection] { EndConnection(n, id, connection); });
+  }
+
+  [[nodiscard]] bool Paused(const Server& server) const {
+    return now_ < server.paused_until + kBacklogDelay;
+  }
+  [[nodiscard]] Duration ResumesIn(const Server& server) const {
+    return server.paused_until + kBacklogDelay - now_;
+  }
+
   void Apply(std::size_t n, const SendCommand& effect) {
     const auto it = server_of_connection_.find({n, effect.connection});
     if (it == server_of_connection_.end()) return;
@@ -323,6 +349,9 @@
         accesses_data ? milliseconds(2 + RandomBelow(6)) : kNetworkDelay / 4;
     idle_at = std::max(idle_at, now_ + kNetworkDelay) + run;
     Schedule(idle_at - now_, [this, n, id, effect] { RunAt(n, id, effect); });
+    if (options_.overlap && effect.command.statement.verb == Verb::kHold) {
+      DisturbFencing(n, id);
+    }
   }
 
   void Apply(std::size_t n, const AnswerSession& effect) {
@@ -418,6 +447,7 @@
             Feed(n, PromotionAnswered{effect.service, effect.server, result});
           }
         });
+    if (options_.overlap) DisturbOrder(n, effect.server);
     if (!delayed) return;
     Schedule(milliseconds(600), [this, n, effect] {
       Feed(n, PromotionAnswered{effect.service, effect.server,
@@ -440,6 +470,8 @@
     if (refused || !target.alive) {
       return PromotionResult::kRefused;
     }
+    Trace("executed order id=" + effect.server +
+          " token=" + std::to_string(effect.token));
     highest_token_ = effect.token;
     const bool leads = target.primary && target.term == NewestTerm();
     if (leads || promotion_target_ == effect.server) {
@@ -532,6 +564,10 @@
   // Servers.
   void RunAt(std::size_t n, const ServerId& id, const SendCommand& effect) {
     Server& server = servers_[id];
+    if (Paused(server)) {
+      return Schedule(ResumesIn(server),
+                      [this, n, id, effect] { RunAt(n, id, effect); });
+    }
     const auto it = server.connections.find({n, effect.connection});
     if (!Reachable(n, server)) {
       silent_connections_.insert({n, effect.connection});
@@ -581,34 +617,48 @@
       const ServerId other = it.first;
       if (other == id) continue;
       const Duration delay = kNetworkDelay + it.second.extra_lag;
-      Schedule(delay, [this, n, id, other, entry, acked, effect, reply,
-                       write_id] {
-        Server& to = servers_[other];
-        if (!to.alive || to.fence_term != 0 || !CanReplicate(id, to) ||
-            replication_stopped_.contains(other)) {
-          return;
-        }
-        if (to.term > entry.position.term) return;
-        if (!IsPrimaryInTerm(id, entry.position.term)) return;
-        if (!CatchUp(servers_[id], to, entry.position)) return;
-        if (std::exchange(*acked, true)) return;
-        Schedule(kNetworkDelay, [this, n, id, entry, effect, reply, write_id] {
-          if (!IsPrimaryInTerm(id, entry.position.term)) return;
-          if (!ClientsJudge()) {
-            acknowledged_.push_back(
-                {now_, write_id, ClientOf(effect.command.id)});
-          }
-          Trace(std::string("acknowledged ")
-                    .append(write_id)
-                    .append(" by ")
-                    .append(id));
-          RecordCommit();
-          Deliver(n, id, effect.connection, reply);
-        });
+      Schedule(delay, [this, n, id, other, entry, acked, effect, reply] {
+        ReceiveEntry(n, id, other, entry, acked, effect, reply);
       });
     }
   }
 
+  /// Stores an entry at the server `other`, and lets the primary acknowledge it
+  /// if no other server has done so.
+  void ReceiveEntry(std::size_t n, const ServerId& id, const ServerId& other,
+                    const LogEntry& entry, const std::shared_ptr<bool>& acked,
+                    const SendCommand& effect, const Reply& reply) {
+    Server& to = servers_[other];
+    const Server& paused = Paused(to) ? to : servers_[id];
+    if (Paused(paused)) {
+      return Schedule(ResumesIn(paused),
+                      [this, n, id, other, entry, acked, effect, reply] {
+                        ReceiveEntry(n, id, other, entry, acked, effect, reply);
+                      });
+    }
+    if (!to.alive || to.fence_term != 0 || !CanReplicate(id, to) ||
+        replication_stopped_.contains(other)) {
+      return;
+    }
+    if (to.term > entry.position.term) return;
+    if (!IsPrimaryInTerm(id, entry.position.term)) return;
+    if (!CatchUp(servers_[id], to, entry.position)) return;
+    if (std::exchange(*acked, true)) return;
+    Schedule(kNetworkDelay, [this, n, id, entry, effect, reply] {
+      if (!IsPrimaryInTerm(id, entry.position.term)) return;
+      if (!ClientsJudge()) {
+        acknowledged_.push_back(
+            {now_, entry.write_id, ClientOf(effect.command.id)});
+      }
+      Trace(std::string("acknowledged ")
+                .append(entry.write_id)
+                .append(" by ")
+                .append(id));
+      RecordCommit();
+      Deliver(n, id, effect.connection, reply);
+    });
+  }
+
   /// A server that replaces another is on the same side of a cut as that one.
   [[nodiscard]] bool CanReplicate(const ServerId& from,
                                   const Server& to) const {
@@ -645,7 +695,8 @@
   /// unlisted; the instance must not pass that on. Otherwise it counts
   /// when the primary acknowledges it.
   [[nodiscard]] bool ClientsJudge() const {
-    return options_.joiners || options_.restarts || !options_.fencing;
+    return options_.joiners || options_.restarts || options_.overlap ||
+           !options_.fencing;
   }
 
   void RecordCommit() {
@@ -1001,10 +1052,15 @@
     constexpr int kCommonKinds = 7;
     constexpr int kJoinerKinds = 2;
     constexpr int kRestartKinds = 2;
+    constexpr int kOverlapKinds = 4;
     int kind =
         RandomBelow(kCommonKinds + (options_.joiners ? kJoinerKinds : 0) +
-                    (options_.restarts ? kRestartKinds : 0));
+                    (options_.restarts ? kRestartKinds : 0) +
+                    (options_.overlap ? kOverlapKinds : 0));
     if (!options_.joiners && kind >= kCommonKinds) kind += kJoinerKinds;
+    if (!options_.restarts && kind >= kCommonKinds + kJoinerKinds) {
+      kind += kRestartKinds;
+    }
     Trace("fault " + std::to_string(kind) + " " + id + " p" +
           std::to_string(n));
     switch (kind) {
@@ -1022,6 +1078,7 @@
         store_unreachable_ = true;
         return Schedule(time, [this] { store_unreachable_ = false; });
       case 4:
+        if (options_.overlap) return Freeze(n, time);
         frozen_until_[n] = now_ + time;
         return;
       case 5:
@@ -1037,6 +1094,15 @@
         return;
       case 10:
         return RestartAll();
+      case 11:
+        return Pause(id, 2 * time);
+      case 12:
+        return CutOffPrimary(n, 4 * time);
+      case 13:
+        return LosePrimary(time);
+      case 14:
+        store_unreachable_ = true;
+        return Schedule(4 * time, [this] { store_unreachable_ = false; });
       default:
         return ResetConnections(n);
     }
@@ -1100,6 +1166,86 @@
              [this, primary] { Crash(primary, milliseconds(3000)); });
   }
 
+  /// Lets a server do nothing for `time`. Its connections stay open.
+  void Pause(const ServerId& id, Duration time) {
+    Server& server = servers_[id];
+    Trace("paused " + id);
+    server.paused_until = std::max(server.paused_until, now_ + time);
+  }
+
+  /// Lets the instance `n` do nothing for `time`.
+  void Freeze(std::size_t n, Duration time) {
+    frozen_until_[n] = std::max(frozen_until_[n], now_ + time);
+  }
+
+  /// Cuts the newest primary off from all instances but `n`.
+  void CutOffPrimary(std::size_t n, Duration time) {
+    const Server* leader = NewestLeader();
+    if (leader == nullptr) return;
+    for (const std::size_t other : current_) {
+      if (other == n) continue;
+      servers_[leader->id].partitioned_from.insert(other);
+      Schedule(time, [this, id = leader->id, other] {
+        servers_[id].partitioned_from.erase(other);
+      });
+    }
+  }
+
+  /// Pauses or restarts the newest primary.
+  void LosePrimary(Duration time) {
+    const Server* leader = NewestLeader();
+    if (leader == nullptr) return;
+    if (RandomBelow(2) == 0) return Pause(leader->id, time);
+    Crash(leader->id, time);
+  }
+
+  /// Injects faults while the instance `n` fences `id`.
+  void DisturbFencing(std::size_t n, const ServerId& id) {
+    if (RandomBelow(8) != 0) return;
+    Trace("disturbs p" + std::to_string(n) + " fencing " + id);
+    const Duration time = milliseconds(200 + RandomBelow(5000));
+    if (RandomBelow(2) == 0) {
+      Schedule(milliseconds(RandomBelow(4)),
+               [this, n, time] { Freeze(n, time); });
+    }
+    if (RandomBelow(2) == 0) CrashBriefly(id, milliseconds(1500));
+  }
+
+  /// Injects faults while an order of the instance `n` for `id` may be
+  /// executed.
+  void DisturbOrder(std::size_t n, const ServerId& id) {
+    if (RandomBelow(3) != 0) return;
+    Trace("disturbs p" + std::to_string(n) + " ordering " + id);
+    const Duration time = milliseconds(200 + RandomBelow(5000));
+    switch (RandomBelow(3)) {
+      case 0:
+        Schedule(milliseconds(RandomBelow(1000)), [this, n] {
+          if (!ended_[n]) RestartInstance(slots_[n]);
+        });
+        break;
+      case 1:
+        Schedule(milliseconds(RandomBelow(1000)),
+                 [this, n, time] { Freeze(n, time); });
+        break;
+      default:
+        break;
+    }
+    for (const auto& [other, server] : servers_) {
+      if (RandomBelow(3) == 0) CrashBriefly(other, milliseconds(4000));
+    }
+  }
+
+  /// Restarts a server within `limit`.
+  void CrashBriefly(const ServerId& id, Duration limit) {
+    const auto limit_ms = std::chrono::duration_cast<milliseconds>(limit);
+    const Duration delay =
+        milliseconds(RandomBelow(static_cast<int>(limit_ms.count())));
+    Schedule(delay, [this, id, time = milliseconds(50 + RandomBelow(500))] {
+      Trace("restarts " + id);
+      Crash(id, time);
+    });
+  }
+
   /// Stops the server for `time`; it keeps its log.
   void Crash(const ServerId& id, Duration time) {
     Server& server = servers_[id];
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -40,6 +40,10 @@
   bool restarts = false;
   /// Most orders get no answer and are executed up to 12 s later.
   bool late_orders = false;
+  /// Faults also pause servers, cut the primary off from most instances, keep
+  /// the store away for seconds, and strike while replicas are fenced or an
+  /// order may be executed.
+  bool overlap = false;
   session::ProxyOptions proxy;
 };
 
