Log changes that put requests at risk as warnings

LogDecision has a severity. Primaries, claims, fences, orders, servers that leave, fail or join, fallback tokens, the reachability of the store and isolation are WARN; statements, connections and configurations stay INFO. A fence report that repeats the last one stays INFO. At most 200 warnings a second: the excess is written as INFO and counted (warnings_demoted), so that no line is lost. RESUME had no line; it is 'replica fence released'.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -241,9 +241,16 @@
   std::uint64_t token = 0;
 };
 
+enum class Severity {
+  kInfo,
+  kWarning,  ///< a change of state that puts requests at risk
+  kError,    ///< a guarantee was violated
+};
+
 /// Write a log line about a decision.
 struct LogDecision {
   std::string text;
+  Severity severity = Severity::kInfo;
 };
 
 /// Shutdown is complete; the process may exit.
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -89,6 +89,8 @@
   Duration dead_connect_failure_time = std::chrono::milliseconds(200);
   /// Log lines per second about single requests; the excess is only counted.
   int request_lines_per_second = 50;
+  /// Warnings per second; the excess is logged with lower severity.
+  int warnings_per_second = 200;
   /// Time from the listing of a server as draining until it gets no new
   /// statements, even as the primary.
   Duration drain_work_limit = std::chrono::milliseconds(5000);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -196,6 +196,8 @@
     TimePoint last_query;    ///< last `kWitness` command
     int queries = 0;         ///< unanswered `kWitness` commands
     TimePoint last_demote;   ///< when it was last told of a newer term
+    /// Log position and fence term as last logged.
+    std::optional<std::pair<Position, Term>> logged_fence;
   };
 
   /// A position sample that counts once the primary is proven to have led when
@@ -527,6 +529,7 @@
   void Do(const ServiceId& id, const Failover::Record& record);
   void Do(const ServiceId& id, const Failover::Order& order);
   void SendControl(const ServerId& server, ServerCommand command, Step step);
+  void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   void OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
                       const Reply& reply);
 
@@ -534,6 +537,9 @@
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   /// Logs a change of state, without a rate limit.
   void Log(std::string text) { Emit(LogDecision{std::move(text)}); }
+  /// Logs a change of state that puts requests at risk. Beyond the rate limit,
+  /// the line has the severity of other changes.
+  void Warn(std::string text);
   /// Logs a decision about a single request, within the rate limit.
   void LogRequest(const std::string& text);
   void Count(std::string_view name);
@@ -562,6 +568,8 @@
   std::uint64_t next_statement_serial_ = 1;
   TimePoint log_window_start_;
   int log_lines_ = 0;
+  TimePoint warning_window_start_;
+  int warnings_ = 0;
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -108,6 +108,19 @@
   Count("request_lines_dropped");
 }
 
+void Proxy::Warn(std::string text) {
+  if (now_ - warning_window_start_ >= std::chrono::seconds(1)) {
+    warning_window_start_ = now_;
+    warnings_ = 0;
+  }
+  if (warnings_ >= options_.warnings_per_second) {
+    Count("warnings_demoted");
+    return Log(std::move(text));
+  }
+  ++warnings_;
+  Emit(LogDecision{std::move(text), Severity::kWarning});
+}
+
 void Proxy::On(const ConfigRead& event) {
   if (config_ && event.config->version <= config_->version) return;
   Log("config installed version=" + std::to_string(event.config->version) +
@@ -134,9 +147,9 @@
 
 void Proxy::On(const ConfigRejected& event) {
   const ConfigRejection& rejection = event.rejection;
-  Log("config rejected version=" + std::to_string(rejection.version) +
-      " used=" + std::to_string(config_ ? config_->version : 0) +
-      " reason=" + rejection.reason);
+  Warn("config rejected version=" + std::to_string(rejection.version) +
+       " used=" + std::to_string(config_ ? config_->version : 0) +
+       " reason=" + rejection.reason);
   Count("configs_rejected");
   gauges_["config_rejected_version"] = static_cast<double>(rejection.version);
 }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -96,9 +96,9 @@
   }
   service.failover.OnPrimaryConfirmed(pool.entry.id);
   if (service.primary == pool.entry.id) return;
-  Log("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
-      " previous=" + service.primary +
-      " position=" + (position ? FormatPosition(*position) : "-"));
+  Warn("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
+       " previous=" + service.primary +
+       " position=" + (position ? FormatPosition(*position) : "-"));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
   service.primary_doubted_at.reset();
@@ -114,8 +114,8 @@
 void Proxy::NoteNotPrimary(ServerPool& pool) {
   Service& service = ServiceOf(pool.entry.service);
   if (service.primary != pool.entry.id) return;
-  Log("primary lost service=" + pool.entry.service + " id=" + pool.entry.id +
-      " reason=server is not primary");
+  Warn("primary lost service=" + pool.entry.service + " id=" + pool.entry.id +
+       " reason=server is not primary");
   service.primary.clear();
   pool.leader_term = 0;
   ResetProof(service);
@@ -234,9 +234,9 @@
   if (service.failover.phase() != Failover::Phase::kIdle) return;
   const bool helps = SwitchoverHelps(service);
   if (helps && !service.switching_over) {
-    Log("switchover requested service=" + id + " primary=" + service.primary +
-        " reason=all replicas lag behind refused=" +
-        std::to_string(service.queue_refusals));
+    Warn("switchover requested service=" + id + " primary=" + service.primary +
+         " reason=all replicas lag behind refused=" +
+         std::to_string(service.queue_refusals));
   }
   service.switching_over = helps;
 }
@@ -317,8 +317,8 @@
     if (!pool.failing || pool.covered_by) continue;
     if (sent < pool.failing_since + kSeparationEvidence) continue;
     pool.covered_by = position;
-    Log("silent server not awaited id=" + id +
-        " position=" + FormatPosition(position));
+    Warn("silent server not awaited id=" + id +
+         " position=" + FormatPosition(position));
   }
 }
 
@@ -451,9 +451,9 @@
   if (wait == service.wait) return;
   const auto waited =
       std::chrono::duration_cast<Milliseconds>(now_ - service.wait_since);
-  Log("promotion waits service=" + service.id + " for=" + NameOfWait(wait) +
-      " before=" + NameOfWait(service.wait) +
-      " waited_ms=" + std::to_string(waited.count()));
+  Warn("promotion waits service=" + service.id + " for=" + NameOfWait(wait) +
+       " before=" + NameOfWait(service.wait) +
+       " waited_ms=" + std::to_string(waited.count()));
   service.wait = wait;
   service.wait_since = now_;
 }
@@ -477,8 +477,8 @@
 }
 
 void Proxy::Do(const ServiceId& id, const Failover::Claim& /*claim*/) {
-  Log("promotion claim requested service=" + id +
-      " primary=" + ServiceOf(id).primary);
+  Warn("promotion claim requested service=" + id +
+       " primary=" + ServiceOf(id).primary);
   Count("promotion_claims");
   Emit(ClaimPromotion{id, ServiceOf(id).members.record().revision});
 }
@@ -502,6 +502,7 @@
 }
 
 void Proxy::Do(const ServiceId& /*id*/, const Failover::Resume& resume) {
+  Warn("replica fence released id=" + resume.server);
   SendControl(resume.server, ControlCommand(Verb::kResume, 0), Step::kResume);
 }
 
@@ -513,8 +514,8 @@
 }
 
 void Proxy::Do(const ServiceId& id, const Failover::Order& order) {
-  Log("promotion ordered service=" + id + " id=" + order.server +
-      " token=" + std::to_string(order.token));
+  Warn("promotion ordered service=" + id + " id=" + order.server +
+       " token=" + std::to_string(order.token));
   Count("promotion_orders");
   Emit(PromoteServer{id, order.server, order.token});
 }
@@ -522,9 +523,9 @@
 void Proxy::On(const ClaimAnswered& event) {
   const auto it = services_.find(event.service);
   if (it == services_.end()) return;
-  Log("promotion claim answered service=" + event.service +
-      " token=" + std::to_string(event.token) + " store_unreachable=" +
-      std::to_string(static_cast<int>(event.store_unreachable)));
+  Warn("promotion claim answered service=" + event.service +
+       " token=" + std::to_string(event.token) + " store_unreachable=" +
+       std::to_string(static_cast<int>(event.store_unreachable)));
   Perform(it->first,
           it->second.failover.OnClaim(SituationOf(it->second), event));
 }
@@ -532,26 +533,36 @@
 void Proxy::On(const OrderRecorded& event) {
   const auto it = services_.find(event.service);
   if (it == services_.end()) return;
-  Log("promotion order recorded service=" + event.service +
-      " recorded=" + std::to_string(static_cast<int>(event.recorded)));
+  Warn("promotion order recorded service=" + event.service +
+       " recorded=" + std::to_string(static_cast<int>(event.recorded)));
   Perform(it->first, it->second.failover.OnRecorded(SituationOf(it->second),
                                                     event.recorded));
 }
 
 void Proxy::On(const TokenObtained& event) {
-  Log("fallback token obtained token=" + std::to_string(event.token));
+  Warn("fallback token obtained token=" + std::to_string(event.token));
   fallback_token_ = event.token;
 }
 
 void Proxy::On(const PromotionAnswered& event) {
   const auto it = services_.find(event.service);
   if (it == services_.end()) return;
-  Log("promotion answered service=" + event.service + " id=" + event.server +
-      " result=" + NameOfResult(event.result));
+  Warn("promotion answered service=" + event.service + " id=" + event.server +
+       " result=" + NameOfResult(event.result));
   Perform(it->first,
           it->second.failover.OnOrdered(SituationOf(it->second), event.result));
 }
 
+/// Logs a fence report. Repeated reports of the same state are no warnings.
+void Proxy::LogFence(ServerPool& pool, const ServerStatus& status,
+                     std::string text) {
+  const auto report = std::pair(status.received, status.fence_term);
+  const bool repeated = pool.logged_fence == report;
+  pool.logged_fence = report;
+  if (repeated) return Log(std::move(text));
+  Warn(std::move(text));
+}
+
 void Proxy::OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
                            const Reply& reply) {
   Service& service = ServiceOf(pool.entry.service);
@@ -562,13 +573,14 @@
     return Count("status_refused");
   }
   if (reply.error != ErrorCode::kNone || !status) {
-    Log("server status unavailable id=" + pool.entry.id +
-        " detail=" + reply.detail);
-    return;
+    std::string text = "server status unavailable id=" + pool.entry.id +
+                       " detail=" + reply.detail;
+    return step == Step::kWitness ? Log(std::move(text))
+                                  : Warn(std::move(text));
   }
   if (step == Step::kDemote) {
-    Log("primary demoted id=" + pool.entry.id +
-        " end=" + FormatPosition(status->received));
+    Warn("primary demoted id=" + pool.entry.id +
+         " end=" + FormatPosition(status->received));
     Perform(pool.entry.service,
             service.failover.OnDemoted(SituationOf(service), pool.entry.id,
                                        *status));
@@ -576,15 +588,17 @@
   OnServerStatus(pool, expected.sent, *status);
   if (step == Step::kWitness || step == Step::kDemote) return;
   if (step == Step::kInspect) {
-    Log("replica status received id=" + pool.entry.id +
-        " fence_term=" + std::to_string(status->fence_term));
+    LogFence(pool, *status,
+             "replica status received id=" + pool.entry.id +
+                 " fence_term=" + std::to_string(status->fence_term));
     return Perform(pool.entry.service,
                    service.failover.OnInspected(SituationOf(service),
                                                 pool.entry.id, *status));
   }
-  Log("replica fenced id=" + pool.entry.id +
-      " received=" + FormatPosition(status->received) +
-      " fence_term=" + std::to_string(status->fence_term));
+  LogFence(pool, *status,
+           "replica fenced id=" + pool.entry.id +
+               " received=" + FormatPosition(status->received) +
+               " fence_term=" + std::to_string(status->fence_term));
   Perform(
       pool.entry.service,
       service.failover.OnFenced(SituationOf(service), pool.entry.id, *status));
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -42,7 +42,7 @@
   if (!options_.safety->RememberMembers()) return;
   for (const auto& [id, entry] : service.members.record().servers) {
     if (pools_.contains(id)) continue;
-    Log("server known from member record id=" + id + " service=" + service.id);
+    Warn("server known from member record id=" + id + " service=" + service.id);
     ServerPool& pool = pools_[id];
     pool.entry = entry;
     pool.listed = false;
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -248,8 +248,8 @@
     service.proof.Add(pool.entry.id, sent, now_, status, leader_term);
     service.commits.AddReceived(status.received);
     if (service.proof.FenceReported(now_) != was_fenced) {
-      Log("replica fence changed service=" + pool.entry.service + " id=" +
-          pool.entry.id + " fence_term=" + std::to_string(status.fence_term));
+      Warn("replica fence changed service=" + pool.entry.service + " id=" +
+           pool.entry.id + " fence_term=" + std::to_string(status.fence_term));
       services_to_dispatch_.insert(pool.entry.service);
     }
   }
@@ -271,9 +271,9 @@
   const Service& service = ServiceOf(pool.entry.service);
   if (now_ - pool.last_demote >= kDemoteInterval && !pool.failing) {
     pool.last_demote = now_;
-    Log("stale primary demoted id=" + pool.entry.id +
-        " term=" + std::to_string(pool.leader_term) +
-        " newest_term=" + std::to_string(service.newest_term));
+    Warn("stale primary demoted id=" + pool.entry.id +
+         " term=" + std::to_string(pool.leader_term) +
+         " newest_term=" + std::to_string(service.newest_term));
     ServerCommand command;
     command.statement.verb = Verb::kDemote;
     command.term = service.newest_term;
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -27,7 +27,7 @@
   for (auto& [id, pool] : pools_) {
     if (event.servers.contains(id)) continue;
     if (!pool.listed) continue;
-    Log("server unlisted id=" + id);
+    Warn("server unlisted id=" + id);
     pool.unlisted_at = now_;
     pool.listed = false;
   }
@@ -38,10 +38,18 @@
         !added && (pool.entry.address != entry.address ||
                    pool.entry.process_start != entry.process_start);
     if (added || !(pool.entry == entry)) {
-      Log("server listed id=" + id + " service=" + entry.service +
+      const bool joins = servers_known_ && (added || replaced);
+      const bool drains = entry.draining && !pool.entry.draining;
+      const std::string text =
+          "server listed id=" + id + " service=" + entry.service +
           " zone=" + entry.zone +
           " draining=" + std::to_string(static_cast<int>(entry.draining)) +
-          " primary=" + std::to_string(static_cast<int>(entry.claims_primary)));
+          " primary=" + std::to_string(static_cast<int>(entry.claims_primary));
+      if (joins || drains) {
+        Warn(text);
+      } else {
+        Log(text);
+      }
     }
     if (entry.draining && !pool.entry.draining) pool.draining_since = now_;
     const bool restarted =
@@ -91,7 +99,7 @@
     const auto it = listed.find({pool.entry.service, pool.entry.address});
     if (it == listed.end()) continue;
     pool.superseded = true;
-    Log("server superseded id=" + id + " by=" + it->second);
+    Warn("server superseded id=" + id + " by=" + it->second);
   }
 }
 
@@ -416,7 +424,7 @@
   if (!pool.failing) return;
   pool.failing = false;
   pool.covered_by.reset();
-  Log("server recovered id=" + pool.entry.id);
+  Warn("server recovered id=" + pool.entry.id);
   services_to_dispatch_.insert(pool.entry.service);
 }
 
@@ -427,7 +435,7 @@
   pool.shared = false;
   ClosePeersOf(pool);
   pool.failing_since = now_;
-  Log("server fails id=" + pool.entry.id);
+  Warn("server fails id=" + pool.entry.id);
 }
 
 std::optional<TimePoint> Proxy::OldestUnanswered(const ServerPool& pool) const {
@@ -555,8 +563,8 @@
   }
   const bool isolated = any && all;
   if (isolated == isolated_since_.has_value()) return;
-  Log(isolated ? "instance isolated from other zones"
-               : "isolation from other zones ended");
+  Warn(isolated ? "instance isolated from other zones"
+                : "isolation from other zones ended");
   if (!isolated) isolation_ended_ = now_;
   isolated_since_ = isolated ? std::optional(now_) : std::nullopt;
 }
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -199,8 +199,8 @@
   reachable_ = reachable;
   if (reachable) store_reachable_since_ = now_;
   first_listed_at_.reset();
-  outputs_.emplace_back(
-      LogDecision{reachable ? "store reachable" : "store unreachable"});
+  outputs_.emplace_back(LogDecision{
+      reachable ? "store reachable" : "store unreachable", Severity::kWarning});
 }
 
 Duration StoreFollower::RetryPause(int failures) const {
@@ -393,7 +393,8 @@
     if (!record && !absent) {
       outputs_.emplace_back(LogDecision{
           "member record unusable service=" + service +
-          " revision=" + std::to_string(item.revision) + " used=empty"});
+              " revision=" + std::to_string(item.revision) + " used=empty",
+          Severity::kWarning});
     }
     read.records[service] = record.value_or(MemberRecord());
     read.records[service].revision = item.revision;
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -371,6 +371,7 @@
   int member_reads = 0;
   int statements = 0;
   bool stop_finished = false;
+  std::vector<session::LogDecision> log;
 
  private:
   void Apply(session::Effect effect) {
@@ -433,6 +434,7 @@
   void Record(const session::PromoteServer& it) { promotions.push_back(it); }
   void Record(const session::LogDecision& it) {
     if (std::getenv("TRACE") != nullptr) std::cout << it.text << "\n";
+    log.push_back(it);
   }
   void Record(const session::StopFinished& /*it*/) { stop_finished = true; }
 };
