Log every input of a promotion order in one line

'promotion ordered' named the service, the server and the token. Whether a replica was left out, a fence report was old or the order was recorded could only be guessed from other lines.

The line now has the source and age of the claim, the fence term, the last primary and the end of its log, the recorded order, for each replica the end of its log, the age of the report since its query was sent and since its answer was handled, and for each other server of the service why it is left out. Failover only exposes what it has; no decision changes.

session_decision_log_test: 3 new cases, among them fence answers that arrive 200 ms after their queries.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -239,13 +239,24 @@
     return candidate_;
   }
 
- private:
   /// Log position of a fenced replica, and when the report arrived.
   struct FenceReport {
     Position received;
     TimePoint reported_at;
   };
 
+  /// Returns what the next order is based on.
+  [[nodiscard]] const std::map<ServerId, FenceReport>& fence_reports()
+      const noexcept {
+    return fence_reports_;
+  }
+  [[nodiscard]] Term fence_term() const noexcept { return fence_term_; }
+  [[nodiscard]] bool using_fallback_token() const noexcept {
+    return using_fallback_token_;
+  }
+  [[nodiscard]] TimePoint claimed_at() const noexcept { return claimed_at_; }
+
+ private:
   Actions Advance(const Situation& situation);
   [[nodiscard]] Wait WaitsBeforeClaim(const Situation& situation) const;
   [[nodiscard]] Wait WaitsBeforeOrder(const Situation& situation) const;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -191,11 +191,13 @@
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
     std::optional<TimePoint> behind_since;  ///< first refusal since a success
-    Term leader_term = 0;    ///< in which it leads; 0 while unknown
-    TimePoint listed_since;  ///< the epoch if listed before this instance
-    TimePoint last_query;    ///< last `kWitness` command
-    int queries = 0;         ///< unanswered `kWitness` commands
-    TimePoint last_demote;   ///< when it was last told of a newer term
+    Term leader_term = 0;        ///< in which it leads; 0 while unknown
+    TimePoint listed_since;      ///< the epoch if listed before this instance
+    TimePoint last_query;        ///< last `kWitness` command
+    int queries = 0;             ///< unanswered `kWitness` commands
+    TimePoint last_demote;       ///< when it was last told of a newer term
+    TimePoint fence_query_sent;  ///< query of the last fence report
+    TimePoint fence_reported;    ///< when that report was handled
     /// Log position and fence term as last logged.
     std::optional<std::pair<Position, Term>> logged_fence;
   };
@@ -529,10 +531,18 @@
   void Do(const ServiceId& id, const Failover::Record& record);
   void Do(const ServiceId& id, const Failover::Order& order);
   void SendControl(const ServerId& server, ServerCommand command, Step step);
-  void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   void OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
                       const Reply& reply);
 
+  // Log lines (proxy_decision_log.cc).
+  void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
+  [[nodiscard]] std::string DescribeOrder(const Service& service,
+                                          const Failover::Order& order) const;
+  [[nodiscard]] std::string DescribeFences(
+      const Service& service, const Failover::Situation& situation) const;
+  [[nodiscard]] std::string DescribeLeftOut(
+      const Service& service, const Failover::Situation& situation) const;
+
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   /// Logs a change of state, without a rate limit.
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -2,10 +2,13 @@
 #include <array>
 #include <utility>
 
+#include "corianderdock/detail/log_text.h"
 #include "corianderdock/session/proxy.h"
 
 namespace corianderdock::session {
 
+using detail::FormatPosition;
+
 namespace {
 
 /// Time after a service's last statement during which its log position samples
@@ -64,10 +67,6 @@
   return command;
 }
 
-std::string FormatPosition(Position position) {
-  return std::to_string(position.term) + "." + std::to_string(position.index);
-}
-
 }  // namespace
 
 void Proxy::NotePrimary(ServerPool& pool, std::optional<Position> position,
@@ -98,7 +97,7 @@
   if (service.primary == pool.entry.id) return;
   Warn("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
        " previous=" + service.primary +
-       " position=" + (position ? FormatPosition(*position) : "-"));
+       " position=" + FormatPosition(position));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
   service.primary_doubted_at.reset();
@@ -514,8 +513,7 @@
 }
 
 void Proxy::Do(const ServiceId& id, const Failover::Order& order) {
-  Warn("promotion ordered service=" + id + " id=" + order.server +
-       " token=" + std::to_string(order.token));
+  Warn("promotion ordered" + DescribeOrder(ServiceOf(id), order));
   Count("promotion_orders");
   Emit(PromoteServer{id, order.server, order.token});
 }
@@ -553,16 +551,6 @@
           it->second.failover.OnOrdered(SituationOf(it->second), event.result));
 }
 
-/// Logs a fence report. Repeated reports of the same state are no warnings.
-void Proxy::LogFence(ServerPool& pool, const ServerStatus& status,
-                     std::string text) {
-  const auto report = std::pair(status.received, status.fence_term);
-  const bool repeated = pool.logged_fence == report;
-  pool.logged_fence = report;
-  if (repeated) return Log(std::move(text));
-  Warn(std::move(text));
-}
-
 void Proxy::OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
                            const Reply& reply) {
   Service& service = ServiceOf(pool.entry.service);
@@ -587,6 +575,8 @@
   }
   OnServerStatus(pool, expected.sent, *status);
   if (step == Step::kWitness || step == Step::kDemote) return;
+  pool.fence_query_sent = expected.sent;
+  pool.fence_reported = now_;
   if (step == Step::kInspect) {
     LogFence(pool, *status,
              "replica status received id=" + pool.entry.id +
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -1,25 +1,20 @@
 #include <algorithm>
 #include <utility>
 
+#include "corianderdock/detail/log_text.h"
 #include "corianderdock/session/proxy.h"
 
 namespace corianderdock::session {
 
+using detail::FormatPosition;
+using detail::WholeMs;
+
 namespace {
 
 double ToMs(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-std::string WholeMs(Duration duration) {
-  return std::to_string(static_cast<int>(ToMs(duration)));
-}
-
-std::string FormatPosition(const std::optional<Position>& position) {
-  if (!position) return "-";
-  return std::to_string(position->term) + "." + std::to_string(position->index);
-}
-
 /// Weight of a new observation in a moving average.
 constexpr double kLatencySmoothing = 0.1;
 /// Additive increase and multiplicative decrease of a server's concurrency
--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -30,25 +30,43 @@
   return lines.front().severity;
 }
 
-/// Lets the primary "a" fall silent and "b" or "c" be promoted.
-void FailOver(ProxyDriver& driver) {
-  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", 5}};
+/// Lets the primary acknowledge a write with the log position `reported`, after
+/// it had answered with `before`.
+void Acknowledge(ProxyDriver& driver, Position before, Position reported) {
+  driver.OpenSession(2, "claims");
+  for (const Position position : {before, reported}) {
+    const std::size_t answered = driver.answers.size();
+    driver.Query(2, Verb::kWrite, {}, "item data");
+    driver.AnswerFirst(ErrorCode::kNone, position);
+    for (int n = 0; n < 4; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.AnswerAll({});
+    }
+    REQUIRE(driver.answers.size() > answered);
+    REQUIRE(driver.answers.back().reply.error == ErrorCode::kNone);
+  }
+}
+
+/// Lets the primary "a" fall silent and "b" of the `replicas` be promoted.
+void FailOver(ProxyDriver& driver,
+              const std::set<ServerId>& replicas = {"b", "c"}) {
+  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", 5}, {"d", 5}};
   driver.keeps_order = true;
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kWrite, {}, "item data");
   driver.LoseAllConnections();
   for (int n = 0; n < 80 && driver.promotions.empty(); ++n) {
     driver.AdvanceTime(Milliseconds(25));
-    driver.CompleteConnectsTo({"b", "c"});
-    driver.AnswerAs("", {"b", "c"});
+    driver.CompleteConnectsTo(replicas);
+    driver.AnswerAs("", replicas);
   }
   REQUIRE(driver.promotions.size() == 1);
   driver.Feed(session::PromotionAnswered{"books", "b",
                                          session::PromotionResult::kAccepted});
   for (int n = 0; n < 20; ++n) {
     driver.AdvanceTime(Milliseconds(25));
-    driver.CompleteConnectsTo({"b", "c"});
-    driver.AnswerAs("b", {"b", "c"});
+    driver.CompleteConnectsTo(replicas);
+    driver.AnswerAs("b", replicas);
   }
 }
 
@@ -69,6 +87,67 @@
   }
 }
 
+// Guards against an order whose line doesn't tell which reports it relied on.
+TEST_CASE("the line of an order names all that decided it") {
+  ProxyDriver driver;
+  Acknowledge(driver, {1, 9}, {1, 10});
+  FailOver(driver);
+  const auto orders = LinesOf(driver, "promotion ordered");
+  REQUIRE(orders.size() == 1);
+  const std::string& line = orders.front().text;
+  for (const char* field :
+       {" service=books ", " id=b ", " token=1 ", " fallback=0 ",
+        " fence_term=2 ", " primary=a ", " last_primary=a ",
+        " last_primary_end=1.10 ", " required=- ", " recorded_order=b ",
+        " recorded_token=1 ", " fences=b:1.10:", ",c:1.5:", " left_out=-"}) {
+    INFO(line << " lacks" << field);
+    CHECK(line.find(field) != std::string::npos);
+  }
+}
+
+// Guards against a fence report that waited in a socket buffer and looks new.
+TEST_CASE("the line of an order has the age of each fence query and report") {
+  ProxyDriver driver;
+  driver.keeps_order = true;
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.LoseAllConnections();
+  // Answers to fences arrive after 200 ms.
+  for (int n = 0; n < 200 && driver.promotions.empty(); ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo({"b", "c"});
+    const bool fences = std::any_of(
+        driver.sent.begin(), driver.sent.end(), [](const SendCommand& it) {
+          return it.command.statement.verb == Verb::kHold;
+        });
+    if (fences) driver.AdvanceTime(Milliseconds(200));
+    driver.AnswerAs("", {"b", "c"});
+  }
+  const auto orders = LinesOf(driver, "promotion ordered");
+  REQUIRE_FALSE(orders.empty());
+  const std::string& line = orders.front().text;
+  INFO(line);
+  const std::string field = " fences=b:1.0:";
+  const auto begin = line.find(field);
+  REQUIRE(begin != std::string::npos);
+  const int age_ms = std::stoi(line.substr(begin + field.size()));
+  CHECK(age_ms >= 200);
+  CHECK(age_ms < 225);
+  CHECK(line.find(std::to_string(age_ms) + ":0,c:1.0:") != std::string::npos);
+}
+
+TEST_CASE("the line of an order names the servers that it leaves out") {
+  ProxyDriver driver;
+  driver.addresses["d"] = "c";
+  driver.ListServers({"a", "b", "d"});
+  FailOver(driver, {"b", "d"});
+  const auto orders = LinesOf(driver, "promotion ordered");
+  REQUIRE(orders.size() == 1);
+  INFO(orders.front().text);
+  CHECK(orders.front().text.find(" left_out=c:superseded:") !=
+        std::string::npos);
+}
+
 TEST_CASE("lines about single statements are no warnings") {
   ProxyDriver driver;
   FailOver(driver);
