Detect acknowledged commits that a new primary lacks

A lost commit showed only in what clients and servers recorded. An instance knows the commits that it has answered and sees positions of the new primary.

The position in the reply to a commit is that of the log and may be later than the commit, so AcknowledgedCommits keeps two bounds: no earlier than the entry after a position known before the commit was sent, no later than the reported one. A loss is certain if a later term has an entry at or before the earlier bound, since only the entry of one term has that place, or if the log of a primary of a later term ends before it. Only then 'acknowledged commit missing' is written, as ERROR, and acknowledged_commits_missing counts it. Otherwise 'primary found' and 'promotion ordered' have the position as an input. Only the newest answered commit is known, so that no report is no proof of the opposite.

The simulation checks every report against the log of the newest primary, in all session_* schedules.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderdock/detail/timers.h"
+#include "corianderdock/session/acknowledged_commits.h"
 #include "corianderdock/session/commit_evidence.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
@@ -123,6 +124,8 @@
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
     bool commits_writes = false;     ///< single write or COMMIT after writes
+    /// Log position of the server that was known then, if it commits writes.
+    std::optional<Position> known_position;
   };
 
   struct Connection {
@@ -232,6 +235,7 @@
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
     CommitEvidence commits;
+    AcknowledgedCommits acknowledged;
     MemberRecorder members;
     /// When to look for an order in the record that its instance did not
     /// remove.
@@ -273,6 +277,8 @@
     /// `held_commit`.
     std::optional<Reply> held_reply;
     CommitEvidence::Commit held_commit;
+    /// Log position that was known when the commit was sent.
+    std::optional<Position> position_before;
     bool needs_receipt = false;  ///< no other evidence suffices
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
@@ -535,6 +541,12 @@
                       const Reply& reply);
 
   // Log lines (proxy_decision_log.cc).
+  void NoteAcknowledged(Service& service, const PendingStatement& pending,
+                        Position position);
+  void CheckAcknowledged(const ServerPool& pool, Position entry);
+  void ReportMissing(const ServerPool& pool,
+                     const AcknowledgedCommits::Commit& commit, Term term,
+                     Position position);
   void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   [[nodiscard]] std::string DescribeOrder(const Service& service,
                                           const Failover::Order& order) const;
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -28,6 +28,34 @@
   Warn(std::move(text));
 }
 
+void Proxy::NoteAcknowledged(Service& service, const PendingStatement& pending,
+                             Position position) {
+  // Without synchronous replicas a commit may be lost with its primary.
+  if (service.limits.sync_replicas == 0) return;
+  service.acknowledged.Add(pending.id, position, pending.position_before);
+}
+
+/// Checks an entry of a server's log against the newest acknowledged commit.
+void Proxy::CheckAcknowledged(const ServerPool& pool, Position entry) {
+  Service& service = ServiceOf(pool.entry.service);
+  if (const auto commit = service.acknowledged.TakeMissing(entry)) {
+    ReportMissing(pool, *commit, entry.term, entry);
+  }
+}
+
+void Proxy::ReportMissing(const ServerPool& pool,
+                          const AcknowledgedCommits::Commit& commit, Term term,
+                          Position position) {
+  Count("acknowledged_commits_missing");
+  Emit(LogDecision{
+      "acknowledged commit missing service=" + pool.entry.service +
+          " id=" + commit.id + " earliest=" + FormatPosition(commit.earliest) +
+          " latest=" + FormatPosition(commit.latest) +
+          " term=" + std::to_string(term) +
+          " position=" + FormatPosition(position) + " server=" + pool.entry.id,
+      Severity::kError});
+}
+
 /// Everything that decided an order, as fields of its log line.
 std::string Proxy::DescribeOrder(const Service& service,
                                  const Failover::Order& order) const {
@@ -46,6 +74,7 @@
          " last_primary_end=" +
          FormatPosition(known ? last->second.log_position : std::nullopt) +
          " required=" + FormatPosition(situation.required) +
+         " acknowledged=" + FormatPosition(service.acknowledged.position()) +
          " recorded_order=" + OrDash(situation.recorded_order) +
          " recorded_token=" + std::to_string(situation.recorded_token) +
          " member_revision=" +
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -97,7 +97,8 @@
   if (service.primary == pool.entry.id) return;
   Warn("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
        " previous=" + service.primary +
-       " position=" + FormatPosition(position));
+       " position=" + FormatPosition(position) +
+       " acknowledged=" + FormatPosition(service.acknowledged.position()));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
   service.primary_doubted_at.reset();
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -233,7 +233,14 @@
                            const ServerStatus& status) {
   Service& service = ServiceOf(pool.entry.service);
   pool.received = LaterPosition(pool.received, status.received);
-  if (status.primary) pool.leader_term = status.term;
+  CheckAcknowledged(pool, status.received);
+  if (status.primary) {
+    if (const auto commit =
+            service.acknowledged.TakeMissing(status.term, status.received)) {
+      ReportMissing(pool, *commit, status.term, status.received);
+    }
+    pool.leader_term = status.term;
+  }
   if (status.term > service.newest_term) NoteNewerTerm(service, status.term);
   if (status.primary) {
     if (status.term < service.newest_term) return DemoteStaleLeader(pool);
@@ -348,7 +355,10 @@
   Service& service = ServiceOf(pending.route->service);
   const bool required = service.limits.sync_replicas > 0 && reply.position &&
                         options_.safety->RequireReplicaProof();
-  if (!required) return Answer(id, session, std::move(reply));
+  if (!required) {
+    if (reply.position) NoteAcknowledged(service, pending, *reply.position);
+    return Answer(id, session, std::move(reply));
+  }
   const CommitEvidence::Commit commit{*reply.position, sent, now_};
   const auto primary = pools_.find(service.primary);
   service.commits.AddCommit(
@@ -358,6 +368,7 @@
       (HasOtherServers(service) && service.commits.NeedsReceipt(commit));
   if (CommitProven(service, commit, pending.needs_receipt)) {
     NoteCommitAnswered(service, commit);
+    NoteAcknowledged(service, pending, commit.position);
     return Answer(id, session, std::move(reply));
   }
   Count("commits_held");
@@ -392,6 +403,8 @@
     if (!held) continue;
     ResetStatusBackoff(service);
     NoteCommitAnswered(service, it->second.pending->held_commit);
+    NoteAcknowledged(service, *it->second.pending,
+                     it->second.pending->held_commit.position);
     Reply reply = std::move(*it->second.pending->held_reply);
     Answer(id, it->second, std::move(reply));
   }
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -351,7 +351,9 @@
   expected.uses_slot = UsesSlot(command.statement.verb);
   expected.proves_leadership = proves_leadership;
   expected.commits_writes = step == Step::kStatement && proves_leadership;
-  if (expected.uses_slot) ++pools_.at(connection.server).running;
+  ServerPool& pool = pools_.at(connection.server);
+  if (expected.commits_writes) expected.known_position = pool.log_position;
+  if (expected.uses_slot) ++pool.running;
   connection.expected.push_back(expected);
   const ServiceId service = connection.service;
   Emit(SendCommand{id, std::move(command)});
@@ -379,6 +381,7 @@
   services_to_dispatch_.insert(connection.service);
   const Reply& reply = event.reply;
   pool.log_position = LaterPosition(pool.log_position, reply.position);
+  if (reply.position) CheckAcknowledged(pool, *reply.position);
   NotePosition(pool, expected.sent, reply.position);
   NoteContact(pool, connection, expected, reply);
   switch (expected.step) {
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -255,6 +255,7 @@
       (commit && session.sent_write) || (autocommit && pending.writes);
   if (commit) EndTransaction(session);
   if (commits_writes) {
+    pending.position_before = expected.known_position;
     return AnswerCommit(id, session, expected.sent, std::move(reply));
   }
   Answer(id, session, std::move(reply));
--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "corianderdock/session/safety.h"
 #include "support/proxy_driver.h"
+#include "support/session_world.h"
 
 namespace corianderdock::test {
 
@@ -98,8 +100,9 @@
   for (const char* field :
        {" service=books ", " id=b ", " token=1 ", " fallback=0 ",
         " fence_term=2 ", " primary=a ", " last_primary=a ",
-        " last_primary_end=1.10 ", " required=- ", " recorded_order=b ",
-        " recorded_token=1 ", " fences=b:1.10:", ",c:1.5:", " left_out=-"}) {
+        " last_primary_end=1.10 ", " required=- ", " acknowledged=1.10 ",
+        " recorded_order=b ", " recorded_token=1 ",
+        " fences=b:1.10:", ",c:1.5:", " left_out=-"}) {
     INFO(line << " lacks" << field);
     CHECK(line.find(field) != std::string::npos);
   }
@@ -148,6 +151,90 @@
         std::string::npos);
 }
 
+namespace {
+
+/// Lets a server that leads in term 2 answer with `position`.
+void AnswerInTerm2(ProxyDriver& driver, Position position) {
+  driver.Query(2, Verb::kWrite, {}, "item data");
+  driver.AnswerFirst(ErrorCode::kNone, position);
+}
+
+constexpr char kMissing[] = "acknowledged commit missing";
+
+}  // namespace
+
+// Guards against a promotion that loses an acknowledged commit unnoticed.
+TEST_CASE("a commit in whose place a later term has another one is missing") {
+  ProxyDriver driver;
+  Acknowledge(driver, {1, 11}, {1, 12});
+  AnswerInTerm2(driver, {2, 12});
+  CHECK(SeverityOf(driver, kMissing) == Severity::kError);
+  const std::string line = LinesOf(driver, kMissing).front().text;
+  INFO(line);
+  CHECK(line.find("earliest=1.12 latest=1.12 term=2 position=2.12") !=
+        std::string::npos);
+  CHECK(driver.proxy.counters().at("acknowledged_commits_missing") == 1);
+}
+
+TEST_CASE("a commit that a later term may have kept is not reported missing") {
+  ProxyDriver driver;
+  Acknowledge(driver, {1, 11}, {1, 12});
+  AnswerInTerm2(driver, {2, 13});
+  CHECK(LinesOf(driver, kMissing).empty());
+}
+
+TEST_CASE("a commit is missing only if it can't be earlier in the log") {
+  using session::AcknowledgedCommits;
+  AcknowledgedCommits commits;
+  commits.Add("w1", {1, 20}, Position{1, 10});
+  CHECK(commits.position() == Position{1, 20});
+  CHECK_FALSE(commits.TakeMissing({1, 5}));   // another server of its term
+  CHECK_FALSE(commits.TakeMissing({2, 12}));  // the commit may be 1.11
+  CHECK_FALSE(commits.TakeMissing(2, {1, 11}));
+  CHECK(commits.TakeMissing(2, {1, 10}));
+  CHECK_FALSE(commits.TakeMissing(2, {1, 10}));  // reported once
+  commits.Add("w2", {2, 20}, std::nullopt);
+  commits.Add("w3", {3, 21}, Position{2, 20});
+  CHECK_FALSE(
+      commits.position());  // their first possible positions are unknown
+  commits.Add("w4", {3, 23}, Position{3, 22});
+  commits.Add("w5", {3, 22}, Position{3, 21});
+  const auto missing = commits.TakeMissing({4, 23});
+  REQUIRE(missing);
+  CHECK(missing->id == "w4");
+}
+
+namespace {
+
+struct OneFencedReplicaSuffices : session::Safety {
+  [[nodiscard]] bool FencedReplicasSuffice(
+      std::size_t fenced, std::size_t /*replicas*/) const override {
+    return fenced >= 1;
+  }
+};
+
+}  // namespace
+
+// The simulation checks that no report is false.
+TEST_CASE("commits that a promotion loses are reported, and only those") {
+  const OneFencedReplicaSuffices unsafe;
+  int reported = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    CHECK(RunSessionSchedule(options).losses_reported == 0);
+    options.proxy.safety = &unsafe;
+    const WorldResult result = RunSessionSchedule(options);
+    reported += result.losses_reported;
+    for (const auto& it : result.violations) {
+      INFO(it);
+      CHECK_FALSE(it.starts_with("FALSE REPORT"));
+    }
+  }
+  std::cout << "losses reported " << reported << "\n";
+  CHECK(reported > 0);
+}
+
 TEST_CASE("lines about single statements are no warnings") {
   ProxyDriver driver;
   FailOver(driver);
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -427,7 +427,26 @@
 
   void Apply(std::size_t n, const LogDecision& effect) {
     Trace("p" + std::to_string(n) + " " + effect.text);
+    if (effect.severity == Severity::kError) CheckLossReport(effect.text);
   }
+
+  /// Checks that no primary of the newest term has the commit reported missing.
+  void CheckLossReport(const std::string& line) {
+    ++result_.losses_reported;
+    const std::string key = " id=";
+    const auto begin = line.find(key) + key.size();
+    const auto write =
+        write_ids_.find(line.substr(begin, line.find(' ', begin) - begin));
+    const Term newest_term = NewestTerm();
+    for (const auto& [id, server] : servers_) {
+      if (!server.primary || server.term != newest_term) continue;
+      if (write != write_ids_.end() && !LogContains(server, write->second)) {
+        continue;
+      }
+      ReportViolation("FALSE REPORT " + line);
+    }
+  }
+
   void Apply(std::size_t /*n*/, const StopFinished& /*effect*/) {}
 
   PromotionResult Promote(const PromoteServer& effect) {
