--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -26,6 +26,8 @@
 using asio::ip::tcp;
 
 constexpr Milliseconds kReadyTimeout{8000};
+constexpr int kShortestPauseMs = 1500;
+constexpr char kLogFile[] = "platform_process_test.log";
 /// Deeper than the JSON library allows.
 constexpr std::size_t kDeepNesting = 5000;
 
@@ -240,8 +242,14 @@
     std::string flag = "--settings";
     std::string file = path;
     char* arguments[] = {program.data(), flag.data(), file.data(), nullptr};
-    REQUIRE(posix_spawn(&process_, program.c_str(), nullptr, nullptr, arguments,
-                        environ) == 0);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, kLogFile,
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    const int spawned = posix_spawn(&process_, program.c_str(), &actions,
+                                    nullptr, arguments, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    REQUIRE(spawned == 0);
     AwaitReady();
   }
 
@@ -280,6 +288,20 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  /// Suspends the daemon for `time`.
+  void Pause(Duration time) const {
+    ::kill(process_, SIGSTOP);
+    std::this_thread::sleep_for(time);
+    ::kill(process_, SIGCONT);
+  }
+
+  /// Returns what the daemon has logged.
+  [[nodiscard]] static std::string Log() {
+    std::ifstream in(kLogFile);
+    return {std::istreambuf_iterator<char>(in),
+            std::istreambuf_iterator<char>()};
+  }
+
   [[nodiscard]] int client_port() const { return ports_[0]; }
   [[nodiscard]] const FakeServer& server() const { return server_; }
 
@@ -362,4 +384,23 @@
   CHECK_FALSE(client.ReadLine());
 }
 
+// Guards against decisions on outdated replies, after a pause of the process,
+// that its log doesn't explain.
+TEST_CASE("a pause of the process is logged once with its duration") {
+  Fixture fixture;
+  fixture.Pause(std::chrono::seconds(2));
+  fixture.AwaitReady();
+  CHECK(fixture.Stop() == 0);
+  const std::string log = Fixture::Log();
+  INFO(log);
+  const std::string event = " WARN event loop stalled stalled_ms=";
+  int pauses = 0;
+  for (auto at = log.find(event); at != std::string::npos;
+       at = log.find(event, at + 1)) {
+    // Shorter stalls are those of a busy machine.
+    if (std::stoi(log.substr(at + event.size())) >= kShortestPauseMs) ++pauses;
+  }
+  CHECK(pauses == 1);
+}
+
 }  // namespace corianderdock::test
