Omit the duration of a promotion wait that had no beginning

'promotion waits ... before=none waited_ms=' counted from the start of the clock, or from the end of the last wait. The field is left out if nothing was waited for. The failover in session_decision_log_test logged 'before=none waited_ms=100250' before.

--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -8,6 +8,7 @@
 namespace corianderdock::session {
 
 using detail::FormatPosition;
+using detail::WholeMs;
 
 namespace {
 
@@ -449,11 +450,10 @@
         static_cast<std::uint64_t>(us.count());
   }
   if (wait == service.wait) return;
-  const auto waited =
-      std::chrono::duration_cast<Milliseconds>(now_ - service.wait_since);
+  const bool waited = service.wait != Failover::Wait::kNone;
   Warn("promotion waits service=" + service.id + " for=" + NameOfWait(wait) +
        " before=" + NameOfWait(service.wait) +
-       " waited_ms=" + std::to_string(waited.count()));
+       (waited ? " waited_ms=" + WholeMs(now_ - service.wait_since) : ""));
   service.wait = wait;
   service.wait_since = now_;
 }
--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -235,6 +235,20 @@
   CHECK(reported > 0);
 }
 
+// Guards against the uptime of the machine as the duration of a wait.
+TEST_CASE("a wait that had no beginning has no duration") {
+  ProxyDriver driver;
+  FailOver(driver);
+  const auto waits = LinesOf(driver, "promotion waits");
+  REQUIRE(waits.size() > 2);
+  for (const auto& it : waits) {
+    INFO(it.text);
+    const bool began = it.text.find(" before=none") == std::string::npos;
+    const bool timed = it.text.find(" waited_ms=") != std::string::npos;
+    CHECK(began == timed);
+  }
+}
+
 TEST_CASE("lines about single statements are no warnings") {
   ProxyDriver driver;
   FailOver(driver);
