--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -1,7 +1,11 @@
 /// Log lines about decisions: their severity and what they name.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iostream>
+#include <iterator>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "corianderdock/session/safety.h"
 #include "support/proxy_driver.h"
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -51,7 +51,7 @@
   int unsure = 0;   ///< replied that the outcome is unknown
   int promotions = 0;
   int replica_reads = 0;
-  int losses_reported = 0;  ///< acknowledged commits that instances miss
+  int losses_reported = 0;         ///< acknowledged commits that instances miss
   Duration longest_commit_gap{0};  ///< longest time without a commit
 };
 
