--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderdock/detail/timers.h"
+#include "corianderdock/session/acknowledged_commits.h"
 #include "corianderdock/session/commit_evidence.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
@@ -123,6 +124,8 @@
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
     bool commits_writes = false;     ///< single write or COMMIT after writes
+    /// Log position of the server that was known then, if it commits writes.
+    std::optional<Position> known_position;
   };
 
   struct Connection {
@@ -191,11 +194,15 @@
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
     std::optional<TimePoint> behind_since;  ///< first refusal since a success
-    Term leader_term = 0;    ///< in which it leads; 0 while unknown
-    TimePoint listed_since;  ///< the epoch if listed before this instance
-    TimePoint last_query;    ///< last `kWitness` command
-    int queries = 0;         ///< unanswered `kWitness` commands
-    TimePoint last_demote;   ///< when it was last told of a newer term
+    Term leader_term = 0;        ///< in which it leads; 0 while unknown
+    TimePoint listed_since;      ///< the epoch if listed before this instance
+    TimePoint last_query;        ///< last `kWitness` command
+    int queries = 0;             ///< unanswered `kWitness` commands
+    TimePoint last_demote;       ///< when it was last told of a newer term
+    TimePoint fence_query_sent;  ///< query of the last fence report
+    TimePoint fence_reported;    ///< when that report was handled
+    /// Log position and fence term as last logged.
+    std::optional<std::pair<Position, Term>> logged_fence;
   };
 
   /// A position sample that counts once the primary is proven to have led when
@@ -228,6 +235,7 @@
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
     CommitEvidence commits;
+    AcknowledgedCommits acknowledged;
     MemberRecorder members;
     /// When to look for an order in the record that its instance did not
     /// remove.
@@ -269,6 +277,8 @@
     /// `held_commit`.
     std::optional<Reply> held_reply;
     CommitEvidence::Commit held_commit;
+    /// Log position that was known when the commit was sent.
+    std::optional<Position> position_before;
     bool needs_receipt = false;  ///< no other evidence suffices
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
@@ -530,10 +540,28 @@
   void OnStatusAnswer(ServerPool& pool, const ExpectedReply& expected,
                       const Reply& reply);
 
+  // Log lines (proxy_decision_log.cc).
+  void NoteAcknowledged(Service& service, const PendingStatement& pending,
+                        Position position);
+  void CheckAcknowledged(const ServerPool& pool, Position entry);
+  void ReportMissing(const ServerPool& pool,
+                     const AcknowledgedCommits::Commit& commit, Term term,
+                     Position position);
+  void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
+  [[nodiscard]] std::string DescribeOrder(const Service& service,
+                                          const Failover::Order& order) const;
+  [[nodiscard]] std::string DescribeFences(
+      const Service& service, const Failover::Situation& situation) const;
+  [[nodiscard]] std::string DescribeLeftOut(
+      const Service& service, const Failover::Situation& situation) const;
+
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   /// Logs a change of state, without a rate limit.
   void Log(std::string text) { Emit(LogDecision{std::move(text)}); }
+  /// Logs a change of state that puts requests at risk. Beyond the rate limit,
+  /// the line has the severity of other changes.
+  void Warn(std::string text);
   /// Logs a decision about a single request, within the rate limit.
   void LogRequest(const std::string& text);
   void Count(std::string_view name);
@@ -562,6 +590,8 @@
   std::uint64_t next_statement_serial_ = 1;
   TimePoint log_window_start_;
   int log_lines_ = 0;
+  TimePoint warning_window_start_;
+  int warnings_ = 0;
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
