--- /dev/null
+++ b/soak/cluster.h
@@ -0,0 +1,61 @@
+/// \file
+/// The stand-ins and proxies of a run, and what is recorded about them.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "review/lab/lab.h"
+
+namespace soak {
+
+namespace asio = lab::asio;
+using lab::Clock;
+using lab::Ms;
+using lab::Task;
+
+/// Values drawn from a seed. Each user has a stream of its own, so that its
+/// values don't depend on the timing of others.
+class Random {
+ public:
+  Random(std::uint64_t seed, std::uint64_t stream);
+  [[nodiscard]] Ms Between(Ms least, Ms most);
+  [[nodiscard]] bool Chance(double share);
+  /// Returns an index below `size`, which must not be 0.
+  [[nodiscard]] std::size_t Index(std::size_t size);
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+/// One proxy, and when a fault last affected its process.
+struct Instance {
+  std::unique_ptr<lab::Proxy> proxy;
+  bool faulty = false;  ///< a fault of the process is in progress
+  Clock::time_point faulty_until;
+
+  /// Whether no fault has affected the process since `time`.
+  [[nodiscard]] bool UndisturbedSince(Clock::time_point time) const {
+    return !faulty && faulty_until < time;
+  }
+};
+
+/// Everything runs on the thread of `io`.
+struct Cluster {
+  Cluster(asio::io_context& the_io, lab::Record& the_record)
+      : io(the_io), record(the_record), store(the_io, the_record) {}
+  [[nodiscard]] Instance* FindInstance(const std::string& name);
+  [[nodiscard]] lab::Group* FindGroup(const std::string& service);
+
+  asio::io_context& io;
+  lab::Record& record;
+  lab::Store store;
+  std::deque<lab::Group> groups;
+  std::deque<Instance> instances;
+  bool stopping = false;  ///< ends faults and clients
+};
+
+}  // namespace soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,209 @@
+/// \file
+/// soak: real proxies and clients under overlapping faults. See docs/SOAK.md.
+#include <signal.h>
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <ctime>
+#include <filesystem>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "soak/clients.h"
+#include "soak/cluster.h"
+#include "soak/faults.h"
+#include "soak/ledger.h"
+#include "soak/orders.h"
+
+namespace {
+
+namespace fs = std::filesystem;
+using soak::Ms;
+using soak::Task;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+struct Options {
+  std::uint64_t seed = 1;
+  std::chrono::seconds duration{20};
+  double rate = 1;
+  std::string proxy = "build/corianderdock-proxy";
+  std::string logs;
+};
+
+/// The proxies' logs show local time.
+std::string LocalTime() {
+  const auto now = std::chrono::system_clock::now();
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+  const auto millis = std::chrono::duration_cast<Ms>(now.time_since_epoch());
+  std::tm parts{};
+  localtime_r(&seconds, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%FT%T") << "." << std::setw(3)
+       << std::setfill('0') << millis.count() % 1'000;
+  return text.str();
+}
+
+/// Creates the folder of the logs and enters a working folder in it, where the
+/// lab finds the proxy.
+fs::path PrepareFolder(const Options& options) {
+  const fs::path logs = options.logs.empty()
+                            ? fs::temp_directory_path() / "soak"
+                            : fs::path(options.logs);
+  const fs::path folder =
+      fs::absolute(logs) / ("seed-" + std::to_string(options.seed));
+  const fs::path program = fs::absolute(options.proxy);
+  if (!fs::exists(program)) {
+    throw lab::CannotRun(program.string() + " is not built");
+  }
+  fs::remove_all(folder);
+  fs::create_directories(folder / "target");
+  fs::create_symlink(program, folder / "target" / "corianderdock-proxy");
+  ::setenv("KEEP_LOGS", folder.c_str(), 1);
+  fs::current_path(folder);
+  return folder;
+}
+
+void Populate(soak::Cluster& cluster, soak::Orders& orders,
+              std::uint64_t seed) {
+  constexpr std::uint64_t kStream = 2;
+  constexpr std::size_t kServers = 3;
+  const std::string zones[] = {"a", "b", "c"};
+  soak::Random random(seed, kStream);
+  const std::size_t services = 2 + random.Index(3);
+  const std::size_t instances = 4 + random.Index(2);
+  for (std::size_t n = 0; n < services; ++n) {
+    const std::string name = "s" + std::to_string(n);
+    lab::Group& group = cluster.groups.emplace_back(cluster.io, cluster.record,
+                                                    cluster.store, name);
+    for (std::size_t it = 0; it < kServers; ++it) {
+      group.Add(name + "-i" + std::to_string(it), zones[(n + it) % 3]);
+    }
+    soak::asio::co_spawn(cluster.io, group.Pump(Ms(1)), soak::asio::detached);
+  }
+  for (std::size_t n = 0; n < instances; ++n) {
+    const std::string name = "proxy-" + std::to_string(n);
+    const std::string& zone = zones[n % 3];
+    cluster.instances.emplace_back().proxy = std::make_unique<lab::Proxy>(
+        cluster.record, lab::Deployment(), name, zone,
+        cluster.store.Listen(name), orders.Listen(name));
+    for (lab::Group& it : cluster.groups) it.SetZone(name, zone);
+  }
+}
+
+/// Waits until faults have ended and no order may take effect any more.
+Task Settle(const soak::Faults& faults, const soak::Orders& orders) {
+  constexpr std::chrono::seconds kLimit(20);
+  constexpr Ms kQuiet{1'500};
+  const auto until = soak::Clock::now() + kLimit;
+  while (soak::Clock::now() < until &&
+         (faults.active() > 0 || orders.pending() > 0)) {
+    co_await lab::Sleep(Ms(50));
+  }
+  co_await lab::Sleep(kQuiet);
+}
+
+soak::asio::awaitable<bool> Run(soak::Cluster& cluster,
+                                const Options& options) {
+  constexpr Ms kReadyLimit{15'000};
+  constexpr Ms kWarmUp{5'000};
+  // Asio runs their coroutines until the process ends.
+  auto& ledger = *new soak::Ledger(cluster);
+  auto& orders = *new soak::Orders(cluster, ledger, options.seed);
+  auto& faults = *new soak::Faults(cluster, orders, options.seed, options.rate);
+  auto& clients = *new soak::Clients(cluster, ledger, options.seed);
+  cluster.record.Line("local time " + LocalTime());
+  Populate(cluster, orders, options.seed);
+  faults.PutConfiguration();
+  for (const auto& it : cluster.instances) it.proxy->Start();
+  for (const auto& it : cluster.instances) {
+    co_await it.proxy->AwaitReady(kReadyLimit);
+  }
+  for (soak::Instance& instance : cluster.instances) {
+    instance.faulty_until = soak::Clock::now();
+    for (const lab::Group& it : cluster.groups) {
+      clients.Start(instance, {"db-" + it.service(), it.service()});
+    }
+  }
+  soak::asio::co_spawn(cluster.io, clients.Watch(), soak::asio::detached);
+  co_await lab::Sleep(kWarmUp);
+  faults.Start();
+  co_await lab::Sleep(options.duration);
+  faults.Stop();
+  co_await Settle(faults, orders);
+  cluster.stopping = true;
+  ledger.CheckPrimaries();
+  std::cout << "seed " << options.seed << ": " << cluster.instances.size()
+            << " proxies, " << cluster.groups.size() << " services, "
+            << clients.statements() << " statements, " << ledger.acknowledged()
+            << " writes acknowledged, " << ledger.promotions()
+            << " promotions, " << ledger.late_promotions() << " of them late, "
+            << ledger.violations() << " violations" << std::endl;
+  co_return ledger.violations() == 0;
+}
+
+Options Parse(int argc, char** argv) {
+  namespace po = boost::program_options;
+  Options options;
+  int seconds = 20;
+  po::options_description all("soak");
+  all.add_options()("seed", po::value(&options.seed), "seed of the faults")(
+      "seconds", po::value(&seconds), "duration of the faults")(
+      "rate", po::value(&options.rate), "faults, as a factor")(
+      "proxy", po::value(&options.proxy), "program of the proxies")(
+      "logs", po::value(&options.logs), "folder that keeps the logs of runs");
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, all), values);
+  po::notify(values);
+  options.duration = std::chrono::seconds(seconds);
+  return options;
+}
+
+int Main(int argc, char** argv) {
+  const Options options = Parse(argc, argv);
+  ::signal(SIGPIPE, SIG_IGN);
+  const fs::path folder = PrepareFolder(options);
+  lab::Record record((folder / "record.txt").string());
+  soak::asio::io_context io(1);
+  soak::Cluster cluster(io, record);
+  int code = kCannotRun;
+  soak::asio::co_spawn(io, Run(cluster, options),
+                       [&](const std::exception_ptr& error, bool held) {
+                         try {
+                           if (error) std::rethrow_exception(error);
+                           code = held ? kHeld : kBroken;
+                         } catch (const std::exception& it) {
+                           std::cerr << "cannot run: " << it.what()
+                                     << std::endl;
+                         }
+                         io.stop();
+                       });
+  io.run();
+  for (soak::Instance& it : cluster.instances) it.proxy.reset();
+  fs::remove_all(folder / "target");
+  if (code == kHeld && options.logs.empty()) {
+    fs::remove_all(folder);
+  } else {
+    std::cout << "logs: " << folder.string() << std::endl;
+  }
+  std::cout << (code == kHeld     ? "held"
+                : code == kBroken ? "broken"
+                                  : "could not run")
+            << std::endl;
+  // Coroutines still refer to the objects of the run.
+  std::_Exit(code);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Main(argc, argv);
+  } catch (const std::exception& it) {
+    std::cerr << "cannot run: " << it.what() << std::endl;
+    return kCannotRun;
+  }
+}
