--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -1,5 +1,7 @@
 #include "soak/cluster.h"
 
+#include <cstdlib>
+
 namespace soak {
 
 Random::Random(std::uint64_t seed, std::uint64_t stream) {
@@ -20,6 +22,34 @@
   return std::uniform_int_distribution<std::size_t>(0, size - 1)(engine_);
 }
 
+lab::Group& Cluster::AddGroup(const std::string& service,
+                              const std::vector<std::string>& zones) {
+  lab::Group& group = groups.emplace_back(io, record, store, service);
+  for (std::size_t n = 0; n < zones.size(); ++n) {
+    group.Add(service + "-i" + std::to_string(n), zones[n]);
+  }
+  asio::co_spawn(io, group.Pump(Ms(1)), asio::detached);
+  return group;
+}
+
+Instance& Cluster::AddInstance(const std::string& name, const std::string& zone,
+                               int orders_port) {
+  Instance& instance = instances.emplace_back();
+  instance.proxy = std::make_unique<lab::Proxy>(
+      record, lab::Deployment(), name, zone, store.Listen(name), orders_port);
+  for (lab::Group& it : groups) it.SetZone(name, zone);
+  return instance;
+}
+
+Task Cluster::StartInstances() {
+  constexpr Ms kReadyLimit{15'000};
+  for (const auto& it : instances) it.proxy->Start();
+  for (auto& it : instances) {
+    co_await it.proxy->AwaitReady(kReadyLimit);
+    it.faulty_until = Clock::now();
+  }
+}
+
 Instance* Cluster::FindInstance(const std::string& name) {
   for (Instance& it : instances) {
     if (it.proxy->name() == name) return &it;
@@ -34,4 +64,18 @@
   return nullptr;
 }
 
+void EnterFolder(const std::filesystem::path& folder,
+                 const std::filesystem::path& program) {
+  namespace fs = std::filesystem;
+  const fs::path absolute = fs::absolute(program);
+  if (!fs::exists(absolute)) {
+    throw lab::CannotRun(absolute.string() + " is not built");
+  }
+  fs::remove_all(folder);
+  fs::create_directories(folder / "target");
+  fs::create_symlink(absolute, folder / "target" / "corianderdock-proxy");
+  ::setenv("KEEP_LOGS", fs::absolute(folder).c_str(), 1);
+  fs::current_path(folder);
+}
+
 }  // namespace soak
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <filesystem>
 #include <memory>
 #include <random>
 #include <string>
@@ -47,6 +48,14 @@
 struct Cluster {
   Cluster(asio::io_context& the_io, lab::Record& the_record)
       : io(the_io), record(the_record), store(the_io, the_record) {}
+  /// Adds a service with three servers. The first one, in `zones[0]`, leads.
+  lab::Group& AddGroup(const std::string& service,
+                       const std::vector<std::string>& zones);
+  /// Adds a proxy, which is not started.
+  Instance& AddInstance(const std::string& name, const std::string& zone,
+                        int orders_port);
+  /// Starts all proxies and waits until they are ready.
+  Task StartInstances();
   [[nodiscard]] Instance* FindInstance(const std::string& name);
   [[nodiscard]] lab::Group* FindGroup(const std::string& service);
 
@@ -58,4 +67,9 @@
   bool stopping = false;  ///< ends faults and clients
 };
 
+/// Makes `folder`, which is emptied, the working folder, in which the lab finds
+/// the program of the proxies and leaves their logs.
+void EnterFolder(const std::filesystem::path& folder,
+                 const std::filesystem::path& program);
+
 }  // namespace soak
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -2,6 +2,7 @@
 /// soak: real proxies and clients under overlapping faults. See docs/SOAK.md.
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <ctime>
@@ -47,50 +48,23 @@
   return text.str();
 }
 
-/// Creates the folder of the logs and enters a working folder in it, where the
-/// lab finds the proxy.
-fs::path PrepareFolder(const Options& options) {
-  const fs::path logs = options.logs.empty()
-                            ? fs::temp_directory_path() / "soak"
-                            : fs::path(options.logs);
-  const fs::path folder =
-      fs::absolute(logs) / ("seed-" + std::to_string(options.seed));
-  const fs::path program = fs::absolute(options.proxy);
-  if (!fs::exists(program)) {
-    throw lab::CannotRun(program.string() + " is not built");
-  }
-  fs::remove_all(folder);
-  fs::create_directories(folder / "target");
-  fs::create_symlink(program, folder / "target" / "corianderdock-proxy");
-  ::setenv("KEEP_LOGS", folder.c_str(), 1);
-  fs::current_path(folder);
-  return folder;
-}
-
 void Populate(soak::Cluster& cluster, soak::Orders& orders,
               std::uint64_t seed) {
   constexpr std::uint64_t kStream = 2;
-  constexpr std::size_t kServers = 3;
-  const std::string zones[] = {"a", "b", "c"};
+  const std::vector<std::string> zones = {"a", "b", "c"};
   soak::Random random(seed, kStream);
   const std::size_t services = 2 + random.Index(3);
   const std::size_t instances = 4 + random.Index(2);
   for (std::size_t n = 0; n < services; ++n) {
-    const std::string name = "s" + std::to_string(n);
-    lab::Group& group = cluster.groups.emplace_back(cluster.io, cluster.record,
-                                                    cluster.store, name);
-    for (std::size_t it = 0; it < kServers; ++it) {
-      group.Add(name + "-i" + std::to_string(it), zones[(n + it) % 3]);
-    }
-    soak::asio::co_spawn(cluster.io, group.Pump(Ms(1)), soak::asio::detached);
+    std::vector<std::string> of_servers(zones);
+    std::rotate(of_servers.begin(),
+                of_servers.begin() + static_cast<std::ptrdiff_t>(n % 3),
+                of_servers.end());
+    cluster.AddGroup("s" + std::to_string(n), of_servers);
   }
   for (std::size_t n = 0; n < instances; ++n) {
     const std::string name = "proxy-" + std::to_string(n);
-    const std::string& zone = zones[n % 3];
-    cluster.instances.emplace_back().proxy = std::make_unique<lab::Proxy>(
-        cluster.record, lab::Deployment(), name, zone,
-        cluster.store.Listen(name), orders.Listen(name));
-    for (lab::Group& it : cluster.groups) it.SetZone(name, zone);
+    cluster.AddInstance(name, zones[n % 3], orders.Listen(name));
   }
 }
 
@@ -108,7 +82,6 @@
 
 soak::asio::awaitable<bool> Run(soak::Cluster& cluster,
                                 const Options& options) {
-  constexpr Ms kReadyLimit{15'000};
   constexpr Ms kWarmUp{5'000};
   // Asio runs their coroutines until the process ends.
   auto& ledger = *new soak::Ledger(cluster);
@@ -118,12 +91,8 @@
   cluster.record.Line("local time " + LocalTime());
   Populate(cluster, orders, options.seed);
   faults.PutConfiguration();
-  for (const auto& it : cluster.instances) it.proxy->Start();
-  for (const auto& it : cluster.instances) {
-    co_await it.proxy->AwaitReady(kReadyLimit);
-  }
+  co_await cluster.StartInstances();
   for (soak::Instance& instance : cluster.instances) {
-    instance.faulty_until = soak::Clock::now();
     for (const lab::Group& it : cluster.groups) {
       clients.Start(instance, {"db-" + it.service(), it.service()});
     }
@@ -165,7 +134,12 @@
 int Main(int argc, char** argv) {
   const Options options = Parse(argc, argv);
   ::signal(SIGPIPE, SIG_IGN);
-  const fs::path folder = PrepareFolder(options);
+  const fs::path logs = options.logs.empty()
+                            ? fs::temp_directory_path() / "soak"
+                            : fs::path(options.logs);
+  const fs::path folder =
+      fs::absolute(logs) / ("seed-" + std::to_string(options.seed));
+  soak::EnterFolder(folder, options.proxy);
   lab::Record record((folder / "record.txt").string());
   soak::asio::io_context io(1);
   soak::Cluster cluster(io, record);
--- a/soak/orders.cc
+++ b/soak/orders.cc
@@ -14,9 +14,6 @@
 namespace {
 
 constexpr std::uint64_t kStream = 1;
-constexpr double kLostAnswers = 0.25;  // of late orders, executed at once
-constexpr Ms kMinDelay{500};
-constexpr Ms kMaxDelay{11'000};
 constexpr Ms kMinTakeover{200};
 constexpr Ms kMaxTakeover{700};
 
@@ -79,9 +76,9 @@
       }
       ledger_.OnOrder(order);
       if (order.late) {
-        const Ms delay = random_.Chance(kLostAnswers)
+        const Ms delay = random_.Chance(lost_answers_)
                              ? Ms(0)
-                             : random_.Between(kMinDelay, kMaxDelay);
+                             : random_.Between(min_delay_, max_delay_);
         cluster_.record.Line(text + " is executed after " +
                              std::to_string(delay.count()) + " ms");
         answers = false;
--- a/soak/orders.h
+++ b/soak/orders.h
@@ -23,6 +23,13 @@
   int Listen(const std::string& instance);
   /// Sets the share of orders that are left unanswered and executed late.
   void SetLateShare(double share) { late_share_ = share; }
+  /// Sets the range of the delays of late orders.
+  void SetDelays(Ms least, Ms most) {
+    min_delay_ = least;
+    max_delay_ = most;
+  }
+  /// Sets the share of late orders that are executed at once.
+  void SetLostAnswers(double share) { lost_answers_ = share; }
   /// Cuts an instance off; its orders are lost.
   void Cut(const std::string& instance, bool cut);
   /// Orders that may still take effect.
@@ -44,6 +51,9 @@
   Ledger& ledger_;
   Random random_;
   double late_share_ = 0;
+  double lost_answers_ = 0.25;
+  Ms min_delay_{500};
+  Ms max_delay_{11'000};
   int pending_ = 0;
   std::set<std::string> cut_;
   std::map<std::string, std::uint64_t> highest_fence_;  ///< by service
