--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -8,6 +8,8 @@
 constexpr Ms kMinPause{10};
 constexpr Ms kMaxPause{90};
 constexpr Ms kReconnectDelay{100};
+/// Until a delay of this process is noted.
+constexpr Ms kDelayNoted{100};
 constexpr std::size_t kItems = 20;
 constexpr double kTransactions = 0.25;
 constexpr double kReads = 0.15;
@@ -85,12 +87,13 @@
   session.sent_at = Clock::now();
   session.reported = false;
   lab::Reply reply = co_await client.Query(std::move(text));
-  const bool broken = reply.closed && session.instance->UndisturbedSince(
-                                          session.sent_at - kAnswerLimit);
-  if (broken) {
-    ledger_.Violate("ANSWER", client.last_id() + " " + session.statement +
-                                  " at " + session.instance->proxy->name() +
-                                  ": connection closed without an answer");
+  if (reply.closed) {
+    co_await lab::Sleep(kDelayNoted);
+    if (Undisturbed(session, session.sent_at - kAnswerLimit)) {
+      ledger_.Violate("ANSWER", client.last_id() + " " + session.statement +
+                                    " at " + session.instance->proxy->name() +
+                                    ": connection closed without an answer");
+    }
   }
   session.statement.clear();
   co_return reply;
@@ -102,7 +105,7 @@
     const auto before = Clock::now() - kAnswerLimit;
     for (Session& it : sessions_) {
       if (it.statement.empty() || it.reported || it.sent_at > before) continue;
-      if (!it.instance->UndisturbedSince(before)) continue;
+      if (!Undisturbed(it, before)) continue;
       it.reported = true;
       ledger_.Violate("ANSWER", it.name + " " + it.statement + " at " +
                                     it.instance->proxy->name() + ": no answer");
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -39,6 +39,13 @@
     bool reported = false;
   };
 
+  /// Whether neither the session's instance nor this process was disturbed
+  /// after `time`.
+  [[nodiscard]] bool Undisturbed(const Session& session,
+                                 Clock::time_point time) const {
+    return session.instance->UndisturbedSince(time) &&
+           cluster_.stalled_until < time;
+  }
   Task Run(Session& session);
   Task WriteOnce(Session& session, lab::Client& client);
   Task WriteTransaction(Session& session, lab::Client& client);
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -43,6 +43,7 @@
 
 Task Cluster::StartInstances() {
   constexpr Ms kReadyLimit{15'000};
+  asio::co_spawn(io, WatchDelays(), asio::detached);
   for (const auto& it : instances) it.proxy->Start();
   for (auto& it : instances) {
     co_await it.proxy->AwaitReady(kReadyLimit);
@@ -50,6 +51,20 @@
   }
 }
 
+Task Cluster::WatchDelays() {
+  constexpr Ms kInterval{20};
+  constexpr Ms kDelay{300};
+  for (;;) {
+    const auto due = Clock::now() + kInterval;
+    co_await lab::Sleep(kInterval);
+    const auto late = std::chrono::duration_cast<Ms>(Clock::now() - due);
+    if (late < kDelay) continue;
+    stalled_until = Clock::now();
+    record.Line("this process was delayed by " + std::to_string(late.count()) +
+                " ms");
+  }
+}
+
 Instance* Cluster::FindInstance(const std::string& name) {
   for (Instance& it : instances) {
     if (it.proxy->name() == name) return &it;
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -56,6 +56,8 @@
                         int orders_port);
   /// Starts all proxies and waits until they are ready.
   Task StartInstances();
+  /// Notes delays of this process, in which servers and store don't answer.
+  Task WatchDelays();
   [[nodiscard]] Instance* FindInstance(const std::string& name);
   [[nodiscard]] lab::Group* FindGroup(const std::string& service);
 
@@ -64,7 +66,8 @@
   lab::Store store;
   std::deque<lab::Group> groups;
   std::deque<Instance> instances;
-  bool stopping = false;  ///< ends faults and clients
+  Clock::time_point stalled_until;  ///< when this process last was delayed
+  bool stopping = false;            ///< ends the clients
 };
 
 /// Makes `folder`, which is emptied, the working folder, in which the lab finds
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -46,9 +46,12 @@
       commits_[service][write] = {cluster_.record.now(), receipt};
       continue;
     }
-    Violate("LOST", last_promotion_[service] +
-                        "; its log lacks a commit acknowledged afterwards: " +
-                        write + " receipt " + receipt + Holders(group, write));
+    std::string text = last_promotion_[service];
+    text += "; its log lacks a commit acknowledged afterwards: ";
+    text += write;
+    text += " receipt " + receipt;
+    text += Holders(group, write);
+    Violate("LOST", text);
   }
 }
 
