Test world: a paused process handles what it received in order

Cause: what arrives during a pause was scheduled again for 1 us after the pause's end. An instance that was frozen before acts 1 us off the grid, so that a command of its own could be due at exactly that time, and as it had been scheduled first, it overtook the commands before it on the same connection. A pause that was extended reordered likewise, as did a shortened freeze.

The fault is the world's.

Change: servers and instances keep a backlog in order of arrival, which is handled as the pause ends and before anything that arrives later. A freeze is never shortened by a second one. The world now also reports a violation if a command of a connection runs out of order.

--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <iostream>
 #include <utility>
 
@@ -13,8 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kNetworkDelay = milliseconds(1);
-/// Time after a pause at which what arrived meanwhile is handled, so that
-/// nothing that arrives as the pause ends overtakes it.
+/// Time after a pause at which what arrived meanwhile is handled.
 constexpr Duration kBacklogDelay = std::chrono::microseconds(1);
 constexpr char kService[] = "books";
 constexpr char kPrimaryDb[] = "claims";
@@ -28,6 +28,13 @@
   std::string write_id;  ///< for a transaction, its first write
 };
 
+/// What a process received while it was paused, in order of arrival. Nothing
+/// that arrives later is handled before it.
+struct Backlog {
+  std::deque<std::function<void()>> items;
+  bool draining = false;
+};
+
 /// Session state that a server keeps for one connection.
 struct ServerSession {
   std::size_t instance = 0;
@@ -58,6 +65,7 @@
   TimePoint drains_from = TimePoint::max();  ///< as the list shows
   std::uint64_t process_start = 1;
   TimePoint paused_until;  ///< executes nothing, and keeps what it receives
+  Backlog backlog;
 
   ServerId joined_at;  ///< the server that it replaces, on whose side it is
 
@@ -196,6 +204,7 @@
     slots_.push_back(slot);
     ended_.push_back(false);
     frozen_until_.push_back(TimePoint{});
+    backlogs_.emplace_back();
     timer_at_.push_back(TimePoint::max());
     return proxies_.size() - 1;
   }
@@ -235,10 +244,9 @@
 
   void Feed(std::size_t n, const Event& event) {
     if (ended_[n]) return;
-    const TimePoint thaws_at =
-        frozen_until_[n] + (options_.overlap ? kBacklogDelay : Duration(0));
-    if (now_ < thaws_at) {
-      Schedule(thaws_at - now_, [this, n, event] { Feed(n, event); });
+    Backlog& backlog = backlogs_[n];
+    if (Defers(backlog, now_ < ThawsAt(n))) {
+      backlog.items.emplace_back([this, n, event] { Feed(n, event); });
       return;
     }
     for (auto& effect : proxies_[n]->Reduce(now_, event)) {
@@ -253,6 +261,26 @@
     });
   }
 
+  [[nodiscard]] TimePoint ThawsAt(std::size_t n) const {
+    return frozen_until_[n] + (options_.overlap ? kBacklogDelay : Duration(0));
+  }
+
+  /// Whether what arrives now must wait behind the backlog or the pause's end.
+  [[nodiscard]] static bool Defers(const Backlog& backlog, bool paused) {
+    return paused || (!backlog.items.empty() && !backlog.draining);
+  }
+
+  /// Handles a backlog once the process isn't paused any more.
+  static void Drain(Backlog& backlog) {
+    backlog.draining = true;
+    while (!backlog.items.empty()) {
+      const auto run = std::move(backlog.items.front());
+      backlog.items.pop_front();
+      run();
+    }
+    backlog.draining = false;
+  }
+
   /// Instances read the list each second while the store is reachable.
   void ScheduleLists() {
     Schedule(std::chrono::seconds(1), [this] {
@@ -321,20 +349,17 @@
   void EndConnection(std::size_t n, const ServerId& id,
                      ConnectionId connection) {
     Server& server = servers_[id];
-    if (!Paused(server)) {
-      server.connections.erase({n, connection});
+    if (Defers(server.backlog, Paused(server))) {
+      server.backlog.items.emplace_back(
+          [this, n, id, connection] { EndConnection(n, id, connection); });
       return;
     }
-    Schedule(ResumesIn(server),
-             [this, n, id, connection] { EndConnection(n, id, connection); });
+    server.connections.erase({n, connection});
   }
 
   [[nodiscard]] bool Paused(const Server& server) const {
     return now_ < server.paused_until + kBacklogDelay;
   }
-  [[nodiscard]] Duration ResumesIn(const Server& server) const {
-    return server.paused_until + kBacklogDelay - now_;
-  }
 
   void Apply(std::size_t n, const SendCommand& effect) {
     const auto it = server_of_connection_.find({n, effect.connection});
@@ -348,7 +373,9 @@
     const Duration run =
         accesses_data ? milliseconds(2 + RandomBelow(6)) : kNetworkDelay / 4;
     idle_at = std::max(idle_at, now_ + kNetworkDelay) + run;
-    Schedule(idle_at - now_, [this, n, id, effect] { RunAt(n, id, effect); });
+    const std::uint64_t number = ++commands_sent_[{n, effect.connection}];
+    Schedule(idle_at - now_,
+             [this, n, id, effect, number] { RunAt(n, id, effect, number); });
     if (options_.overlap && effect.command.statement.verb == Verb::kHold) {
       DisturbFencing(n, id);
     }
@@ -581,11 +608,16 @@
   }
 
   // Servers.
-  void RunAt(std::size_t n, const ServerId& id, const SendCommand& effect) {
+  void RunAt(std::size_t n, const ServerId& id, const SendCommand& effect,
+             std::uint64_t number) {
     Server& server = servers_[id];
-    if (Paused(server)) {
-      return Schedule(ResumesIn(server),
-                      [this, n, id, effect] { RunAt(n, id, effect); });
+    if (Defers(server.backlog, Paused(server))) {
+      server.backlog.items.emplace_back(
+          [this, n, id, effect, number] { RunAt(n, id, effect, number); });
+      return;
+    }
+    if (number != ++commands_run_[{n, effect.connection}]) {
+      ReportViolation("commands out of order on a connection");
     }
     const auto it = server.connections.find({n, effect.connection});
     if (!Reachable(n, server)) {
@@ -648,12 +680,13 @@
                     const LogEntry& entry, const std::shared_ptr<bool>& acked,
                     const SendCommand& effect, const Reply& reply) {
     Server& to = servers_[other];
-    const Server& paused = Paused(to) ? to : servers_[id];
-    if (Paused(paused)) {
-      return Schedule(ResumesIn(paused),
-                      [this, n, id, other, entry, acked, effect, reply] {
-                        ReceiveEntry(n, id, other, entry, acked, effect, reply);
-                      });
+    for (Server* server : {&to, &servers_[id]}) {
+      if (!Defers(server->backlog, Paused(*server))) continue;
+      server->backlog.items.emplace_back(
+          [this, n, id, other, entry, acked, effect, reply] {
+            ReceiveEntry(n, id, other, entry, acked, effect, reply);
+          });
+      return;
     }
     if (!to.alive || to.fence_term != 0 || !CanReplicate(id, to) ||
         replication_stopped_.contains(other)) {
@@ -1097,9 +1130,7 @@
         store_unreachable_ = true;
         return Schedule(time, [this] { store_unreachable_ = false; });
       case 4:
-        if (options_.overlap) return Freeze(n, time);
-        frozen_until_[n] = now_ + time;
-        return;
+        return Freeze(n, time);
       case 5:
         replication_stopped_.insert(id);
         return Schedule(time, [this, id] { replication_stopped_.erase(id); });
@@ -1190,11 +1221,18 @@
     Server& server = servers_[id];
     Trace("paused " + id);
     server.paused_until = std::max(server.paused_until, now_ + time);
+    Schedule(time + kBacklogDelay, [this, id] {
+      Server& resumed = servers_[id];
+      if (!Paused(resumed)) Drain(resumed.backlog);
+    });
   }
 
   /// Lets the instance `n` do nothing for `time`.
   void Freeze(std::size_t n, Duration time) {
     frozen_until_[n] = std::max(frozen_until_[n], now_ + time);
+    Schedule(ThawsAt(n) - now_, [this, n] {
+      if (now_ >= ThawsAt(n)) Drain(backlogs_[n]);
+    });
   }
 
   /// Cuts the newest primary off from all instances but `n`.
@@ -1330,11 +1368,15 @@
   std::vector<bool> ended_;                      ///< of each process
   std::vector<std::size_t> current_;             ///< process of each instance
   std::vector<TimePoint> frozen_until_;
+  std::deque<Backlog> backlogs_;  ///< of each process
   std::vector<TimePoint> timer_at_;
   std::map<ServerId, Server> servers_;
   std::map<std::pair<std::size_t, ConnectionId>, ServerId>
       server_of_connection_;
   std::map<std::pair<std::size_t, ConnectionId>, TimePoint> busy_until_;
+  /// Commands of each connection that were sent, and that reached their turn.
+  std::map<std::pair<std::size_t, ConnectionId>, std::uint64_t> commands_sent_;
+  std::map<std::pair<std::size_t, ConnectionId>, std::uint64_t> commands_run_;
   std::set<std::pair<std::size_t, ConnectionId>> silent_connections_;
   std::set<ServerId> replication_stopped_;
   std::map<std::uint64_t, Client> clients_;
