Date a fence report by its request

An order of a promotion relies on fence reports that are at most 0.5 s old, as a restart lifts a fence. The age counted from when the report was processed.

Evidence: session_failover "a fence report that was read late is not fresh", with a report requested 2 s before, ordered at once when the age counts from now. Ruled out: to rely on the connection, whose end is read after the answer.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -197,14 +197,14 @@
   [[nodiscard]] Actions OnClaim(const Situation& situation,
                                 const ClaimAnswered& answer);
 
-  /// Handles a replica's answer to `Inspect`.
+  /// Handles a replica's answer to an `Inspect` that was sent at `sent`.
   [[nodiscard]] Actions OnInspected(const Situation& situation,
-                                    const ServerId& server,
+                                    const ServerId& server, TimePoint sent,
                                     const ServerStatus& status);
 
-  /// Handles a replica's answer to `Fence`.
+  /// Handles a replica's answer to a `Fence` that was sent at `sent`.
   [[nodiscard]] Actions OnFenced(const Situation& situation,
-                                 const ServerId& server,
+                                 const ServerId& server, TimePoint sent,
                                  const ServerStatus& status);
 
   /// Handles the old primary's answer to `Demote`.
@@ -239,10 +239,11 @@
     return candidate_;
   }
 
-  /// Log position of a fenced replica, and when the report arrived.
+  /// Log position of a fenced replica. An answer may be read long after it
+  /// arrived, so that it is dated by its request.
   struct FenceReport {
     Position received;
-    TimePoint reported_at;
+    TimePoint requested_at;
   };
 
   /// Returns what the next order is based on.
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -238,13 +238,13 @@
 }
 
 Failover::Actions Failover::OnInspected(const Situation& situation,
-                                        const ServerId& server,
+                                        const ServerId& server, TimePoint sent,
                                         const ServerStatus& status) {
   if (phase_ != Phase::kFencing) return {};
   const auto report = fence_reports_.find(server);
   if (report != fence_reports_.end()) {
     if (status.fence_term >= fence_term_) {
-      report->second = {status.received, situation.now};
+      report->second = {status.received, sent};
       return TryOrder(situation);
     }
     fence_reports_.erase(report);
@@ -263,14 +263,14 @@
 }
 
 Failover::Actions Failover::OnFenced(const Situation& situation,
-                                     const ServerId& server,
+                                     const ServerId& server, TimePoint sent,
                                      const ServerStatus& status) {
   if (phase_ != Phase::kFencing) return {};
   if (status.fence_term < fence_term_ || status.term >= fence_term_) {
     fence_term_ = std::max(fence_term_, status.term + 1);
     return {};
   }
-  fence_reports_[server] = {status.received, situation.now};
+  fence_reports_[server] = {status.received, sent};
   return TryOrder(situation);
 }
 
@@ -337,7 +337,7 @@
 bool Failover::DiscardStaleReports(const Situation& situation) {
   const TimePoint oldest = situation.now - options_.fence_report_max_age;
   return std::erase_if(fence_reports_, [oldest](const auto& it) {
-           return it.second.reported_at < oldest;
+           return it.second.requested_at < oldest;
          }) > 0;
 }
 
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -98,11 +98,11 @@
     if (report == reports.end()) {
       text += ":-:-:-";
     } else {
-      const TimePoint reported_at = report->second.reported_at;
-      const bool last = pool.fence_reported == reported_at;
+      const TimePoint requested_at = report->second.requested_at;
+      const bool last = pool.fence_query_sent == requested_at;
       text += ":" + FormatPosition(report->second.received) + ":" +
-              (last ? WholeMs(now_ - pool.fence_query_sent) : "-") + ":" +
-              WholeMs(now_ - reported_at);
+              WholeMs(now_ - requested_at) + ":" +
+              (last ? WholeMs(now_ - pool.fence_reported) : "-");
     }
     if (!pool.listed) text += ":unlisted";
   }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -582,17 +582,17 @@
     LogFence(pool, *status,
              "replica status received id=" + pool.entry.id +
                  " fence_term=" + std::to_string(status->fence_term));
-    return Perform(pool.entry.service,
-                   service.failover.OnInspected(SituationOf(service),
-                                                pool.entry.id, *status));
+    return Perform(pool.entry.service, service.failover.OnInspected(
+                                           SituationOf(service), pool.entry.id,
+                                           expected.sent, *status));
   }
   LogFence(pool, *status,
            "replica fenced id=" + pool.entry.id +
                " received=" + FormatPosition(status->received) +
                " fence_term=" + std::to_string(status->fence_term));
-  Perform(
-      pool.entry.service,
-      service.failover.OnFenced(SituationOf(service), pool.entry.id, *status));
+  Perform(pool.entry.service,
+          service.failover.OnFenced(SituationOf(service), pool.entry.id,
+                                    expected.sent, *status));
 }
 
 }  // namespace corianderdock::session
--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -94,8 +94,8 @@
   (void)first.OnClaim(situation, {"s", 7, false});
   (void)second.OnClaim(situation, {"s", 8, false});
   const session::ServerStatus fence_status{false, 3, {3, 10}, 4};
-  (void)second.OnFenced(situation, "b", fence_status);
-  (void)second.OnFenced(situation, "c", fence_status);
+  (void)second.OnFenced(situation, "b", situation.now, fence_status);
+  (void)second.OnFenced(situation, "c", situation.now, fence_status);
   const auto order = second.OnRecorded(situation, true);
   auto primary_found = situation;
   primary_found.primary_lost = false;
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -60,8 +60,10 @@
                             ClaimAnswered{"s", token, store_unreachable});
   }
 
-  Failover::Actions AnswerFence(const ServerId& id, std::uint64_t index) {
-    return Recorded(failover.OnFenced(situation, id,
+  /// Answers a fence that was requested `age` ago.
+  Failover::Actions AnswerFence(const ServerId& id, std::uint64_t index,
+                                Duration age = Duration(0)) {
+    return Recorded(failover.OnFenced(situation, id, situation.now - age,
                                       ServerStatus{false, 3, {3, index}, 4}));
   }
 
@@ -221,6 +223,25 @@
         "b");
 }
 
+// Guards against the loss of commits that a replica received after its fence
+// was lifted, while the claimant was paused and its answers waited unread.
+TEST_CASE("a fence report that was read late is not fresh") {
+  Fixture it;
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  it.situation.now += std::chrono::seconds(2);
+  const Duration pause = std::chrono::seconds(2);
+  CHECK(it.AnswerFence("b", 10, pause).empty());
+  const auto fences = it.AnswerFence("c", 10, pause);
+  REQUIRE(fences.size() == 2);
+  CHECK(std::holds_alternative<Failover::Fence>(fences.front()));
+  CHECK(std::holds_alternative<Failover::Fence>(fences.back()));
+  // "c" had restarted, and received more from a primary that returned.
+  (void)it.AnswerFence("b", 10);
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("c", 14)).server ==
+        "c");
+}
+
 TEST_CASE(
     "without the store, replicas fenced by another instance are not fenced") {
   Fixture it;
@@ -230,12 +251,16 @@
   REQUIRE(inspections.size() == 2);
   CHECK(std::get<Failover::Inspect>(inspections.front()).server == "b");
   const ServerStatus fence_status{false, 3, {3, 10}, 4};
-  CHECK(it.failover.OnInspected(it.situation, "b", fence_status).empty());
+  CHECK(
+      it.failover.OnInspected(it.situation, "b", it.situation.now, fence_status)
+          .empty());
   CHECK(it.failover.phase() == Failover::Phase::kIdle);
   // Once no delayed order of the other instance can arrive, they are fenced.
   (void)it.Step(std::chrono::seconds(13));
   (void)it.AnswerClaim(0, true);
-  CHECK(it.failover.OnInspected(it.situation, "b", fence_status).size() == 1);
+  CHECK(
+      it.failover.OnInspected(it.situation, "b", it.situation.now, fence_status)
+          .size() == 1);
 }
 
 TEST_CASE("a primary that still answers is demoted with the order") {
@@ -393,8 +418,10 @@
   REQUIRE(queries.size() == 2);
   CHECK(std::holds_alternative<Failover::Inspect>(queries.front()));
   const ServerStatus held{false, 3, {3, 12}, 4};
-  CHECK(it.failover.OnInspected(it.situation, "b", held).empty());
-  CHECK(it.failover.OnInspected(it.situation, "c", held).empty());
+  CHECK(it.failover.OnInspected(it.situation, "b", it.situation.now, held)
+            .empty());
+  CHECK(it.failover.OnInspected(it.situation, "c", it.situation.now, held)
+            .empty());
   const auto order = it.Step(std::chrono::milliseconds(310));
   CHECK(std::holds_alternative<Failover::Order>(order.back()));
 }
@@ -406,7 +433,8 @@
   (void)it.AnswerFence("c", 12);
   (void)it.Step(std::chrono::milliseconds(300));
   const ServerStatus restarted{false, 3, {3, 12}, 0};
-  const auto fence = it.failover.OnInspected(it.situation, "c", restarted);
+  const auto fence =
+      it.failover.OnInspected(it.situation, "c", it.situation.now, restarted);
   CHECK(Fixture::OnlyAction<Failover::Fence>(fence).server == "c");
   (void)it.AnswerFence("c", 13);
   for (const auto& action : it.Step(std::chrono::milliseconds(310))) {
@@ -437,10 +465,14 @@
       collect(it.Step(std::chrono::milliseconds(300)));
       const ServerStatus status_b{false, 3, {3, b}, 4};
       const ServerStatus status_c{false, 3, {3, c}, 4};
-      collect(it.failover.OnInspected(it.situation, "b", status_b));
-      collect(it.failover.OnInspected(it.situation, "c", status_c));
-      collect(it.failover.OnFenced(it.situation, "b", status_b));
-      collect(it.failover.OnFenced(it.situation, "c", status_c));
+      collect(it.failover.OnInspected(it.situation, "b", it.situation.now,
+                                      status_b));
+      collect(it.failover.OnInspected(it.situation, "c", it.situation.now,
+                                      status_c));
+      collect(
+          it.failover.OnFenced(it.situation, "b", it.situation.now, status_b));
+      collect(
+          it.failover.OnFenced(it.situation, "c", it.situation.now, status_c));
     }
   };
   (void)it.AnswerClaim(7);
@@ -461,8 +493,8 @@
     for (int n = 0; n < 4; ++n) {
       const ServerStatus held{false, 3, {3, 12}, 4};
       for (const char* id : {"b", "c"}) {
-        (void)it.failover.OnFenced(it.situation, id, held);
-        (void)it.failover.OnInspected(it.situation, id, held);
+        (void)it.failover.OnFenced(it.situation, id, it.situation.now, held);
+        (void)it.failover.OnInspected(it.situation, id, it.situation.now, held);
       }
       actions = it.Step(std::chrono::milliseconds(210));
       if (it.failover.phase() != Failover::Phase::kFencing) return actions;
@@ -668,7 +700,8 @@
   (void)it.AnswerClaim(7);
   (void)it.AnswerFence("b", 10);
   const ServerStatus fenced{false, 3, {3, 12}, 4};
-  const auto record = it.failover.OnFenced(it.situation, "c", fenced);
+  const auto record =
+      it.failover.OnFenced(it.situation, "c", it.situation.now, fenced);
   CHECK(Fixture::OnlyAction<Failover::Record>(record).server == "c");
   Fixture::OnlyAction<Failover::Claim>(
       it.failover.OnRecorded(it.situation, false));
@@ -785,7 +818,8 @@
   (void)it.Step();
   (void)it.AnswerClaim(0, true);
   for (const char* id : {"b", "c"}) {
-    (void)it.failover.OnInspected(it.situation, id, {false, 3, {3, 9}, 0});
+    (void)it.failover.OnInspected(it.situation, id, it.situation.now,
+                                  {false, 3, {3, 9}, 0});
     (void)it.AnswerFence(id, 10);
   }
   (void)it.failover.OnOrdered(it.situation, PromotionResult::kUnknown);
--- a/tests/session_late_orders_test.cc
+++ b/tests/session_late_orders_test.cc
@@ -61,7 +61,7 @@
       if (++ticks % 5 != 0) continue;
       for (const char* id : {"b", "c"}) {
         const ServerStatus fenced{false, 3, {3, 12}, 4};
-        perform(failover.OnFenced(situation, id, fenced));
+        perform(failover.OnFenced(situation, id, situation.now, fenced));
       }
     }
   };
