Order the replica that has grown since another instance's order

A claimant that found an order of another instance in the member record ordered the same server again, whatever the logs showed: it knew the ends of the logs at an order only for its own. The record now has the end of the most advanced log, and the servers of earlier orders, so that the replica that has received more since is ordered, under the claim's higher token.

Where no end is recorded the earlier order is followed, as before.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -118,6 +118,7 @@
   struct Record {
     ServerId server;
     std::uint64_t token = 0;
+    Position end;  ///< of the most advanced log of the fenced replicas
   };
   /// Orders the platform to promote a server under a fencing token.
   struct Order {
@@ -183,6 +184,7 @@
     ServerId recorded_order;
     std::uint64_t recorded_token = 0;
     TimePoint recorded_since;
+    std::optional<Position> recorded_end;  ///< as in `MemberRecord::order_end`
     /// A server started to drain so recently that the one which replaces it may
     /// not be listed yet.
     bool joiner_expected = false;
@@ -219,6 +221,20 @@
   /// can be executed any more.
   [[nodiscard]] bool OwnOrderEnded(std::uint64_t token, TimePoint now) const;
 
+  /// Whether the order recorded under `token` is of another instance.
+  [[nodiscard]] bool OrderedByAnother(std::uint64_t token) const {
+    return token != recorded_token_;
+  }
+
+  /// Returns the server under an unanswered order of this instance that may
+  /// still be executed; empty if there is none. An order that was repeated may
+  /// be executed more than once, also after its server has led and was demoted.
+  [[nodiscard]] ServerId UnansweredServer(TimePoint now) const;
+
+  /// Returns the server under an order of this instance that is being given or
+  /// may still be executed; empty if there is none.
+  [[nodiscard]] ServerId OrderedServer(TimePoint now) const;
+
   /// Handles the platform's answer to an `Order`.
   [[nodiscard]] Actions OnOrdered(const Situation& situation,
                                   PromotionResult result);
@@ -284,11 +300,14 @@
   [[nodiscard]] bool AnotherPromoted(const Situation& situation) const;
   Actions TryOrder(const Situation& situation);
   Actions IssueOrder(const Situation& situation);
-  [[nodiscard]] ServerId UnansweredServer(TimePoint now) const;
   [[nodiscard]] ServerId PendingOrder(const Situation& situation) const;
   [[nodiscard]] ServerId ForeignServer(TimePoint now) const;
   void NoteForeignOrder(const Situation& situation);
-  [[nodiscard]] ServerId HasGrownBeyond(const ServerId& server) const;
+  [[nodiscard]] ServerId HasGrownBeyond(const Situation& situation,
+                                        const ServerId& server) const;
+  [[nodiscard]] std::optional<Position> EndAtOrder(
+      const ServerId& ordered, const ServerId& replica) const;
+  [[nodiscard]] Position MostAdvancedEnd(const Situation& situation) const;
   Actions DemoteOldPrimary(const Situation& situation);
   Actions ReleaseFences(const Situation& situation);
   Actions OnReleaseClaim(const Situation& situation,
@@ -333,6 +352,7 @@
   /// instance learned of it.
   ServerId foreign_server_;
   TimePoint foreign_order_since_;
+  std::optional<Position> foreign_order_end_;
   /// The primary that was demoted before its replicas were fenced, and the end
   /// of its log, which no acknowledged commit exceeds.
   ServerId demoted_;
--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -25,6 +25,11 @@
   /// any more; empty if there is none.
   ServerId ordered = {};
   std::uint64_t order_token = 0;  ///< of that order
+  /// End of the most advanced log of the replicas that were fenced for that
+  /// order; null if unknown.
+  std::optional<Position> order_end = {};
+  /// Servers of earlier orders that may still be executed as well.
+  std::set<ServerId> superseded = {};
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -313,7 +313,7 @@
   // A server under an order may become the primary at any time.
   const ServerId pending = PendingOrder(situation);
   if (fence_reports_.contains(pending)) {
-    const ServerId grown = HasGrownBeyond(pending);
+    const ServerId grown = HasGrownBeyond(situation, pending);
     return grown.empty() ? pending : grown;
   }
   ServerId best = MostAdvanced(situation);
@@ -376,7 +376,7 @@
   // An order that would lose commits must not be executed, so that a higher
   // token is used at once where tokens are checked.
   const bool supersedes =
-      options_.tokens_checked && HasGrownBeyond(pending) == chosen;
+      options_.tokens_checked && HasGrownBeyond(situation, pending) == chosen;
   if (other && !supersedes) return {};
   candidate_ = chosen;
   // Promoting a different server requires a higher token, which invalidates the
@@ -390,7 +390,7 @@
   const bool recorded = recorded_server_ == chosen && recorded_token_ == token_;
   if (recorded || using_fallback_token_) return IssueOrder(situation);
   EnterPhase(Phase::kRecording, situation.now);
-  return {Record{chosen, token_}};
+  return {Record{chosen, token_, MostAdvancedEnd(situation)}};
 }
 
 Failover::Actions Failover::OnRecorded(const Situation& situation,
@@ -406,14 +406,17 @@
   return TryOrder(situation);
 }
 
-/// Returns the server under an unanswered order of this instance that may still
-/// be executed; empty if there is none. An order that was repeated may be
-/// executed more than once, also after its server has led and was demoted.
 ServerId Failover::UnansweredServer(TimePoint now) const {
   const bool expired = now - unanswered_order_at_ >= options_.max_order_delay;
   return expired ? ServerId() : unanswered_server_;
 }
 
+ServerId Failover::OrderedServer(TimePoint now) const {
+  const bool ordering =
+      phase_ == Phase::kOrdering || phase_ == Phase::kAwaitingPrimary;
+  return ordering ? candidate_ : UnansweredServer(now);
+}
+
 /// Returns the server under an order of any instance that may still be
 /// executed; empty if there is none.
 ServerId Failover::PendingOrder(const Situation& situation) const {
@@ -439,30 +442,56 @@
 void Failover::NoteForeignOrder(const Situation& situation) {
   if (situation.recorded_order.empty()) foreign_server_.clear();
   const bool foreign = !situation.recorded_order.empty() &&
-                       situation.recorded_token != recorded_token_;
+                       OrderedByAnother(situation.recorded_token);
   if (!foreign) return;
   foreign_server_ = situation.recorded_order;
   foreign_order_since_ = situation.recorded_since;
+  foreign_order_end_ = situation.recorded_end;
 }
 
 /// Returns the fenced replica that has received entries since `server` was
-/// ordered, which that one lacks; empty if there is none.
-ServerId Failover::HasGrownBeyond(const ServerId& server) const {
+/// ordered, which that one lacks; empty if there is none. The primary before
+/// counts only if others need its log: the end of its own is not of what it
+/// received.
+ServerId Failover::HasGrownBeyond(const Situation& situation,
+                                  const ServerId& server) const {
   const auto report = fence_reports_.find(server);
-  if (report == fence_reports_.end() || server != unanswered_server_) return {};
+  if (report == fence_reports_.end()) return {};
   ServerId best;
   Position end = report->second.received;
-  for (const auto& [id, at_order] : order_ends_) {
-    const auto it = fence_reports_.find(id);
-    if (it == fence_reports_.end()) continue;
-    const Position received = it->second.received;
-    if (!IsLater(received, at_order) || !IsLater(received, end)) continue;
+  for (const auto& [id, other] : fence_reports_) {
+    const auto at_order = EndAtOrder(server, id);
+    if (!at_order || CanSkip(situation, id)) continue;
+    const Position received = other.received;
+    if (!IsLater(received, *at_order) || !IsLater(received, end)) continue;
     best = id;
     end = received;
   }
   return best;
 }
 
+/// Returns the position up to which the log of `replica` may have reached when
+/// `ordered` was ordered; null if unknown.
+std::optional<Position> Failover::EndAtOrder(const ServerId& ordered,
+                                             const ServerId& replica) const {
+  if (ordered == unanswered_server_) {
+    const auto it = order_ends_.find(replica);
+    if (it == order_ends_.end()) return std::nullopt;
+    return it->second;
+  }
+  return ordered == foreign_server_ ? foreign_order_end_ : std::nullopt;
+}
+
+/// Returns the end of the most advanced log that a fenced replica reported.
+Position Failover::MostAdvancedEnd(const Situation& situation) const {
+  Position end;
+  for (const auto& [id, report] : fence_reports_) {
+    if (CanSkip(situation, id)) continue;
+    if (IsLater(report.received, end)) end = report.received;
+  }
+  return end;
+}
+
 /// Whether the platform may still execute an unanswered order.
 bool Failover::OrderMayBeExecuted(TimePoint now) const {
   return unanswered_order_ &&
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -36,6 +36,11 @@
   if (!record.ordered.empty()) {
     root["ordered"] = record.ordered;
     root["token"] = static_cast<Json::UInt64>(record.order_token);
+    if (record.order_end) {
+      root["end"].append(static_cast<Json::UInt64>(record.order_end->term));
+      root["end"].append(static_cast<Json::UInt64>(record.order_end->index));
+    }
+    for (const ServerId& id : record.superseded) root["superseded"].append(id);
   }
   root["servers"] = Json::Value(Json::arrayValue);
   for (const auto& [id, entry] : record.servers) {
@@ -68,6 +73,18 @@
   MemberRecord record;
   record.ordered = StringOf(root["ordered"]);
   if (root["token"].isUInt64()) record.order_token = root["token"].asUInt64();
+  const Json::Value& end = root["end"];
+  if (end.isArray() && end.size() == 2 && end[0U].isUInt64() &&
+      end[1U].isUInt64()) {
+    record.order_end = Position{end[0U].asUInt64(), end[1U].asUInt64()};
+  }
+  if (root["superseded"].isArray()) {
+    for (const Json::Value& it : root["superseded"]) {
+      if (it.isString() && record.superseded.size() < kMaxMembers) {
+        record.superseded.insert(it.asString());
+      }
+    }
+  }
   for (const Json::Value& it : root["servers"]) {
     if (!it.isObject() || record.servers.size() == kMaxMembers) continue;
     ServerEntry entry;
@@ -128,6 +145,8 @@
   if (situation.order_expired) {
     replacement.ordered.clear();
     replacement.order_token = 0;
+    replacement.order_end.reset();
+    replacement.superseded.clear();
   }
   for (const ServerId& id : situation.obsolete) replacement.servers.erase(id);
   for (const auto& [id, entry] : situation.required) {
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -343,6 +343,7 @@
   situation.recorded_order = record.ordered;
   situation.recorded_token = record.order_token;
   situation.recorded_since = service.members.order_known_since();
+  situation.recorded_end = record.order_end;
   situation.replicas_reachable = true;
   const auto primary = pools_.find(service.primary);
   const bool known = primary != pools_.end();
@@ -508,8 +509,13 @@
 
 void Proxy::Do(const ServiceId& id, const Failover::Record& record) {
   MemberRecord members = ServiceOf(id).members.record();
+  const bool other =
+      !members.ordered.empty() && members.ordered != record.server;
+  if (other) members.superseded.insert(members.ordered);
+  members.superseded.erase(record.server);
   members.ordered = record.server;
   members.order_token = record.token;
+  members.order_end = record.end;
   Emit(RecordOrder{id, std::move(members), record.token});
 }
 
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -672,6 +672,35 @@
   CHECK(it.orders_recorded == 1);
 }
 
+// Guards against the loss of commits that a replica received after another
+// instance had ordered one that lacks them.
+TEST_CASE("a replica that has grown since another's order is ordered instead") {
+  Fixture it;
+  it.situation.recorded_order = "b";
+  it.situation.recorded_token = 5;
+  it.situation.recorded_since = it.situation.now;
+  it.situation.recorded_end = Position{3, 10};
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  const auto order = it.AnswerFence("c", 12);
+  CHECK(Fixture::OnlyAction<Failover::Order>(order).server == "c");
+  CHECK(Fixture::OnlyAction<Failover::Order>(order).token == 7);
+}
+
+TEST_CASE("the server under another's order is ordered if no log has grown") {
+  Fixture it;
+  it.situation.recorded_order = "b";
+  it.situation.recorded_token = 5;
+  it.situation.recorded_since = it.situation.now;
+  it.situation.recorded_end = Position{3, 12};
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 10);
+  const auto order = it.AnswerFence("c", 12);
+  CHECK(Fixture::OnlyAction<Failover::Order>(order).server == "b");
+}
+
 TEST_CASE(
     "another's order is awaited if its server is gone, for a bounded time") {
   Fixture it;
--- a/tests/session_members_test.cc
+++ b/tests/session_members_test.cc
@@ -85,7 +85,10 @@
 }  // namespace
 
 TEST_CASE("a record is read back as it was written") {
-  const MemberRecord record{0, Servers({"a", "b"}), "b", 7};
+  MemberRecord record{0, Servers({"a", "b"}), "b", 7};
+  CHECK(DecodeMembers("books", EncodeMembers(record)) == record);
+  record.order_end = Position{3, 12};
+  record.superseded = {"c"};
   CHECK(DecodeMembers("books", EncodeMembers(record)) == record);
   CHECK(DecodeMembers("books", EncodeMembers({})) == MemberRecord{});
 }
