Answer no commit that an order still under way would lose

Cause: an order of a promotion outlives the fences that it relies on. It is executed up to 12 s later; a restart lifts a fence, and a server that was left out returns. If the claimant was killed, nobody fenced them again, and the old primary, which had only been out of reach, acknowledged commits through them. An instance answered those: any known replica sufficed, whatever the member record said of an order.

Now an instance answers a commit only if the servers under orders that it knows have it. After it took the primary for lost, saw a fence, or found a new primary, it also reads the record first, or sees the commit at every server. An order whose claimant stopped is completed by an instance that reads of it. An order that is repeated for 6 s is recorded again, as others count its time from the record.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -91,6 +91,9 @@
 struct MembersRead {
   MemberRecords records;
   bool all = false;  ///< services that are not named have no record
+  /// The records are at least as new as the store was at this time; null if
+  /// they may be older.
+  std::optional<TimePoint> current_at = {};
 };
 
 /// The store returned the list of live instances.
@@ -210,9 +213,11 @@
   ServiceId service;
 };
 
-/// Read the member records of all services, which may be seconds old; completes
-/// with `MembersRead`, or not at all.
-struct ReadMembers {};
+/// Read the member records of all services; completes with `MembersRead`, or
+/// not at all.
+struct ReadMembers {
+  bool linearizable = false;  ///< otherwise they may be seconds old
+};
 
 /// Replace the member record of a service if it still has the revision in
 /// `record`; completes with `MembersRead`, or not at all.
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -235,6 +235,10 @@
   /// may still be executed; empty if there is none.
   [[nodiscard]] ServerId OrderedServer(TimePoint now) const;
 
+  /// Returns the server under an order of another instance that may still be
+  /// executed; empty if none is known.
+  [[nodiscard]] ServerId ForeignServer(TimePoint now) const;
+
   /// Handles the platform's answer to an `Order`.
   [[nodiscard]] Actions OnOrdered(const Situation& situation,
                                   PromotionResult result);
@@ -301,12 +305,12 @@
   Actions TryOrder(const Situation& situation);
   Actions IssueOrder(const Situation& situation);
   [[nodiscard]] ServerId PendingOrder(const Situation& situation) const;
-  [[nodiscard]] ServerId ForeignServer(TimePoint now) const;
   void NoteForeignOrder(const Situation& situation);
   [[nodiscard]] ServerId HasGrownBeyond(const Situation& situation,
                                         const ServerId& server) const;
-  [[nodiscard]] std::optional<Position> EndAtOrder(
-      const ServerId& ordered, const ServerId& replica) const;
+  [[nodiscard]] std::optional<Position> EndAtOrder(const ServerId& ordered,
+                                                   const ServerId& replica,
+                                                   TimePoint now) const;
   [[nodiscard]] Position MostAdvancedEnd(const Situation& situation) const;
   Actions DemoteOldPrimary(const Situation& situation);
   Actions ReleaseFences(const Situation& situation);
@@ -348,6 +352,7 @@
   /// Server and token of the last order of this instance that was recorded.
   ServerId recorded_server_;
   std::uint64_t recorded_token_ = 0;
+  TimePoint recorded_at_;
   /// Server of the last order that another instance recorded, and when this
   /// instance learned of it.
   ServerId foreign_server_;
--- a/include/corianderdock/session/leadership_proof.h
+++ b/include/corianderdock/session/leadership_proof.h
@@ -61,6 +61,10 @@
   /// that may lack it is known to be fenced.
   [[nodiscard]] bool HasReceived(Position position, TimePoint now) const;
 
+  /// Whether the log of `replica` is known to have the commit at `position`.
+  [[nodiscard]] bool HasReceivedAt(const ServerId& replica,
+                                   Position position) const;
+
   /// Whether a replica recently reported a fence, so that a promotion may be
   /// under way.
   [[nodiscard]] bool FenceReported(TimePoint now) const;
--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -28,6 +28,8 @@
   /// End of the most advanced log of the replicas that were fenced for that
   /// order; null if unknown.
   std::optional<Position> order_end = {};
+  /// How often it was recorded again since, as it was repeated.
+  std::uint64_t order_renewals = 0;
   /// Servers of earlier orders that may still be executed as well.
   std::set<ServerId> superseded = {};
 
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -243,6 +243,14 @@
     /// When the known primary last counted as lost, or another instance was
     /// found to have claimed its replacement.
     std::optional<TimePoint> primary_doubted_at;
+    /// The member record is known as it was at the store at this time or later.
+    std::optional<TimePoint> members_current_at;
+    /// When the known primary replaced another one. An order for a third server
+    /// may have been given before.
+    std::optional<TimePoint> primary_replaced_at;
+    /// When a commit of that primary first had to wait for a read of the
+    /// record.
+    std::optional<TimePoint> orders_asked_at;
     TimePoint last_status_query;
     Duration status_backoff{0};
     int status_queries = 0;  ///< since one helped
@@ -488,6 +496,17 @@
   void ContactNearestReplica(Service& service);
   void NoteContact(ServerPool& pool, const Connection& connection,
                    const ExpectedReply& expected, const Reply& reply);
+  [[nodiscard]] std::set<ServerId> ServersUnderOrders(
+      const Service& service) const;
+  [[nodiscard]] bool OrderedElsewhere(const Service& service) const;
+  [[nodiscard]] bool OrphanedOrder(const Service& service) const;
+  [[nodiscard]] bool RecentlyDoubted(const Service& service) const;
+  [[nodiscard]] bool RecentlyReplaced(const Service& service) const;
+  [[nodiscard]] bool OrdersExcluded(const Service& service,
+                                    const CommitEvidence::Commit& commit) const;
+  [[nodiscard]] bool AllHaveReceived(const Service& service,
+                                     Position position) const;
+  void CheckForOrders(Service& service);
   [[nodiscard]] bool CommitProven(const Service& service,
                                   const CommitEvidence::Commit& commit,
                                   bool needs_receipt) const;
@@ -601,6 +620,7 @@
   bool server_list_complete_ = false;
   bool members_known_ = false;  ///< the records were read once
   TimePoint members_read_at_;   ///< last `ReadMembers` effect
+  TimePoint orders_read_at_;    ///< the last one that is linearizable
   TimePoint members_checked_at_;
   std::optional<TimePoint> isolated_since_;   ///< all other zones are failing
   std::optional<TimePoint> isolation_ended_;  ///< end of the last isolation
--- a/include/corianderdock/session/safety.h
+++ b/include/corianderdock/session/safety.h
@@ -36,6 +36,10 @@
   /// store, for instances that start after these left the list.
   [[nodiscard]] virtual bool RememberMembers() const { return true; }
 
+  /// Whether an acknowledged commit counts only once no order of a promotion
+  /// that may still be executed can lose it.
+  [[nodiscard]] virtual bool ExcludeLateOrders() const { return true; }
+
   /// Whether a server must have reached the log position that the staleness
   /// bound of a read requires.
   [[nodiscard]] virtual bool RequireFreshPosition() const { return true; }
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -28,6 +28,7 @@
   kKeepLease,
   kAnnounce,          ///< puts this instance's key under its lease
   kReadMembers,       ///< records of all services; linearizable
+  kReadMembersOnce,   ///< the same, not repeated if it fails
   kReadMembersStale,  ///< the same, which may be stale
   kWriteMembers,      ///< compare-and-swap of one record
   kRecordOrder,       ///< the same, while a claim has an expected revision
@@ -145,7 +146,8 @@
   [[nodiscard]] Outputs Keep(TimePoint now, const KeepClaim& claim);
 
   /// Reads the member records; ends in `MembersRead` unless it fails.
-  [[nodiscard]] Outputs ReadMemberRecords(TimePoint now);
+  [[nodiscard]] Outputs ReadMemberRecords(TimePoint now,
+                                          const ReadMembers& read);
 
   /// Replaces a member record; ends in `MembersRead` unless it fails.
   [[nodiscard]] Outputs WriteMemberRecord(TimePoint now,
@@ -172,6 +174,7 @@
     std::uint64_t member_revision;    ///< of the record, for a claim
     std::uint64_t claim_lease;        ///< under which a claim is taken
     MemberRecord members;             ///< written
+    TimePoint sent;
   };
 
   void Call(StoreCall call, PendingCall pending);
@@ -185,7 +188,8 @@
   void OnClaim(const StoreResult& result, const PendingCall& pending);
   void OnTakeClaim(const StoreResult& result, const PendingCall& pending);
   void OnMembers(const StoreResult& result, const PendingCall& pending);
-  void ReportMembers(const std::map<ServiceId, StoreItem>& items, bool all);
+  void ReportMembers(const std::map<ServiceId, StoreItem>& items, bool all,
+                     std::optional<TimePoint> current_at = {});
   void SetReachable(bool reachable);
   [[nodiscard]] Duration RetryPause(int failures) const;
   void ReportClaimFailure(const ServiceId& service, bool store_unreachable);
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -387,7 +387,11 @@
     EnterPhase(Phase::kClaiming, situation.now);
     return {Claim{}};
   }
-  const bool recorded = recorded_server_ == chosen && recorded_token_ == token_;
+  // Others count the time of a repeated order from its record.
+  const bool recent =
+      situation.now - recorded_at_ < options_.max_order_delay / 2;
+  const bool recorded =
+      recorded_server_ == chosen && recorded_token_ == token_ && recent;
   if (recorded || using_fallback_token_) return IssueOrder(situation);
   EnterPhase(Phase::kRecording, situation.now);
   return {Record{chosen, token_, MostAdvancedEnd(situation)}};
@@ -402,6 +406,7 @@
   }
   recorded_server_ = candidate_;
   recorded_token_ = token_;
+  recorded_at_ = situation.now;
   EnterPhase(Phase::kFencing, situation.now);
   return TryOrder(situation);
 }
@@ -425,8 +430,6 @@
   return ForeignServer(situation.now);
 }
 
-/// Returns the server under an order of another instance that may still be
-/// executed; empty if there is none.
 ServerId Failover::ForeignServer(TimePoint now) const {
   const bool expired = now - foreign_order_since_ >= options_.max_order_delay;
   return expired ? ServerId() : foreign_server_;
@@ -460,7 +463,7 @@
   ServerId best;
   Position end = report->second.received;
   for (const auto& [id, other] : fence_reports_) {
-    const auto at_order = EndAtOrder(server, id);
+    const auto at_order = EndAtOrder(server, id, situation.now);
     if (!at_order || CanSkip(situation, id)) continue;
     const Position received = other.received;
     if (!IsLater(received, *at_order) || !IsLater(received, end)) continue;
@@ -473,11 +476,11 @@
 /// Returns the position up to which the log of `replica` may have reached when
 /// `ordered` was ordered; null if unknown.
 std::optional<Position> Failover::EndAtOrder(const ServerId& ordered,
-                                             const ServerId& replica) const {
-  if (ordered == unanswered_server_) {
+                                             const ServerId& replica,
+                                             TimePoint now) const {
+  if (ordered == UnansweredServer(now)) {
     const auto it = order_ends_.find(replica);
-    if (it == order_ends_.end()) return std::nullopt;
-    return it->second;
+    if (it != order_ends_.end()) return it->second;
   }
   return ordered == foreign_server_ ? foreign_order_end_ : std::nullopt;
 }
--- a/src/session/leadership_proof.cc
+++ b/src/session/leadership_proof.cc
@@ -72,6 +72,12 @@
   return received;
 }
 
+bool LeadershipProof::HasReceivedAt(const ServerId& replica,
+                                    Position position) const {
+  const auto it = received_.find(replica);
+  return it != received_.end() && Covers(it->second, position);
+}
+
 void LeadershipProof::AddLeaderPosition(TimePoint sent, Position position) {
   if (!leader_positions_.empty()) {
     const LeaderPosition& last = leader_positions_.back();
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -40,6 +40,7 @@
       root["end"].append(static_cast<Json::UInt64>(record.order_end->term));
       root["end"].append(static_cast<Json::UInt64>(record.order_end->index));
     }
+    root["renewals"] = static_cast<Json::UInt64>(record.order_renewals);
     for (const ServerId& id : record.superseded) root["superseded"].append(id);
   }
   root["servers"] = Json::Value(Json::arrayValue);
@@ -73,6 +74,9 @@
   MemberRecord record;
   record.ordered = StringOf(root["ordered"]);
   if (root["token"].isUInt64()) record.order_token = root["token"].asUInt64();
+  if (root["renewals"].isUInt64()) {
+    record.order_renewals = root["renewals"].asUInt64();
+  }
   const Json::Value& end = root["end"];
   if (end.isArray() && end.size() == 2 && end[0U].isUInt64() &&
       end[1U].isUInt64()) {
@@ -135,7 +139,8 @@
   // Answers of a stale replica of the store may be older than what is known.
   if (record.revision < record_.revision) return;
   const bool order_changed = record.ordered != record_.ordered ||
-                             record.order_token != record_.order_token;
+                             record.order_token != record_.order_token ||
+                             record.order_renewals != record_.order_renewals;
   if (order_changed) order_known_since_ = now;
   record_ = std::move(record);
 }
@@ -146,6 +151,7 @@
     replacement.ordered.clear();
     replacement.order_token = 0;
     replacement.order_end.reset();
+    replacement.order_renewals = 0;
     replacement.superseded.clear();
   }
   for (const ServerId& id : situation.obsolete) replacement.servers.erase(id);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -103,6 +103,8 @@
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
   service.primary_doubted_at.reset();
+  if (!service.last_primary.empty()) service.primary_replaced_at = now_;
+  service.orders_asked_at.reset();
   service.primary_since = now_;
   service.order_check_at = now_ + kOrderCheckDelay;
   service.switching_over = false;
@@ -334,7 +336,10 @@
       !isolated_since_ &&
       (!isolation_ended_ ||
        now_ - *isolation_ended_ >= options_.isolation_settle_time);
-  situation.primary_lost = view_is_fresh && PrimaryLost(service);
+  // An order whose claimant stopped is completed, as a commit that the primary
+  // acknowledges until its execution could be missing at the server ordered.
+  situation.primary_lost =
+      view_is_fresh && (PrimaryLost(service) || OrphanedOrder(service));
   situation.server_list_complete = server_list_complete_ && members_known_;
   situation.fallback_token = fallback_token_;
   situation.fallback_token_delay = FallbackTokenDelay(service);
@@ -428,7 +433,8 @@
     ConsiderSwitchover(id, service);
     const bool doubted =
         has_primary &&
-        (service.failover.PromotionInProgress(now_) || PrimaryLost(service));
+        (service.failover.PromotionInProgress(now_) || PrimaryLost(service) ||
+         service.proof.FenceReported(now_));
     if (doubted) service.primary_doubted_at = now_;
     if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
     const Failover::Situation situation = SituationOf(service);
@@ -513,6 +519,9 @@
       !members.ordered.empty() && members.ordered != record.server;
   if (other) members.superseded.insert(members.ordered);
   members.superseded.erase(record.server);
+  const bool again =
+      members.ordered == record.server && members.order_token == record.token;
+  members.order_renewals = again ? members.order_renewals + 1 : 0;
   members.ordered = record.server;
   members.order_token = record.token;
   members.order_end = record.end;
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -34,6 +34,12 @@
   };
   for (const auto& [id, record] : event.records) apply(id, record);
   members_known_ = members_known_ || event.all;
+  if (!event.current_at) return;
+  for (auto& [id, service] : services_) {
+    if (!event.all && !event.records.contains(id)) continue;
+    service.members_current_at = event.current_at;
+    if (!service.awaiting_proof.empty()) ReleaseProven(service);
+  }
 }
 
 /// Adds the servers that only the record names. They are probed like those that
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -64,10 +64,7 @@
   if (!members_known_ || !MembersRecorded(service)) return true;
   if (service.proof.FenceReported(now_)) return true;
   // A claim made meanwhile may still lead to a promotion.
-  if (service.primary_doubted_at &&
-      now_ - *service.primary_doubted_at < options_.failover.max_order_delay) {
-    return true;
-  }
+  if (RecentlyDoubted(service)) return true;
   const bool changed = service.last_change != TimePoint{} &&
                        now_ - service.last_change < kJoinTime;
   return changed || std::any_of(service.servers.begin(), service.servers.end(),
@@ -223,6 +220,7 @@
 bool Proxy::CommitProven(const Service& service,
                          const CommitEvidence::Commit& commit,
                          bool needs_receipt) const {
+  if (!OrdersExcluded(service, commit)) return false;
   if (service.proof.HasReceived(commit.position, now_)) return true;
   if (needs_receipt || CommitsNeedProof(service)) return false;
   return !HasOtherServers(service) || service.commits.Suffices(commit);
@@ -375,6 +373,7 @@
   pending.held_commit = commit;
   pending.held_reply = std::move(reply);
   service.awaiting_proof.insert(id);
+  CheckForOrders(service);
   if (pending.needs_receipt) QueryNextReplica(service);
 }
 
@@ -465,6 +464,7 @@
   const bool unproven =
       service.primary_queue.size() > 0 && !LeadershipProven(service);
   const bool holds = !service.awaiting_proof.empty();
+  if (holds) CheckForOrders(service);
   if (holds || unproven || (fenced && in_use)) QueryNextReplica(service);
 }
 
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -44,6 +44,7 @@
   call.number = next_number_++;
   if (call.timeout == Duration(0)) call.timeout = options_.call_timeout;
   pending.request = call.request;
+  pending.sent = now_;
   pending_calls_[call.number] = std::move(pending);
   outputs_.emplace_back(std::move(call));
 }
@@ -111,8 +112,14 @@
   return std::exchange(outputs_, {});
 }
 
-StoreFollower::Outputs StoreFollower::ReadMemberRecords(TimePoint now) {
+StoreFollower::Outputs StoreFollower::ReadMemberRecords(
+    TimePoint now, const ReadMembers& read) {
   now_ = now;
+  if (read.linearizable) {
+    // Scheduled reads go on until one succeeds; this one is not repeated.
+    Issue(StoreRequest::kReadMembersOnce);
+    return std::exchange(outputs_, {});
+  }
   Issue(StoreRequest::kReadMembersStale);
   return std::exchange(outputs_, {});
 }
@@ -175,6 +182,7 @@
       OnLease(result, pending);
       break;
     case StoreRequest::kReadMembers:
+    case StoreRequest::kReadMembersOnce:
     case StoreRequest::kReadMembersStale:
     case StoreRequest::kWriteMembers:
     case StoreRequest::kRecordOrder:
@@ -377,16 +385,21 @@
     if (order) outputs_.emplace_back(Event(OrderRecorded{pending.service, ok}));
     return;
   }
-  if (ok) return ReportMembers(result.members, true);
+  const bool stale = pending.request == StoreRequest::kReadMembersStale;
+  const auto current_at =
+      stale ? std::nullopt : std::optional<TimePoint>(pending.sent);
+  if (ok) return ReportMembers(result.members, true, current_at);
   if (pending.request == StoreRequest::kReadMembers) {
     Schedule(StoreRequest::kReadMembers, options_.first_retry_pause);
   }
 }
 
 void StoreFollower::ReportMembers(const std::map<ServiceId, StoreItem>& items,
-                                  bool all) {
+                                  bool all,
+                                  std::optional<TimePoint> current_at) {
   MembersRead read;
   read.all = all;
+  read.current_at = current_at;
   for (const auto& [service, item] : items) {
     const bool absent = item.revision == 0;
     auto record = DecodeMembers(service, item.value);
--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -67,6 +67,10 @@
   [[nodiscard]] bool RememberMembers() const override { return false; }
 };
 
+struct IgnoreLateOrders : session::Safety {
+  [[nodiscard]] bool ExcludeLateOrders() const override { return false; }
+};
+
 struct SkipValueSynchronization : session::Safety {
   [[nodiscard]] bool SynchronizeValues() const override { return false; }
 };
@@ -159,6 +163,15 @@
   CHECK(ViolatesRule(SkipValueSynchronization{}, "PINNED values"));
 }
 
+TEST_CASE(
+    "commits are lost if late orders are ignored when they are answered") {
+  WorldOptions options;
+  options.overlap = true;
+  options.late_orders = true;
+  options.duration = std::chrono::seconds(30);
+  CHECK(ViolatesRule(IgnoreLateOrders{}, "LOST", options));
+}
+
 TEST_CASE("instances that restart without the member records lose commits") {
   WorldOptions options;
   options.restarts = true;
--- a/tests/session_members_test.cc
+++ b/tests/session_members_test.cc
@@ -89,6 +89,7 @@
   CHECK(DecodeMembers("books", EncodeMembers(record)) == record);
   record.order_end = Position{3, 12};
   record.superseded = {"c"};
+  record.order_renewals = 2;
   CHECK(DecodeMembers("books", EncodeMembers(record)) == record);
   CHECK(DecodeMembers("books", EncodeMembers({})) == MemberRecord{});
 }
@@ -177,6 +178,11 @@
   // Another record of the same order doesn't make it a later one.
   recorder.OnRecord({4, Servers({"a", "b"}), "b", 7}, situation.now);
   CHECK(recorder.order_known_since() == read);
+  // A repeated order is recorded again.
+  MemberRecord repeated{5, Servers({"a", "b"}), "b", 7};
+  repeated.order_renewals = 1;
+  recorder.OnRecord(repeated, situation.now);
+  CHECK(recorder.order_known_since() == situation.now);
 }
 
 TEST_CASE("an older answer of the store doesn't replace a newer record") {
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -58,6 +58,7 @@
     session::MemberRecord record;
     record.revision = ++member_revision;
     for (const auto& id : ids) record.servers[id] = EntryOf(id);
+    stored_members["books"] = record;
     Feed(session::MembersRead{{{"books", record}}, false});
   }
 
@@ -369,6 +370,8 @@
   std::set<ServerId> not_renewed;  ///< entries without later heartbeats
   std::vector<session::WriteMembers> member_writes;
   int member_reads = 0;
+  session::MemberRecords stored_members;  ///< as the store has them
+  bool answers_member_reads = true;       ///< linearizable ones
   int statements = 0;
   bool stop_finished = false;
   std::vector<session::LogDecision> log;
@@ -426,10 +429,16 @@
   void Record(const session::RecordOrder& it) {
     session::MemberRecord record = it.record;
     record.revision = ++member_revision;
+    stored_members[it.service] = record;
     Feed(session::MembersRead{{{it.service, record}}, false});
     Feed(session::OrderRecorded{it.service, true});
   }
-  void Record(const session::ReadMembers& /*it*/) { ++member_reads; }
+  void Record(const session::ReadMembers& it) {
+    ++member_reads;
+    if (it.linearizable && answers_member_reads) {
+      Feed(session::MembersRead{stored_members, true, now});
+    }
+  }
   void Record(const session::WriteMembers& it) { member_writes.push_back(it); }
   void Record(const session::PromoteServer& it) { promotions.push_back(it); }
   void Record(const session::LogDecision& it) {
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -418,8 +418,12 @@
     });
   }
 
-  void Apply(std::size_t n, const ReadMembers& /*effect*/) {
-    Schedule(milliseconds(8), [this, n] { FeedMembers(n); });
+  void Apply(std::size_t n, const ReadMembers& effect) {
+    const TimePoint sent = now_;
+    const auto current_at =
+        effect.linearizable ? std::optional<TimePoint>(sent) : std::nullopt;
+    Schedule(milliseconds(8),
+             [this, n, current_at] { FeedMembers(n, current_at); });
   }
 
   void Apply(std::size_t n, const WriteMembers& effect) {
@@ -448,10 +452,11 @@
     });
   }
 
-  void FeedMembers(std::size_t n) {
+  void FeedMembers(std::size_t n, std::optional<TimePoint> current_at = {}) {
     if (store_unreachable_) return;
     MembersRead read;
     read.all = true;
+    read.current_at = current_at;
     if (members_.revision != 0) read.records[kService] = members_;
     Feed(n, read);
   }
