Log the store's era, failed watches and configurations that aren't installed

The era is the header Store-Era, decoded by the HTTP client and the store client; an era that is missing, unreadable or given twice counts as none.

Lines: store restored era= previous_era= revision= watched_revision= lease=; config watch failed status= watched_revision= era=; config not installed version= used= reason=older. No change of logic.

Test: platform_store, 'every response tells the store's era if it is readable'.

--- a/include/corianderdock/net/http_client.h
+++ b/include/corianderdock/net/http_client.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,11 @@
   bool sent = false;  ///< the request may have reached the server
   int status = 0;
   std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;  ///< as received
+
+  /// Returns the value of a header, whose name is compared without case; null
+  /// unless the response has it exactly once.
+  [[nodiscard]] const std::string* Header(std::string_view name) const;
 };
 
 /// A request to send.
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -15,6 +15,7 @@
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/events.h"
 #include "corianderdock/session/model.h"
+#include "corianderdock/session/store_revision.h"
 
 namespace corianderdock::session {
 
@@ -72,6 +73,7 @@
 struct StoreResult {
   std::uint64_t number = 0;
   StoreStatus status = StoreStatus::kNoAnswer;
+  StoreEra era = {};           ///< null: none named, or not readable
   std::uint64_t revision = 0;  ///< of the store, or of the change made
   std::uint64_t key_revision = 0;
   std::uint64_t lease = 0;
@@ -187,6 +189,7 @@
   void OnMembers(const StoreResult& result, const PendingCall& pending);
   void ReportMembers(const std::map<ServiceId, StoreItem>& items, bool all);
   void SetReachable(bool reachable);
+  void NoteEra(const StoreResult& result);
   [[nodiscard]] Duration RetryPause(int failures) const;
   void ReportClaimFailure(const ServiceId& service, bool store_unreachable);
 
@@ -197,6 +200,7 @@
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, PendingCall> pending_calls_;
   std::map<StoreRequest, TimePoint> scheduled_;  ///< when each is due
+  StoreEra era_;                                 ///< of the last answer
   std::uint64_t watched_revision_ = 0;
   std::uint64_t lease_ = 0;
   std::map<ServiceId, std::uint64_t> claim_leases_;  ///< of the last claims
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -123,6 +123,9 @@
     result_.ok = true;
     result_.status = static_cast<int>(parser_.get().result_int());
     result_.body = std::move(parser_.get().body());
+    for (const auto& it : parser_.get()) {
+      result_.headers.emplace_back(it.name_string(), it.value());
+    }
     if (parser_.get().keep_alive()) {
       stream_->expires_never();
       pool_->Put(address_, std::move(stream_));
@@ -147,6 +150,16 @@
   http::response_parser<http::string_body> parser_;
 };
 
+const std::string* HttpResult::Header(std::string_view name) const {
+  const std::string* value = nullptr;
+  for (const auto& [key, text] : headers) {
+    if (!beast::iequals(key, name)) continue;
+    if (value) return nullptr;
+    value = &text;
+  }
+  return value;
+}
+
 HttpClient::HttpClient(asio::io_context& io)
     : io_(io), pool_(std::make_shared<Pool>()) {}
 
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -109,7 +109,17 @@
 }
 
 void Proxy::On(const ConfigRead& event) {
-  if (config_ && event.config->version <= config_->version) return;
+  if (config_ && event.config->version <= config_->version) {
+    // A restored store may show a version that was replaced; what was confirmed
+    // later stays in force.
+    if (event.config->version < config_->version) {
+      Log("config not installed version=" +
+          std::to_string(event.config->version) +
+          " used=" + std::to_string(config_->version) + " reason=older");
+      Count("configs_not_installed");
+    }
+    return;
+  }
   Log("config installed version=" + std::to_string(event.config->version) +
       " previous=" + std::to_string(config_ ? config_->version : 0) +
       " routes=" + std::to_string(event.config->routes.size()));
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -5,6 +5,28 @@
 
 namespace corianderdock::session {
 
+namespace {
+
+const char* NameOf(StoreStatus status) {
+  switch (status) {
+    case StoreStatus::kOk:
+      return "ok";
+    case StoreStatus::kAbsent:
+      return "absent";
+    case StoreStatus::kConflict:
+      return "conflict";
+    case StoreStatus::kCompacted:
+      return "compacted";
+    case StoreStatus::kUnavailable:
+      return "unavailable";
+    case StoreStatus::kNoAnswer:
+      return "no_answer";
+  }
+  return "";
+}
+
+}  // namespace
+
 StoreFollower::Outputs StoreFollower::Start(TimePoint now) {
   now_ = now;
   Issue(StoreRequest::kReadConfig);
@@ -158,6 +180,7 @@
   pending_calls_.erase(it);
   SetReachable(result.status != StoreStatus::kNoAnswer &&
                result.status != StoreStatus::kUnavailable);
+  NoteEra(result);
   switch (pending.request) {
     case StoreRequest::kReadConfig:
     case StoreRequest::kWatchConfig:
@@ -203,6 +226,18 @@
       LogDecision{reachable ? "store reachable" : "store unreachable"});
 }
 
+void StoreFollower::NoteEra(const StoreResult& result) {
+  if (!result.era || result.era == era_) return;
+  if (era_) {
+    outputs_.emplace_back(LogDecision{
+        "store restored era=" + FormatEra(result.era) + " previous_era=" +
+        FormatEra(era_) + " revision=" + std::to_string(result.revision) +
+        " watched_revision=" + std::to_string(watched_revision_) +
+        " lease=" + std::to_string(lease_)});
+  }
+  era_ = result.era;
+}
+
 Duration StoreFollower::RetryPause(int failures) const {
   Duration pause = options_.retry_pause;
   for (int n = 1; n < failures && pause < options_.max_retry_pause; ++n) {
@@ -213,6 +248,12 @@
 
 void StoreFollower::OnConfig(const StoreResult& result, StoreRequest request) {
   if (result.status != StoreStatus::kOk) {
+    if (request == StoreRequest::kWatchConfig) {
+      outputs_.emplace_back(LogDecision{
+          "config watch failed status=" + std::string(NameOf(result.status)) +
+          " watched_revision=" + std::to_string(watched_revision_) +
+          " era=" + FormatEra(era_)});
+    }
     // A failed watch may have missed changes, so read the configuration again.
     const bool first = watched_revision_ == 0;
     const bool absent = result.status == StoreStatus::kAbsent;
--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -1,7 +1,9 @@
 /// Calls to the store over HTTP: member records and claims that depend on them.
 #include <json/json.h>
 
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
 
@@ -99,6 +101,49 @@
   Json::UInt64 revision_ = 0;
 };
 
+/// Answers every request with the same text, each on its own connection.
+class FixedServer {
+ public:
+  FixedServer(asio::io_context& io, std::string response)
+      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}),
+        response_(std::move(response)) {
+    Accept();
+  }
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  using Socket = asio::ip::tcp::socket;
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code ec, Socket socket) {
+      if (ec) return;
+      auto peer = std::make_shared<Socket>(std::move(socket));
+      auto buf = std::make_shared<std::string>();
+      asio::async_read_until(
+          *peer, asio::dynamic_buffer(*buf), "\r\n\r\n",
+          [this, peer, buf](boost::system::error_code failed, std::size_t) {
+            if (failed) return;
+            asio::async_write(
+                *peer, asio::buffer(response_),
+                [peer](boost::system::error_code, std::size_t) {});
+          });
+      Accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::string response_;
+};
+
+std::string Response(const std::string& status, const std::string& headers,
+                     const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\nConnection: close\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 struct Fixture {
   Fixture() : store(io), client(io, settings, [](const std::string&) {}) {
     settings.instance = "self";
@@ -179,6 +224,30 @@
   CHECK(it.Run(call).status == StoreStatus::kOk);
 }
 
+TEST_CASE("every response tells the store's era if it is readable") {
+  const auto era = [](const std::string& status, const std::string& headers) {
+    Fixture it;
+    FixedServer server(it.io, Response(status, headers, "{}"));
+    it.settings.store_address = server.address();
+    StoreCall call;
+    call.request = StoreRequest::kWatchConfig;
+    return it.Run(std::move(call)).era;
+  };
+  for (const char* status :
+       {"200 OK", "404 Not Found", "410 Gone", "412 Precondition Failed",
+        "429 Too Many Requests", "503 Service Unavailable"}) {
+    CHECK(era(status, "Store-Era: 7\r\n") == session::StoreEra(7));
+  }
+  CHECK(era("200 OK", "store-era:  0 \r\n") == session::StoreEra(0));
+  for (const char* headers :
+       {"", "Store-Era: \r\n", "Store-Era: x\r\n", "Store-Era: 7x\r\n",
+        "Store-Era: -1\r\n", "Store-Era: 1.5\r\n",
+        "Store-Era: 18446744073709551616\r\n",
+        "Store-Era: 7\r\nStore-Era: 8\r\n"}) {
+    CHECK(era("200 OK", headers) == std::nullopt);
+  }
+}
+
 TEST_CASE("a claim that expects a record is told that there is none") {
   Fixture it;
   const StoreResult refused = it.TakeClaim(0, 4);
