Start anew when the store comes back from an older copy

Cause: the follower kept the highest revision it had ever seen and watched from it. The restored store doesn't have that revision (410), so the configuration was read again, at once and over and over, and when the store's counter passed the revision, what had been written at lower ones since the last read was never delivered.

Change: StoreRevision carries a revision with its era; only those of one era are ordered. On an answer of another era the configuration and the member records are read anew, the watch starts from the revision of the read, lease and announcement are renewed, and claims and orders that span two eras fail. A write expects no revision of another era. An order that a restored member record lacks stays known. The version in force stays until one at least as new appears, as before: it was confirmed. Every repeated call waits for a pause that doubles up to a bound, also after 410, after a watch that returns at once, and after claims whose member record keeps changing. Pauses are spread by the instance's name.

In session_members_test a record's revision is raised through its number; no check changed.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -90,7 +90,8 @@
 /// The store returned records of members.
 struct MembersRead {
   MemberRecords records;
-  bool all = false;  ///< services that are not named have no record
+  bool all = false;   ///< services that are not named have no record
+  StoreEra era = {};  ///< in which they were read
 };
 
 /// The store returned the list of live instances.
@@ -201,7 +202,7 @@
 /// a newer one is reported with `MembersRead` before the claim is repeated.
 struct ClaimPromotion {
   ServiceId service;
-  std::uint64_t member_revision = 0;  ///< 0 while there is no record
+  StoreRevision member_revision = {};  ///< 0 while there is no record
 };
 
 /// Keep the claim of a service that this instance has, so that no other
--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "corianderdock/session/model.h"
+#include "corianderdock/session/store_revision.h"
 
 namespace corianderdock::session {
 
@@ -19,7 +20,7 @@
 /// they go on receiving commits. The record keeps them known to instances that
 /// start later.
 struct MemberRecord {
-  std::uint64_t revision = 0;  ///< of its key; 0 while there is none
+  StoreRevision revision;  ///< of its key; 0 while there is none
   ServerList servers;
   /// Server whose promotion was ordered, until no order for it can be executed
   /// any more; empty if there is none.
@@ -68,7 +69,9 @@
   /// some time; `OnRecord` ends the wait.
   [[nodiscard]] Step Next(const Situation& situation);
 
-  /// Notes the state of the record in the store, as read at `now`.
+  /// Notes the state of the record in the store, as read at `now`. An order
+  /// that a record of another era doesn't name may still be executed, so it
+  /// stays known.
   void OnRecord(MemberRecord record, TimePoint now);
 
   /// Returns the record that replaces the present one.
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -96,10 +96,18 @@
   Duration watch_wait = std::chrono::milliseconds(3200);
   Duration watch_slack = std::chrono::milliseconds(400);
   Duration call_timeout = std::chrono::milliseconds(1000);
-  /// Pause after a failed call. It doubles with each further failure up to
-  /// `max_retry_pause`, as refused calls are charged for as well.
+  /// Pause after a call that failed or brought nothing new at once. It doubles
+  /// with each further one up to `max_retry_pause`, as refused calls are
+  /// charged for as well.
   Duration retry_pause = std::chrono::milliseconds(250);
   Duration max_retry_pause = std::chrono::milliseconds(1000);
+  /// The same for the lease. `lease_ttl` leaves time for several attempts.
+  Duration max_lease_retry_pause = std::chrono::milliseconds(2000);
+  /// Pauses are longer by up to this share, and the return to a restored store
+  /// is delayed by up to `restore_spread`. Both depend on the instance's name,
+  /// so that instances don't call at the same moment.
+  double retry_spread = 0.2;
+  Duration restore_spread = std::chrono::milliseconds(500);
   /// Used until a configuration has been read or a server has been listed.
   Duration first_retry_pause = std::chrono::milliseconds(100);
   /// Used while the store has no configuration, as each read is charged for in
@@ -126,13 +134,17 @@
 /// Decides which calls to make to the store and turns their results into
 /// events. Cached state stays in use while the store is unavailable. Performs
 /// no I/O. Not thread-safe; times must not decrease.
+///
+/// Revisions and leases hold for the era in which the store returned them. When
+/// an answer shows another era, whatever was read is read again, the lease and
+/// the announcement are renewed, and claims of the old era have ended. An
+/// answer that names no era counts as one of the last era known.
 class StoreFollower {
  public:
   using Output = std::variant<StoreCall, Event, LogDecision>;
   using Outputs = std::vector<Output>;
 
-  StoreFollower(InstanceId self, StoreFollowerOptions options)
-      : self_(std::move(self)), options_(options) {}
+  StoreFollower(InstanceId self, StoreFollowerOptions options);
 
   /// Issues the first calls.
   [[nodiscard]] Outputs Start(TimePoint now);
@@ -169,18 +181,28 @@
  private:
   struct PendingCall {
     StoreRequest request;
-    ServiceId service;                ///< of a claim or record
-    std::uint64_t expected_revision;  ///< revision of the claim's key
-    std::uint64_t member_revision;    ///< of the record, for a claim
-    std::uint64_t claim_lease;        ///< under which a claim is taken
-    MemberRecord members;             ///< written
+    TimePoint issued_at;
+    StoreEra era;                         ///< known when it was issued
+    ServiceId service;                    ///< of a claim or record
+    std::uint64_t expected_revision = 0;  ///< revision of the claim's key
+    StoreRevision member_revision;        ///< of the record, for a claim
+    std::uint64_t claim_lease = 0;        ///< under which a claim is taken
+    int attempt = 1;                      ///< of a claim
+    MemberRecord members;                 ///< written
+  };
+
+  struct GrantedClaim {
+    std::uint64_t lease = 0;  ///< 0: ended
+    StoreRevision revision;   ///< the token
   };
 
   void Call(StoreCall call, PendingCall pending);
-  void StartClaim(const ServiceId& service, std::uint64_t member_revision);
+  void StartClaim(const ServiceId& service,
+                  const StoreRevision& member_revision, int attempt);
   void Schedule(StoreRequest request, Duration delay);
   void Issue(StoreRequest request);
-  void OnConfig(const StoreResult& result, StoreRequest request);
+  void OnConfig(const StoreResult& result, const PendingCall& pending);
+  void OnConfigFailure(const StoreResult& result, const PendingCall& pending);
   void OnServers(const StoreResult& result);
   void OnInstances(const StoreResult& result);
   void OnLease(const StoreResult& result, const PendingCall& pending);
@@ -189,8 +211,17 @@
   void OnMembers(const StoreResult& result, const PendingCall& pending);
   void ReportMembers(const std::map<ServiceId, StoreItem>& items, bool all);
   void SetReachable(bool reachable);
-  void NoteEra(const StoreResult& result);
+  [[nodiscard]] std::uint64_t Expected(const StoreRevision& revision) const;
+  [[nodiscard]] bool NoteEra(const StoreResult& result,
+                             const PendingCall& pending);
+  void OnRestored(const StoreResult& result);
+  void OnOtherEra(const PendingCall& pending);
+  void ScheduleIfNone(StoreRequest request, Duration delay);
   [[nodiscard]] Duration RetryPause(int failures) const;
+  [[nodiscard]] Duration LeasePause();
+  [[nodiscard]] static Duration Pause(Duration first, Duration max,
+                                      int failures);
+  [[nodiscard]] Duration Spread(Duration pause) const;
   void ReportClaimFailure(const ServiceId& service, bool store_unreachable);
 
   InstanceId self_;
@@ -200,10 +231,13 @@
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, PendingCall> pending_calls_;
   std::map<StoreRequest, TimePoint> scheduled_;  ///< when each is due
-  StoreEra era_;                                 ///< of the last answer
-  std::uint64_t watched_revision_ = 0;
-  std::uint64_t lease_ = 0;
-  std::map<ServiceId, std::uint64_t> claim_leases_;  ///< of the last claims
+  double spread_ = 0;      ///< share of spreads, from this instance's name
+  StoreEra era_;           ///< of the last answer
+  bool answered_ = false;  ///< by the store, at least once
+  StoreRevision watched_revision_;
+  std::uint64_t read_version_ = 0;  ///< newest configuration read in `era_`
+  std::uint64_t lease_ = 0;         ///< granted in `era_`; 0 if there is none
+  std::map<ServiceId, GrantedClaim> claims_;  ///< the last of each service
   ServerList servers_;
   std::map<ServerId, TimePoint> last_listed_;  ///< of each server in `servers_`
   std::map<ServerId, std::uint64_t> first_heartbeats_;  ///< of the same
@@ -215,6 +249,9 @@
   bool list_was_complete_ = false;  ///< at least once since the start
   int config_failures_ = 0;         ///< consecutive
   int list_failures_ = 0;           ///< consecutive
+  int restores_ = 0;                ///< without a watch that lasted
+  int member_failures_ = 0;         ///< consecutive
+  int lease_failures_ = 0;          ///< consecutive
   InstanceList instances_;
 };
 
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -117,6 +117,11 @@
 void MemberRecorder::OnRecord(MemberRecord record, TimePoint now) {
   // Answers of a stale replica of the store may be older than what is known.
   if (record.revision < record_.revision) return;
+  const bool restored = record.revision.era != record_.revision.era;
+  if (restored && record.ordered.empty()) {
+    record.ordered = record_.ordered;
+    record.order_token = record_.order_token;
+  }
   const bool order_changed = record.ordered != record_.ordered ||
                              record.order_token != record_.order_token;
   if (order_changed) order_known_since_ = now;
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -27,12 +27,21 @@
     Service& service = ServiceOf(id);
     if (record == service.members.record()) return;
     Log("member record read service=" + id +
-        " revision=" + std::to_string(record.revision) +
+        " revision=" + std::to_string(record.revision.number) +
+        " era=" + FormatEra(record.revision.era) +
         " servers=" + std::to_string(record.servers.size()));
     service.members.OnRecord(record, now_);
     AddRecordedServers(service);
   };
   for (const auto& [id, record] : event.records) apply(id, record);
+  for (const auto& [id, service] : services_) {
+    // Without a record there is nothing that a restored store could have lost.
+    const bool known = service.members.record().revision.number != 0;
+    if (!event.all || !known || event.records.contains(id)) continue;
+    MemberRecord none;
+    none.revision.era = event.era;
+    apply(id, none);
+  }
   members_known_ = members_known_ || event.all;
 }
 
@@ -150,7 +159,7 @@
     case MemberRecorder::Step::kWrite: {
       MemberRecord record = service.members.Replacement(situation);
       Log("member record written service=" + service.id +
-          " expected_revision=" + std::to_string(record.revision) +
+          " expected_revision=" + std::to_string(record.revision.number) +
           " servers=" + std::to_string(record.servers.size()));
       Count("member_writes");
       return Emit(WriteMembers{service.id, std::move(record)});
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -1,12 +1,16 @@
 #include "corianderdock/session/store_follower.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace corianderdock::session {
 
 namespace {
 
+constexpr int kMaxClaimAttempts = 3;
+constexpr std::size_t kSpreadSteps = 1024;
+
 const char* NameOf(StoreStatus status) {
   switch (status) {
     case StoreStatus::kOk:
@@ -25,8 +29,38 @@
   return "";
 }
 
+/// Whether the call reads a list for its own sake, so that its result holds in
+/// whatever era it was answered.
+bool IsList(StoreRequest request) {
+  return request == StoreRequest::kListServers ||
+         request == StoreRequest::kListInstances ||
+         request == StoreRequest::kReadMembersStale;
+}
+
+/// Whether a new era starts the calls of this kind anew.
+bool RestartsWithEra(StoreRequest request) {
+  switch (request) {
+    case StoreRequest::kReadConfig:
+    case StoreRequest::kWatchConfig:
+    case StoreRequest::kReadMembers:
+    case StoreRequest::kGrantLease:
+    case StoreRequest::kKeepLease:
+    case StoreRequest::kAnnounce:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
+StoreFollower::StoreFollower(InstanceId self, StoreFollowerOptions options)
+    : self_(std::move(self)),
+      options_(options),
+      spread_(
+          static_cast<double>(std::hash<InstanceId>()(self_) % kSpreadSteps) /
+          static_cast<double>(kSpreadSteps)) {}
+
 StoreFollower::Outputs StoreFollower::Start(TimePoint now) {
   now_ = now;
   Issue(StoreRequest::kReadConfig);
@@ -62,10 +96,16 @@
   scheduled_[request] = now_ + delay;
 }
 
+void StoreFollower::ScheduleIfNone(StoreRequest request, Duration delay) {
+  scheduled_.try_emplace(request, now_ + delay);
+}
+
 void StoreFollower::Call(StoreCall call, PendingCall pending) {
   call.number = next_number_++;
   if (call.timeout == Duration(0)) call.timeout = options_.call_timeout;
   pending.request = call.request;
+  pending.issued_at = now_;
+  pending.era = era_;
   pending_calls_[call.number] = std::move(pending);
   outputs_.emplace_back(std::move(call));
 }
@@ -75,7 +115,7 @@
   call.request = request;
   switch (request) {
     case StoreRequest::kWatchConfig:
-      call.revision = watched_revision_;
+      call.revision = watched_revision_.number;
       call.wait = options_.watch_wait;
       call.timeout = options_.watch_wait + options_.watch_slack;
       break;
@@ -102,12 +142,13 @@
     ReportClaimFailure(claim.service, true);
     return std::exchange(outputs_, {});
   }
-  StartClaim(claim.service, claim.member_revision);
+  StartClaim(claim.service, claim.member_revision, 1);
   return std::exchange(outputs_, {});
 }
 
 void StoreFollower::StartClaim(const ServiceId& service,
-                               std::uint64_t member_revision) {
+                               const StoreRevision& member_revision,
+                               int attempt) {
   StoreCall call;
   call.timeout = options_.claim_timeout;
   call.request = StoreRequest::kReadClaim;
@@ -115,18 +156,21 @@
   PendingCall pending;
   pending.service = service;
   pending.member_revision = member_revision;
+  pending.attempt = attempt;
   Call(std::move(call), std::move(pending));
 }
 
 StoreFollower::Outputs StoreFollower::Keep(TimePoint now,
                                            const KeepClaim& claim) {
   now_ = now;
-  const auto it = claim_leases_.find(claim.service);
-  if (it == claim_leases_.end() || !reachable_) return {};
+  const auto it = claims_.find(claim.service);
+  if (it == claims_.end() || !reachable_) return {};
+  const bool ended = it->second.lease == 0 || it->second.revision.era != era_;
+  if (ended) return {};
   StoreCall call;
   call.request = StoreRequest::kKeepClaim;
   call.timeout = options_.claim_timeout;
-  call.lease = it->second;
+  call.lease = it->second.lease;
   PendingCall pending;
   pending.service = claim.service;
   Call(std::move(call), std::move(pending));
@@ -145,7 +189,7 @@
   StoreCall call;
   call.request = StoreRequest::kWriteMembers;
   call.key = write.service;
-  call.revision = write.record.revision;
+  call.revision = Expected(write.record.revision);
   call.value = EncodeMembers(write.record);
   PendingCall pending;
   pending.service = write.service;
@@ -157,11 +201,16 @@
 StoreFollower::Outputs StoreFollower::Record(TimePoint now,
                                              const RecordOrder& order) {
   now_ = now;
+  const auto claim = claims_.find(order.service);
+  if (claim != claims_.end() && claim->second.revision.era != era_) {
+    outputs_.emplace_back(Event(OrderRecorded{order.service, false}));
+    return std::exchange(outputs_, {});
+  }
   StoreCall call;
   call.timeout = options_.claim_timeout;
   call.request = StoreRequest::kRecordOrder;
   call.key = order.service;
-  call.revision = order.record.revision;
+  call.revision = Expected(order.record.revision);
   call.claim_revision = order.token;
   call.value = EncodeMembers(order.record);
   PendingCall pending;
@@ -180,11 +229,14 @@
   pending_calls_.erase(it);
   SetReachable(result.status != StoreStatus::kNoAnswer &&
                result.status != StoreStatus::kUnavailable);
-  NoteEra(result);
+  if (!NoteEra(result, pending)) {
+    OnOtherEra(pending);
+    return std::exchange(outputs_, {});
+  }
   switch (pending.request) {
     case StoreRequest::kReadConfig:
     case StoreRequest::kWatchConfig:
-      OnConfig(result, pending.request);
+      OnConfig(result, pending);
       break;
     case StoreRequest::kListServers:
       OnServers(result);
@@ -210,7 +262,7 @@
       break;
     case StoreRequest::kKeepClaim:
       if (result.status == StoreStatus::kAbsent) {
-        claim_leases_.erase(pending.service);
+        claims_[pending.service].lease = 0;
       }
       break;
   }
@@ -226,68 +278,158 @@
       LogDecision{reachable ? "store reachable" : "store unreachable"});
 }
 
-void StoreFollower::NoteEra(const StoreResult& result) {
-  if (!result.era || result.era == era_) return;
-  if (era_) {
-    outputs_.emplace_back(LogDecision{
-        "store restored era=" + FormatEra(result.era) + " previous_era=" +
-        FormatEra(era_) + " revision=" + std::to_string(result.revision) +
-        " watched_revision=" + std::to_string(watched_revision_) +
-        " lease=" + std::to_string(lease_)});
+/// Returns the revision that a write is to expect of a key. One of another era
+/// is unknown in this one: the write then expects no key, and is refused with
+/// the item if there is one.
+std::uint64_t StoreFollower::Expected(const StoreRevision& revision) const {
+  return revision.era == era_ ? revision.number : 0;
+}
+
+/// Notes the era of an answer. Returns whether the answer is of the present era
+/// and relies on nothing of an older one.
+bool StoreFollower::NoteEra(const StoreResult& result,
+                            const PendingCall& pending) {
+  const bool changed = result.era && result.era != era_;
+  const bool current = pending.era == era_;
+  // A call of an older era was answered late.
+  if (changed && !current) return false;
+  if (!changed) {
+    answered_ = answered_ || result.status != StoreStatus::kNoAnswer;
+    return current || (result.era && IsList(pending.request));
+  }
+  if (era_ || answered_) {
+    OnRestored(result);
+    return IsList(pending.request);
   }
+  answered_ = true;
   era_ = result.era;
+  for (auto& [number, call] : pending_calls_) call.era = era_;
+  return true;
+}
+
+/// Nothing that the store acknowledged in another era is relied on. Servers
+/// have to register again, as after an outage.
+void StoreFollower::OnRestored(const StoreResult& result) {
+  outputs_.emplace_back(LogDecision{
+      "store restored era=" + FormatEra(result.era) + " previous_era=" +
+      FormatEra(era_) + " revision=" + std::to_string(result.revision) +
+      " watched_revision=" + std::to_string(watched_revision_.number) +
+      " lease=" + std::to_string(lease_)});
+  era_ = result.era;
+  read_version_ = 0;
+  lease_ = 0;
+  store_reachable_since_ = now_;
+  first_listed_at_.reset();
+  std::erase_if(pending_calls_, [](const auto& it) {
+    return RestartsWithEra(it.second.request);
+  });
+  scheduled_.erase(StoreRequest::kWatchConfig);
+  scheduled_.erase(StoreRequest::kKeepLease);
+  scheduled_.erase(StoreRequest::kAnnounce);
+  const auto spread =
+      std::chrono::duration_cast<Duration>(options_.restore_spread * spread_);
+  const Duration pause = RetryPause(++restores_) + spread;
+  ScheduleIfNone(StoreRequest::kReadConfig, pause);
+  ScheduleIfNone(StoreRequest::kReadMembers, pause);
+  ScheduleIfNone(StoreRequest::kGrantLease, pause);
+}
+
+/// Ends a call whose answer can't be used because of its era.
+void StoreFollower::OnOtherEra(const PendingCall& pending) {
+  switch (pending.request) {
+    case StoreRequest::kListServers:
+    case StoreRequest::kListInstances:
+      return Schedule(pending.request, RetryPause(++list_failures_));
+    case StoreRequest::kReadClaim:
+    case StoreRequest::kGrantClaimLease:
+    case StoreRequest::kTakeClaim:
+      return ReportClaimFailure(pending.service, false);
+    case StoreRequest::kRecordOrder:
+      outputs_.emplace_back(Event(OrderRecorded{pending.service, false}));
+      return;
+    default:
+      return;
+  }
+}
+
+Duration StoreFollower::Pause(Duration first, Duration max, int failures) {
+  Duration pause = first;
+  for (int n = 1; n < failures && pause < max; ++n) pause *= 2;
+  return std::min(pause, max);
+}
+
+Duration StoreFollower::Spread(Duration pause) const {
+  return pause + std::chrono::duration_cast<Duration>(
+                     pause * (options_.retry_spread * spread_));
 }
 
 Duration StoreFollower::RetryPause(int failures) const {
-  Duration pause = options_.retry_pause;
-  for (int n = 1; n < failures && pause < options_.max_retry_pause; ++n) {
-    pause *= 2;
+  return Spread(
+      Pause(options_.retry_pause, options_.max_retry_pause, failures));
+}
+
+Duration StoreFollower::LeasePause() {
+  return Spread(Pause(options_.retry_pause, options_.max_lease_retry_pause,
+                      ++lease_failures_));
+}
+
+void StoreFollower::OnConfigFailure(const StoreResult& result,
+                                    const PendingCall& pending) {
+  const Duration first = result.status == StoreStatus::kAbsent
+                             ? options_.missing_config_retry_pause
+                         : watched_revision_.number == 0
+                             ? options_.first_retry_pause
+                             : options_.retry_pause;
+  if (pending.request == StoreRequest::kWatchConfig) {
+    outputs_.emplace_back(LogDecision{
+        "config watch failed status=" + std::string(NameOf(result.status)) +
+        " watched_revision=" + std::to_string(watched_revision_.number) +
+        " era=" + FormatEra(watched_revision_.era)});
   }
-  return std::min(pause, options_.max_retry_pause);
+  // A failed watch may have missed changes, so read the configuration again.
+  Schedule(StoreRequest::kReadConfig,
+           Spread(Pause(first, options_.max_retry_pause, ++config_failures_)));
 }
 
-void StoreFollower::OnConfig(const StoreResult& result, StoreRequest request) {
+void StoreFollower::OnConfig(const StoreResult& result,
+                             const PendingCall& pending) {
   if (result.status != StoreStatus::kOk) {
-    if (request == StoreRequest::kWatchConfig) {
-      outputs_.emplace_back(LogDecision{
-          "config watch failed status=" + std::string(NameOf(result.status)) +
-          " watched_revision=" + std::to_string(watched_revision_) +
-          " era=" + FormatEra(era_)});
-    }
-    // A failed watch may have missed changes, so read the configuration again.
-    const bool first = watched_revision_ == 0;
-    const bool absent = result.status == StoreStatus::kAbsent;
-    const Duration pause = absent  ? options_.missing_config_retry_pause
-                           : first ? options_.first_retry_pause
-                                   : RetryPause(++config_failures_);
-    return Schedule(
-        StoreRequest::kReadConfig,
-        result.status == StoreStatus::kCompacted ? Duration(0) : pause);
-  }
-  config_failures_ = 0;
+    return OnConfigFailure(result, pending);
+  }
+  const bool read = pending.request == StoreRequest::kReadConfig;
+  const bool newer = result.config && result.config->version > read_version_;
+  if (newer) read_version_ = result.config->version;
+  const bool lasted = now_ - pending.issued_at >= options_.watch_wait / 2;
+  // A read doesn't count, as the watch that follows may fail at once.
+  if (!read && !result.rejection && (newer || lasted)) {
+    config_failures_ = 0;
+    restores_ = 0;
+  }
   if (result.config) outputs_.emplace_back(Event(ConfigRead{result.config}));
-  if (result.rejection && request == StoreRequest::kWatchConfig) {
+  if (result.rejection && !read) {
     // The event may have been damaged on the way, so the key itself is read.
-    return Schedule(StoreRequest::kReadConfig, options_.retry_pause);
+    return Schedule(StoreRequest::kReadConfig, RetryPause(++config_failures_));
   }
   if (result.rejection) {
     outputs_.emplace_back(Event(ConfigRejected{*result.rejection}));
   }
-  const bool regressed = result.revision < watched_revision_;
-  if (request == StoreRequest::kReadConfig || !regressed) {
-    watched_revision_ = std::max(watched_revision_, result.revision);
-  }
-  Issue(StoreRequest::kWatchConfig);
+  const StoreRevision revision(result.revision, era_);
+  // A read is linearizable, so the watch starts from its revision. A watch may
+  // be answered by a node that lags.
+  if (read || revision > watched_revision_) watched_revision_ = revision;
+  if (read || newer || lasted) return Issue(StoreRequest::kWatchConfig);
+  Schedule(StoreRequest::kWatchConfig, RetryPause(++config_failures_));
 }
 
 void StoreFollower::OnServers(const StoreResult& result) {
-  const bool first = last_listed_.empty();
+  const Duration first =
+      last_listed_.empty() ? options_.first_retry_pause : options_.retry_pause;
+  const auto retry_pause = [&] {
+    return Spread(Pause(first, options_.max_retry_pause, ++list_failures_));
+  };
   if (result.status != StoreStatus::kOk) {
-    return Schedule(
-        StoreRequest::kListServers,
-        first ? options_.first_retry_pause : RetryPause(++list_failures_));
+    return Schedule(StoreRequest::kListServers, retry_pause());
   }
-  list_failures_ = 0;
   for (const auto& [id, entry] : result.servers) {
     servers_[id] = entry;
     last_listed_[id] = now_;
@@ -313,9 +455,11 @@
                         (list_was_complete_ && all_relisted);
   list_was_complete_ = list_was_complete_ || complete;
   outputs_.emplace_back(Event(ServersRead{servers_, complete, renewed_}));
-  Schedule(StoreRequest::kListServers, servers_.empty()
-                                           ? options_.first_retry_pause
-                                           : options_.server_interval);
+  if (servers_.empty()) {
+    return Schedule(StoreRequest::kListServers, retry_pause());
+  }
+  list_failures_ = 0;
+  Schedule(StoreRequest::kListServers, options_.server_interval);
 }
 
 void StoreFollower::OnInstances(const StoreResult& result) {
@@ -332,8 +476,9 @@
   if (result.status == StoreStatus::kAbsent) lease_ = 0;
   if (result.status != StoreStatus::kOk) {
     return Schedule(lease_ == 0 ? StoreRequest::kGrantLease : pending.request,
-                    options_.server_interval);
+                    LeasePause());
   }
+  if (pending.request == StoreRequest::kKeepLease) lease_failures_ = 0;
   if (pending.request == StoreRequest::kGrantLease) {
     lease_ = result.lease;
     return Issue(StoreRequest::kAnnounce);
@@ -380,7 +525,7 @@
   call.request = StoreRequest::kTakeClaim;
   call.lease = result.lease;
   call.revision = pending.expected_revision;
-  call.member_revision = pending.member_revision;
+  call.member_revision = Expected(pending.member_revision);
   next.claim_lease = result.lease;
   Call(std::move(call), std::move(next));
 }
@@ -389,7 +534,7 @@
                                 const PendingCall& pending) {
   const ServiceId& service = pending.service;
   if (result.status == StoreStatus::kOk) {
-    claim_leases_[service] = pending.claim_lease;
+    claims_[service] = {pending.claim_lease, {result.revision, era_}};
     outputs_.emplace_back(
         Event(ClaimAnswered{service, result.revision, false}));
     return;
@@ -400,7 +545,10 @@
   if (!members_changed) return ReportClaimFailure(service, false);
   // Other servers may have to be fenced: the claim is made again with them.
   ReportMembers(result.members, false);
-  StartClaim(service, members->second.revision);
+  if (pending.attempt == kMaxClaimAttempts) {
+    return ReportClaimFailure(service, false);
+  }
+  StartClaim(service, {members->second.revision, era_}, pending.attempt + 1);
 }
 
 void StoreFollower::OnMembers(const StoreResult& result,
@@ -410,7 +558,7 @@
   if (order || pending.request == StoreRequest::kWriteMembers) {
     MembersRead read;
     read.records[pending.service] = pending.members;
-    read.records[pending.service].revision = result.revision;
+    read.records[pending.service].revision = {result.revision, era_};
     if (ok) outputs_.emplace_back(Event(std::move(read)));
     if (result.status == StoreStatus::kConflict) {
       ReportMembers(result.members, false);
@@ -418,9 +566,12 @@
     if (order) outputs_.emplace_back(Event(OrderRecorded{pending.service, ok}));
     return;
   }
+  if (ok) member_failures_ = 0;
   if (ok) return ReportMembers(result.members, true);
   if (pending.request == StoreRequest::kReadMembers) {
-    Schedule(StoreRequest::kReadMembers, options_.first_retry_pause);
+    Schedule(StoreRequest::kReadMembers,
+             Pause(options_.first_retry_pause, options_.max_retry_pause,
+                   ++member_failures_));
   }
 }
 
@@ -428,6 +579,7 @@
                                   bool all) {
   MembersRead read;
   read.all = all;
+  read.era = era_;
   for (const auto& [service, item] : items) {
     const bool absent = item.revision == 0;
     auto record = DecodeMembers(service, item.value);
@@ -437,7 +589,7 @@
           " revision=" + std::to_string(item.revision) + " used=empty"});
     }
     read.records[service] = record.value_or(MemberRecord());
-    read.records[service].revision = item.revision;
+    read.records[service].revision = {item.revision, era_};
   }
   outputs_.emplace_back(Event(std::move(read)));
 }
--- a/tests/session_members_test.cc
+++ b/tests/session_members_test.cc
@@ -72,13 +72,13 @@
       if (record.revision == stored.revision) {
         before = stored;
         stored = std::move(record);
-        ++stored.revision;
+        ++stored.revision.number;
         stored_at = situation.now;
       }
       it.OnRecord(stored, situation.now);
     }
   }
-  calls.revision = stored.revision;
+  calls.revision = stored.revision.number;
   return calls;
 }
 
