--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -113,6 +113,7 @@
   [[nodiscard]] std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  [[nodiscard]] int requests() const { return requests_; }
 
  private:
   using Socket = asio::ip::tcp::socket;
@@ -126,6 +127,7 @@
           *peer, asio::dynamic_buffer(*buf), "\r\n\r\n",
           [this, peer, buf](boost::system::error_code failed, std::size_t) {
             if (failed) return;
+            ++requests_;
             asio::async_write(
                 *peer, asio::buffer(response_),
                 [peer](boost::system::error_code, std::size_t) {});
@@ -136,6 +138,7 @@
 
   asio::ip::tcp::acceptor acceptor_;
   std::string response_;
+  int requests_ = 0;
 };
 
 std::string Response(const std::string& status, const std::string& headers,
@@ -248,6 +251,19 @@
   }
 }
 
+// Guards against calls that were repeated without a pause.
+TEST_CASE("a list whose pages don't advance ends") {
+  Fixture it;
+  FixedServer server(it.io, Response("200 OK", "Store-Era: 3\r\n",
+                                     R"({"items":[{"key":"members/books"}],)"
+                                     R"("has_more":true})"));
+  it.settings.store_address = server.address();
+  StoreCall call;
+  call.request = StoreRequest::kReadMembers;
+  CHECK(it.Run(std::move(call)).members.contains("books"));
+  CHECK(server.requests() == 2);
+}
+
 TEST_CASE("a claim that expects a record is told that there is none") {
   Fixture it;
   const StoreResult refused = it.TakeClaim(0, 4);
