--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -94,6 +94,7 @@
   /// The records are at least as new as the store was at this time; null if
   /// they may be older.
   std::optional<TimePoint> current_at = {};
+  StoreEra era = {};  ///< in which they were read
 };
 
 /// The store returned the list of live instances.
@@ -204,7 +205,7 @@
 /// a newer one is reported with `MembersRead` before the claim is repeated.
 struct ClaimPromotion {
   ServiceId service;
-  std::uint64_t member_revision = 0;  ///< 0 while there is no record
+  StoreRevision member_revision = {};  ///< 0 while there is no record
 };
 
 /// Keep the claim of a service that this instance has, so that no other
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -138,6 +138,14 @@
 void MemberRecorder::OnRecord(MemberRecord record, TimePoint now) {
   // Answers of a stale replica of the store may be older than what is known.
   if (record.revision < record_.revision) return;
+  const bool restored = record.revision.era != record_.revision.era;
+  if (restored && record.ordered.empty()) {
+    record.ordered = record_.ordered;
+    record.order_token = record_.order_token;
+    record.order_end = record_.order_end;
+    record.order_renewals = record_.order_renewals;
+    record.superseded = record_.superseded;
+  }
   const bool order_changed = record.ordered != record_.ordered ||
                              record.order_token != record_.order_token ||
                              record.order_renewals != record_.order_renewals;
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -78,7 +78,7 @@
          " recorded_order=" + OrDash(situation.recorded_order) +
          " recorded_token=" + std::to_string(situation.recorded_token) +
          " member_revision=" +
-         std::to_string(service.members.record().revision) +
+         std::to_string(service.members.record().revision.number) +
          " fences=" + DescribeFences(service, situation) +
          " left_out=" + DescribeLeftOut(service, situation);
 }
