--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -260,7 +260,8 @@
   it.settings.store_address = server.address();
   StoreCall call;
   call.request = StoreRequest::kReadMembers;
-  CHECK(it.Run(std::move(call)).members.contains("books"));
+  const StoreResult result = it.Run(std::move(call));
+  CHECK(result.members.contains("books"));
   CHECK(server.requests() == 2);
 }
 
