--- a/tests/session_restored_store_test.cc
+++ b/tests/session_restored_store_test.cc
@@ -22,7 +22,6 @@
 using session::StoreResult;
 using session::StoreRevision;
 using session::StoreStatus;
-using session::TokenObtained;
 
 using Fill = std::function<void(StoreResult&)>;
 
@@ -110,10 +109,11 @@
 
   template <typename T>
   [[nodiscard]] std::optional<T> Last() const {
-    for (auto it = events.rbegin(); it != events.rend(); ++it) {
-      if (const auto* event = std::get_if<T>(&*it)) return *event;
+    std::optional<T> last;
+    for (const Event& it : events) {
+      if (const auto* event = std::get_if<T>(&it)) last = *event;
     }
-    return std::nullopt;
+    return last;
   }
 
   StoreEra era = 3;
