--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -8,7 +8,10 @@
 
 namespace {
 
+/// Attempts of a claim whose member record changes each time; each is three
+/// calls.
 constexpr int kMaxClaimAttempts = 3;
+/// Steps into which an instance's id divides a spread of calls.
 constexpr std::size_t kSpreadSteps = 1024;
 
 const char* NameOf(StoreStatus status) {
