--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -24,6 +24,7 @@
 #include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
+#include "corianderdock/session/reply_match.h"
 #include "corianderdock/session/statement_queue.h"
 
 namespace corianderdock::session {
@@ -120,6 +121,7 @@
 
   struct ExpectedReply {
     Step step = Step::kSetup;
+    CommandForm form;
     TimePoint sent;
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
@@ -135,6 +137,8 @@
     bool path_probe = false;  ///< tests a path other than the pool's
     ConnectionState state;
     std::deque<ExpectedReply> expected;
+    ReplyHistory replies;
+    bool in_transaction = false;  ///< once all commands sent have run
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
     bool shared = false;          ///< `relay` shares its own connections
@@ -447,6 +451,12 @@
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
   void CheckServers();
 
+  // Replies of servers (proxy_replies.cc).
+  [[nodiscard]] static std::string DescribeReply(const Reply& reply);
+  void NoteOrigin(Connection& connection, const ExpectedReply& expected,
+                  const Reply& reply);
+  void NoteExtraReply(Connection& connection, const Reply& reply);
+
   // Members of services (proxy_members.cc).
   void AddRecordedServers(Service& service);
   [[nodiscard]] MemberRecorder::Situation MembersOf(
--- /dev/null
+++ b/include/corianderdock/session/reply_match.h
@@ -0,0 +1,75 @@
+/// \file
+/// Decides whether a reply belongs to the command that awaits one.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "corianderdock/session/statement.h"
+
+namespace corianderdock::session {
+
+/// Where a reply on a server connection comes from.
+///
+/// Servers answer the commands of a connection in order, but may send a reply a
+/// second time, at any later moment. What tells two replies apart is the
+/// receipt, which no two have, and the form that the reply to each command has.
+enum class ReplyOrigin {
+  kOwn,             ///< of the command
+  kPossibleRepeat,  ///< of the command, or the same as its repeated predecessor
+  kRepeat,          ///< not of the command, whose own reply follows
+  kForeign,         ///< can't be explained; nothing that follows can be matched
+};
+
+/// What determines the form of the reply to a command.
+struct CommandForm {
+  Verb verb = Verb::kStatus;
+  bool in_transaction = false;  ///< before the command runs
+};
+
+/// What a connection has received before a reply.
+struct SeenReply {
+  bool reply = false;    ///< the same reply, to the letter
+  bool receipt = false;  ///< its receipt, or an error of its code and text
+  TimePoint sent;  ///< of the command that the same reply first belonged to
+};
+
+/// Whether a reply has the form of the one to a command.
+[[nodiscard]] bool HasReplyForm(const CommandForm& form, const Reply& reply);
+
+/// Returns the origin of a reply. With `repeats_errors`, an error of a code and
+/// text that came before may be its repeat even if its position differs.
+[[nodiscard]] ReplyOrigin OriginOf(const CommandForm& form, const Reply& reply,
+                                   const SeenReply& seen, bool repeats_errors);
+
+/// Whether a reply that no command awaits leaves the connection usable: it is a
+/// repeat, or has nothing that another command could return.
+[[nodiscard]] bool IsHarmlessExtra(const Reply& reply, const SeenReply& seen);
+
+/// Names for counters and log lines.
+[[nodiscard]] const char* NameOf(ReplyOrigin origin) noexcept;
+[[nodiscard]] const char* NameOf(Verb verb) noexcept;
+
+/// The last replies of one server connection. Not thread-safe.
+class ReplyHistory {
+ public:
+  /// Replies remembered. A repeat that comes later counts as a new reply.
+  static constexpr std::size_t kCapacity = 256;
+
+  /// Returns what came before a reply, and adds the reply if it is new. `sent`
+  /// is the time of the command that awaits it.
+  [[nodiscard]] SeenReply FindOrAdd(const Reply& reply, TimePoint sent);
+
+ private:
+  struct Entry {
+    std::uint64_t reply = 0;    ///< hash of all fields
+    std::uint64_t receipt = 0;  ///< hash of the receipt, or of the error
+    TimePoint sent;
+  };
+
+  std::vector<Entry> entries_;
+  std::size_t oldest_ = 0;  ///< replaced next, once there are `kCapacity`
+};
+
+}  // namespace corianderdock::session
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -339,7 +339,16 @@
 
 void Proxy::Send(ConnectionId id, std::vector<ServerCommand> commands,
                  Step step) {
-  for (auto& it : commands) SendOne(id, std::move(it), step, false);
+  for (auto& it : commands) {
+    const Verb verb = it.statement.verb;
+    if (verb == Verb::kPrepareRead || verb == Verb::kPrepareWrite) {
+      LogRequest("statement prepared server=" + connections_.at(id).server +
+                 " connection=" + std::to_string(id) +
+                 " name=" + it.statement.name + " verb=" + NameOf(verb) +
+                 " shape=" + it.statement.text);
+    }
+    SendOne(id, std::move(it), step, false);
+  }
 }
 
 void Proxy::SendOne(ConnectionId id, ServerCommand command, Step step,
@@ -348,7 +357,14 @@
   ExpectedReply expected;
   expected.step = step;
   expected.sent = now_;
-  expected.uses_slot = UsesSlot(command.statement.verb);
+  const Verb verb = command.statement.verb;
+  expected.form = {verb, connection.in_transaction};
+  if (verb == Verb::kBegin || verb == Verb::kBeginRead) {
+    connection.in_transaction = true;
+  } else if (verb == Verb::kCommit || verb == Verb::kRollback) {
+    connection.in_transaction = false;
+  }
+  expected.uses_slot = UsesSlot(verb);
   expected.proves_leadership = proves_leadership;
   expected.commits_writes = step == Step::kStatement && proves_leadership;
   ServerPool& pool = pools_.at(connection.server);
@@ -360,66 +376,6 @@
   if (expected.commits_writes) ContactNearestReplica(ServiceOf(service));
 }
 
-void Proxy::On(const ServerReplied& event) {
-  const auto it = connections_.find(event.connection);
-  if (it == connections_.end()) return;
-  Connection& connection = it->second;
-  ServerPool& pool = pools_.at(connection.server);
-  if (connection.expected.empty()) {
-    if (connection.shared) return OnOwnerDraining(event.connection);
-    Log("connection closed server=" + connection.server +
-        " reason=unexpected reply");
-    return CloseConnection(event.connection, true);
-  }
-  const ExpectedReply expected = connection.expected.front();
-  if (connection.shared && event.reply.error == ErrorCode::kTooMany) {
-    return OnOwnerDraining(event.connection);
-  }
-  connection.expected.pop_front();
-  if (expected.uses_slot) --pool.running;
-  NoteHeard(pool);
-  services_to_dispatch_.insert(connection.service);
-  const Reply& reply = event.reply;
-  pool.log_position = LaterPosition(pool.log_position, reply.position);
-  if (reply.position) CheckAcknowledged(pool, *reply.position);
-  NotePosition(pool, expected.sent, reply.position);
-  NoteContact(pool, connection, expected, reply);
-  switch (expected.step) {
-    case Step::kBegin:
-      OnBeginReply(event.connection, expected, reply);
-      break;
-    case Step::kStatement:
-      OnStatementReply(event.connection, expected, reply);
-      break;
-    case Step::kPeer:
-      OnPeerReply(event.connection, reply);
-      break;
-    case Step::kProbe:
-      if (reply.error == ErrorCode::kNone) {
-        NotePrimary(pool, reply.position, expected.sent);
-      } else if (reply.error == ErrorCode::kReadOnly) {
-        NoteNotPrimary(pool);
-      }
-      break;
-    case Step::kInspect:
-    case Step::kWitness:
-    case Step::kDemote:
-    case Step::kFence:
-      OnStatusAnswer(pool, expected, reply);
-      break;
-    case Step::kSetup:
-      if (reply.error == ErrorCode::kNone) break;
-      Log("connection closed server=" + connection.server +
-          " reason=setup failed detail=" + reply.detail);
-      return CloseConnection(event.connection, true);
-    case Step::kContact:
-    case Step::kEnd:
-    case Step::kResume:
-      break;
-  }
-  ReturnToPool(event.connection);
-}
-
 void Proxy::NoteHeard(ServerPool& pool) {
   pool.last_heard = now_;
   pool.connect_failures = 0;
--- /dev/null
+++ b/src/session/reply_match.cc
@@ -0,0 +1,149 @@
+#include "corianderdock/session/reply_match.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "corianderdock/detail/hash.h"
+
+namespace corianderdock::session {
+
+namespace {
+
+bool HasReceipt(Verb verb) {
+  return verb == Verb::kRead || verb == Verb::kWrite ||
+         verb == Verb::kExecute || verb == Verb::kCommit;
+}
+
+bool HasStatus(Verb verb) {
+  return verb == Verb::kStatus || verb == Verb::kHold || verb == Verb::kDemote;
+}
+
+/// State of the connection after the command has succeeded.
+TransactionState StateAfter(const CommandForm& form) {
+  switch (form.verb) {
+    case Verb::kBegin:
+    case Verb::kBeginRead:
+      return TransactionState::kOpen;
+    case Verb::kCommit:
+    case Verb::kRollback:
+      return TransactionState::kIdle;
+    default:
+      return form.in_transaction ? TransactionState::kOpen
+                                 : TransactionState::kIdle;
+  }
+}
+
+/// Whether a reply says no more than that a command without result succeeded.
+bool IsBare(const Reply& reply) {
+  return reply.error == ErrorCode::kNone && reply.receipt.empty() &&
+         reply.rows.empty() && !reply.status;
+}
+
+std::uint64_t Extend(std::uint64_t hash, std::string_view text) {
+  const std::string before = std::to_string(hash);
+  return detail::HashPair(before, text);
+}
+
+/// Hash of what identifies a reply: its receipt, or else its error.
+std::uint64_t HashIdentity(const Reply& reply) {
+  if (reply.error == ErrorCode::kNone) return Extend(0, reply.receipt);
+  return Extend(static_cast<std::uint64_t>(reply.error), reply.detail);
+}
+
+std::uint64_t HashAll(const Reply& reply, std::uint64_t identity) {
+  std::uint64_t hash = identity;
+  for (const std::string& row : reply.rows) hash = Extend(hash, row);
+  if (const auto& it = reply.status) {
+    hash = Extend(hash, std::to_string(static_cast<int>(it->primary)) + " " +
+                            std::to_string(it->term) + " " +
+                            std::to_string(it->received.term) + " " +
+                            std::to_string(it->received.index) + " " +
+                            std::to_string(it->fence_term));
+  }
+  const auto& position = reply.position;
+  return Extend(hash, std::to_string(static_cast<int>(reply.state)) + " " +
+                          (position ? std::to_string(position->term) + "." +
+                                          std::to_string(position->index)
+                                    : "-"));
+}
+
+}  // namespace
+
+bool HasReplyForm(const CommandForm& form, const Reply& reply) {
+  if (reply.error != ErrorCode::kNone) {
+    if (form.verb == Verb::kRollback) return false;
+    return form.in_transaction || reply.state != TransactionState::kOpen;
+  }
+  if (reply.state != StateAfter(form)) return false;
+  if (HasReceipt(form.verb)) return !reply.receipt.empty();
+  if (!reply.receipt.empty()) return false;
+  if (HasStatus(form.verb)) return reply.status.has_value();
+  return form.verb == Verb::kResume || IsBare(reply);
+}
+
+ReplyOrigin OriginOf(const CommandForm& form, const Reply& reply,
+                     const SeenReply& seen, bool repeats_errors) {
+  const bool fits = HasReplyForm(form, reply);
+  const bool receipted =
+      reply.error == ErrorCode::kNone && !reply.receipt.empty();
+  if (receipted && !seen.receipt) {
+    return fits ? ReplyOrigin::kOwn : ReplyOrigin::kForeign;
+  }
+  // A known receipt with other rows is a repeat that was merged with another
+  // reply.
+  if (receipted) {
+    return seen.reply ? ReplyOrigin::kRepeat : ReplyOrigin::kForeign;
+  }
+  if (fits) {
+    const bool known = reply.error != ErrorCode::kNone && repeats_errors
+                           ? seen.receipt
+                           : seen.reply;
+    return known ? ReplyOrigin::kPossibleRepeat : ReplyOrigin::kOwn;
+  }
+  return IsHarmlessExtra(reply, seen) ? ReplyOrigin::kRepeat
+                                      : ReplyOrigin::kForeign;
+}
+
+// A bare reply that isn't known answers an earlier command without result, for
+// whose reply a repeat was taken.
+bool IsHarmlessExtra(const Reply& reply, const SeenReply& seen) {
+  return seen.reply || IsBare(reply);
+}
+
+const char* NameOf(ReplyOrigin origin) noexcept {
+  constexpr std::array<const char*, 4> kNames = {"own", "possible_repeat",
+                                                 "repeat", "foreign"};
+  return kNames[static_cast<std::size_t>(origin)];
+}
+
+const char* NameOf(Verb verb) noexcept {
+  constexpr std::array<const char*, 17> kNames = {
+      "begin",  "begin_read",   "commit",        "rollback", "read",   "write",
+      "set",    "prepare_read", "prepare_write", "exec",     "forget", "reset",
+      "status", "hold",         "resume",        "demote",   "unknown"};
+  return kNames[static_cast<std::size_t>(verb)];
+}
+
+SeenReply ReplyHistory::FindOrAdd(const Reply& reply, TimePoint sent) {
+  SeenReply seen;
+  const std::uint64_t identity = HashIdentity(reply);
+  const std::uint64_t all = HashAll(reply, identity);
+  for (const Entry& it : entries_) {
+    if (it.receipt != identity) continue;
+    seen.receipt = true;
+    if (it.reply != all) continue;
+    seen.reply = true;
+    seen.sent = it.sent;
+    return seen;
+  }
+  if (entries_.size() < kCapacity) {
+    entries_.push_back({all, identity, sent});
+  } else {
+    entries_[oldest_] = {all, identity, sent};
+    oldest_ = (oldest_ + 1) % kCapacity;
+  }
+  return seen;
+}
+
+}  // namespace corianderdock::session
