Fake servers of the proxy tests answer as servers do

Replies were fed that no server sends, so that no rule on what counts as an answer could be tested or kept. A reply now follows from its command and the transaction of its connection: a receipt that no other reply has for reads, writes, EXEC and COMMIT, and none for the rest; the state as it is after the command; a status only for STATUS, HOLD, DEMOTE and RESUME. AnswerFirst takes a state only to override it.

What single tests fed, and why it was wrong: - the same receipt 'r' for all answers, also of BEGIN, SET and PREPARE; - BEGIN answered in state idle, reads in transactions as well; - a held commit acknowledged without a receipt (session_proof); - a status query answered twice, as the test's own answer left it among the unanswered ones: ReplicaQuery is TakeReplicaQuery now (session_proof); - ROLLBACK answered before the read in front of it (session_handover); - READONLY to BEGIN READ and ROLLBACK at replicas (session_relays), and success to writes at replicas. What these tests check is unchanged. Three tests of setup commands looked at them beside the statement that needs them; they now look at the commands of the connection in order, each once answered, which holds whether or not the statement waits for them.

--- a/tests/session_freshness_test.cc
+++ b/tests/session_freshness_test.cc
@@ -13,7 +13,7 @@
 void SamplePosition(ProxyDriver& driver) {
   driver.OpenSession(99, "claims");
   driver.Query(99, Verb::kWrite, {}, "item data");
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10});
+  driver.AnswerFirst();
   driver.AdvanceTime(Milliseconds(120));
 }
 
@@ -107,9 +107,9 @@
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   CHECK(driver.SentVerbs() == std::vector{Verb::kRead, Verb::kRollback});
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   CHECK(driver.answers.back().reply.state == TransactionState::kIdle);
 }
 
--- a/tests/session_handover_test.cc
+++ b/tests/session_handover_test.cc
@@ -35,21 +35,23 @@
   void AnswerUpToSlots() {
     std::map<ServerId, int> free_slots = {{"a", 2}, {"b", 2}, {"c", 2}};
     std::vector<SendCommand> waiting;
+    std::set<ConnectionId> blocked;
     for (const SendCommand& it : std::exchange(driver.sent, {})) {
       const ServerId server = driver.server_of[it.connection];
       const Verb verb = it.command.statement.verb;
       const bool runs = verb == Verb::kRead;
-      if (runs && !lagging.contains(server) && free_slots[server]-- <= 0) {
+      const bool lags = lagging.contains(server);
+      // A connection answers in order.
+      if (blocked.contains(it.connection) ||
+          (runs && !lags && free_slots[server]-- <= 0)) {
+        blocked.insert(it.connection);
         waiting.push_back(it);
         continue;
       }
-      Reply reply;
-      reply.position = {1, lagging.contains(server) ? 1U : 10U + last_session};
-      if (runs && lagging.contains(server)) reply.error = ErrorCode::kBehind;
-      const bool begins = verb == Verb::kBegin;
-      if (begins && server != "a") reply.error = ErrorCode::kReadOnly;
-      if (begins && server == "a") reply.state = TransactionState::kOpen;
-      if (runs) reply.receipt = "r";
+      const Position position{1, lags ? 1U : 10U + last_session};
+      const Reply reply = runs && lags
+                              ? driver.Run(it, position, ErrorCode::kBehind)
+                              : driver.RunAt(it, server == "a", position);
       driver.Feed(session::ServerReplied{it.connection, reply});
     }
     driver.sent.insert(driver.sent.begin(), waiting.begin(), waiting.end());
--- a/tests/session_orders_test.cc
+++ b/tests/session_orders_test.cc
@@ -39,13 +39,10 @@
       driver.sent.rbegin(), driver.sent.rend(),
       [](const SendCommand& it) { return !it.command.id.empty(); });
   REQUIRE(last != driver.sent.rend());
-  const ConnectionId connection = last->connection;
+  const SendCommand write = *last;
   driver.sent.erase(std::next(last).base());
   driver.AdvanceTime(Milliseconds(5));
-  Reply done;
-  done.receipt = "r";
-  done.position = Position{1, index};
-  driver.Answer(connection, done);
+  driver.Answer(write.connection, driver.Run(write, {1, index}));
 }
 
 /// Lets all servers answer for 300 ms; the log of "c" ends at `index`.
--- a/tests/session_peers_test.cc
+++ b/tests/session_peers_test.cc
@@ -229,17 +229,17 @@
   OwnerFixture it;
   REQUIRE(it.driver.peer_answers.size() == 1);
   it.driver.sent.clear();
+  it.driver.all_sent.clear();
   it.driver.Feed(PeerCommand{1, Command(Verb::kSet, {}, "a", "1")});
   it.driver.Feed(PeerCommand{1, Command(Verb::kPrepareRead, {}, "r_q1", "q1")});
   CHECK(it.driver.peer_answers.size() == 3);
   it.driver.Feed(PeerCommand{1, Command(Verb::kExecute, "x", "r_q1", "item")});
-  CHECK(it.driver.SentVerbs() ==
+  it.driver.AnswerSetup();
+  CHECK(it.driver.VerbsOn(it.driver.sent.front().connection) ==
         std::vector{Verb::kSet, Verb::kPrepareRead, Verb::kExecute});
-  it.driver.AnswerFirst();
-  it.driver.AnswerFirst();
-  it.driver.AnswerFirst();
+  const Reply own = it.driver.AnswerFirst();
   REQUIRE(it.driver.peer_answers.size() == 4);
-  CHECK(it.driver.peer_answers.back().reply.receipt == "r");
+  CHECK(it.driver.peer_answers.back().reply.receipt == own.receipt);
 }
 
 TEST_CASE("a forwarded transaction keeps its connection until it ends") {
@@ -248,7 +248,7 @@
   it.driver.Feed(PeerCommand{1, Command(Verb::kBeginRead)});
   REQUIRE(it.driver.sent.size() == 1);
   const ConnectionId connection = it.driver.sent.front().connection;
-  it.driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  it.driver.AnswerFirst();
   it.driver.Feed(PeerOpened{2, "books", "b"});
   it.driver.Feed(PeerCommand{2, Command(Verb::kRead, "y", {}, "item")});
   it.driver.CompleteConnects();
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -179,7 +179,7 @@
   PassTime(driver, {});
   for (int n = 0; n < 8; ++n) PassTime(driver, {"b", "c"});
   driver.Query(1, Verb::kWrite, {}, "item data");
-  const ConnectionId connection = driver.ReplicaQuery();
+  const ConnectionId connection = driver.TakeReplicaQuery();
   REQUIRE(connection != 0);
   Reply fenced;
   fenced.status = Fenced(1, 10);
@@ -241,10 +241,7 @@
 bool AnswersWrite(ProxyDriver& driver, const SendCommand& write,
                   std::uint64_t index) {
   const std::size_t answered = driver.answers.size();
-  Reply done;
-  done.receipt = "r";
-  done.position = Position{1, index};
-  driver.Answer(write.connection, done);
+  driver.Answer(write.connection, driver.Run(write, {1, index}));
   return driver.answers.size() > answered;
 }
 
@@ -290,7 +287,7 @@
   // Nor is a commit answered that follows it without a delay.
   CHECK_FALSE(AnswersWrite(driver, Milliseconds(5), 12, 2));
   const std::size_t answered = driver.answers.size();
-  const ConnectionId query = driver.ReplicaQuery();
+  const ConnectionId query = driver.TakeReplicaQuery();
   REQUIRE(query != 0);
   Reply received;
   received.status = Unfenced(1, 12);
@@ -315,14 +312,9 @@
       for (const SendCommand& it : std::exchange(driver.sent, {})) {
         const ServerId id = driver.server_of[it.connection];
         if (!running.contains(id)) continue;
-        const bool begins = it.command.statement.verb == Verb::kBegin;
-        Reply reply;
-        reply.position = id == "a" ? Position{1, 10} : Position{2, 12};
-        if (begins && !leading.contains(id)) reply.error = ErrorCode::kReadOnly;
-        if (begins && leading.contains(id)) {
-          reply.state = TransactionState::kOpen;
-        }
-        driver.Answer(it.connection, reply);
+        const Position end = id == "a" ? Position{1, 10} : Position{2, 12};
+        driver.Answer(it.connection,
+                      driver.RunAt(it, leading.contains(id), end));
       }
       for (const auto& it : std::exchange(driver.status_queries, {})) {
         const ServerId id = driver.server_of[it.connection];
@@ -356,16 +348,10 @@
   REQUIRE(SentToServer(driver));
   driver.answers_status = {"a"};
   driver.ListServers({"a", "b", "c"}, "zone", "a");
-  const auto write = std::find_if(
-      driver.sent.begin(), driver.sent.end(),
-      [](const SendCommand& it) { return !it.command.id.empty(); });
-  Reply done;
-  done.position = Position{1, kCompleteLog + 1};
-  const ConnectionId writer = write->connection;
-  driver.sent.erase(write);
-  driver.Answer(writer, done);
+  const SendCommand write = TakeStatement(driver);
+  driver.Answer(write.connection, driver.Run(write, {1, kCompleteLog + 1}));
   const std::size_t answered = driver.answers.size();
-  const ConnectionId connection = driver.ReplicaQuery();
+  const ConnectionId connection = driver.TakeReplicaQuery();
   REQUIRE(connection != 0);
   Reply leads;
   leads.status = ServerStatus{true, 2, {2, 10}, 0};
@@ -396,7 +382,7 @@
   ProxyDriver driver = WritingDriver();
   CHECK_FALSE(AnswersWrite(driver, Milliseconds(150), 11));
   const SendCommand second = SendWrite(driver, 2);
-  const ConnectionId query = driver.ReplicaQuery();
+  const ConnectionId query = driver.TakeReplicaQuery();
   REQUIRE(query != 0);
   Reply fenced;
   fenced.status = Fenced(1, 11);
--- a/tests/session_relays_test.cc
+++ b/tests/session_relays_test.cc
@@ -46,12 +46,7 @@
                            driver.relay_addresses.contains(it.connection) ||
                            !direct_path_fails;
       if (!reached) continue;
-      Reply reply;
-      reply.position = {1, 10};
-      if (!at_primary) reply.error = ErrorCode::kReadOnly;
-      if (at_primary) reply.receipt = "r";
-      const bool begins = it.command.statement.verb == Verb::kBegin;
-      if (at_primary && begins) reply.state = TransactionState::kOpen;
+      const Reply reply = driver.RunAt(it, at_primary, {1, 10});
       driver.Feed(session::ServerReplied{it.connection, reply});
     }
   }
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -14,7 +14,7 @@
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kRead, {}, "item");
   driver.AnswerSetup();
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
 }
 
 }  // namespace
@@ -42,7 +42,7 @@
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kWrite, {}, "item data");
   REQUIRE(driver.SentVerbs() == std::vector{Verb::kBegin});
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   CHECK(driver.SentVerbs() == std::vector{Verb::kWrite});
 }
 
@@ -53,7 +53,7 @@
   driver.Query(1, Verb::kRead, {}, "item");
   driver.AnswerSetup();
   const ConnectionId first = driver.sent.front().connection;
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   driver.AdvanceTime(Milliseconds(100));
   driver.OpenSession(2, "claims");
   driver.Query(2, Verb::kWrite, {}, "other data");
@@ -73,13 +73,16 @@
   driver.Query(1, Verb::kPrepareWrite, "p", "q1");
   driver.Query(2, Verb::kPrepareWrite, "p", "q2");
   driver.Query(1, Verb::kExecute, "p", "item data");
-  const std::string first = driver.sent.back().command.statement.name;
   driver.AnswerSetup();
+  const std::string first = driver.sent.back().command.statement.name;
   driver.AnswerFirst();
+  driver.all_sent.clear();
   driver.Query(2, Verb::kExecute, "p", "item data");
+  driver.AnswerSetup();
   const std::string second = driver.sent.back().command.statement.name;
   CHECK(first != second);
-  CHECK(driver.SentVerbs() == std::vector{Verb::kPrepareWrite, Verb::kExecute});
+  CHECK(driver.VerbsOn(driver.sent.front().connection) ==
+        std::vector{Verb::kPrepareWrite, Verb::kExecute});
 }
 
 TEST_CASE("a shape is prepared once per connection") {
@@ -97,13 +100,18 @@
   ProxyDriver driver;
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kSet, "a", "1");
+  driver.all_sent.clear();
   driver.Query(1, Verb::kWrite, {}, "item data");
-  CHECK(driver.SentVerbs() == std::vector{Verb::kSet, Verb::kWrite});
   driver.AnswerSetup();
+  CHECK(driver.VerbsOn(driver.sent.front().connection) ==
+        std::vector{Verb::kSet, Verb::kWrite});
   driver.AnswerFirst();
   driver.OpenSession(2, "claims");
+  driver.all_sent.clear();
   driver.Query(2, Verb::kWrite, {}, "item data");
-  CHECK(driver.SentVerbs() == std::vector{Verb::kReset, Verb::kWrite});
+  driver.AnswerSetup();
+  CHECK(driver.VerbsOn(driver.sent.front().connection) ==
+        std::vector{Verb::kReset, Verb::kWrite});
 }
 
 TEST_CASE("an unknown prepared name is refused without a server") {
@@ -118,7 +126,7 @@
   ProxyDriver driver;
   OpenTransaction(driver);
   driver.Query(1, Verb::kWrite, {}, "item data");
-  driver.AnswerFirst(ErrorCode::kReadOnly, {1, 10}, TransactionState::kFailed);
+  driver.AnswerFirst(ErrorCode::kReadOnly);
   CHECK(driver.answers.back().reply.error == ErrorCode::kAborted);
   CHECK(driver.answers.back().reply.state == TransactionState::kFailed);
   driver.Query(1, Verb::kRead, {}, "item");
@@ -163,7 +171,7 @@
   driver.Query(1, Verb::kBegin);
   driver.Query(1, Verb::kWrite, {}, "item data");
   driver.AnswerSetup();
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   driver.Feed(session::SessionClosed{1});
   CHECK(driver.SentVerbs() == std::vector{Verb::kRollback});
 }
@@ -186,7 +194,7 @@
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.SentVerbs() == std::vector{Verb::kBegin});
   driver.AnswerSetup();
-  driver.AnswerFirst(ErrorCode::kNone, {1, 10}, TransactionState::kOpen);
+  driver.AnswerFirst();
   driver.Query(1, Verb::kRollback);
   driver.Query(1, Verb::kRead, {}, "item");
   CHECK(driver.answers.back().reply.error == ErrorCode::kNoDatabase);
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -113,12 +114,11 @@
         contacts.push_back(it);
         continue;
       }
-      Reply reply;
-      reply.position = Position{1, contact_index};
-      reply.state = TransactionState::kOpen;
-      Feed(session::ServerReplied{it, reply});
-      reply.state = TransactionState::kIdle;
-      Feed(session::ServerReplied{it, reply});
+      for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
+        SendCommand command{it, {}};
+        command.command.statement.verb = verb;
+        Feed(session::ServerReplied{it, Run(command, {1, contact_index})});
+      }
     }
   }
 
@@ -134,8 +134,7 @@
         status_queries.push_back(it);
         continue;
       }
-      Reply reply;
-      reply.position = {1, 10};
+      Reply reply = Run(it, {1, 10});
       reply.status =
           session::ServerStatus{server->second == "a", 1, {1, kCompleteLog}, 0};
       Feed(session::ServerReplied{it.connection, reply});
@@ -194,13 +193,7 @@
           server_of[it.connection] == "a") {
         continue;
       }
-      const Verb verb = it.command.statement.verb;
-      Reply reply;
-      reply.position = {1, 10};
-      if (verb == Verb::kBegin) reply.error = ErrorCode::kReadOnly;
-      const Term fence_term = verb == Verb::kHold ? it.command.term : 0;
-      reply.status = session::ServerStatus{false, 1, {1, 10}, fence_term};
-      Answer(it.connection, reply);
+      Answer(it.connection, RunAt(it, false, {1, 10}));
     }
   }
 
@@ -214,17 +207,8 @@
       if (server == server_of.end() || !running.contains(server->second)) {
         continue;
       }
-      Reply reply;
-      reply.position = {1, log_ends[server->second]};
-      const Verb verb = it.command.statement.verb;
-      const Term fence_term = verb == Verb::kHold ? it.command.term : 0;
-      reply.status =
-          session::ServerStatus{false, 1, *reply.position, fence_term};
-      const bool begins = verb == Verb::kBegin;
-      const bool leads = server->second == primary;
-      if (begins && !leads) reply.error = ErrorCode::kReadOnly;
-      if (begins && leads) reply.state = TransactionState::kOpen;
-      Answer(it.connection, reply);
+      const Position end{1, log_ends[server->second]};
+      Answer(it.connection, RunAt(it, server->second == primary, end));
     }
     for (const auto& it : std::exchange(claims, {})) {
       Feed(session::ClaimAnswered{it.service, ++claims_answered, false});
@@ -242,15 +226,50 @@
       if (server == server_of.end() || silent.contains(server->second)) {
         continue;
       }
-      Reply reply;
-      reply.position = {1, 10};
-      const bool begins = it.command.statement.verb == Verb::kBegin;
-      if (begins && server->second != "a") reply.error = ErrorCode::kReadOnly;
-      if (begins && server->second == "a") {
-        reply.state = TransactionState::kOpen;
-      }
-      Answer(it.connection, reply);
+      Answer(it.connection, RunAt(it, server->second == "a", {1, 10}));
+    }
+  }
+
+  /// Runs a command at its server, which refuses it with `error` if there is
+  /// one, and returns the reply: a success of a statement with result has a
+  /// receipt that no other reply has.
+  Reply Run(const SendCommand& it, Position position,
+            ErrorCode error = ErrorCode::kNone) {
+    const Verb verb = it.command.statement.verb;
+    const bool succeeds = error == ErrorCode::kNone;
+    TransactionState& state = transactions[it.connection];
+    if (!succeeds && state == TransactionState::kOpen) {
+      state = TransactionState::kFailed;
+    }
+    if (succeeds && (verb == Verb::kBegin || verb == Verb::kBeginRead)) {
+      state = TransactionState::kOpen;
+    }
+    if (succeeds && (verb == Verb::kCommit || verb == Verb::kRollback)) {
+      state = TransactionState::kIdle;
+    }
+    Reply reply;
+    reply.error = error;
+    reply.position = position;
+    reply.state = state;
+    const bool has_result = verb == Verb::kRead || verb == Verb::kWrite ||
+                            verb == Verb::kExecute || verb == Verb::kCommit;
+    if (succeeds && has_result)
+      reply.receipt = "r" + std::to_string(++receipts);
+    const bool has_status = verb == Verb::kStatus || verb == Verb::kHold ||
+                            verb == Verb::kDemote || verb == Verb::kResume;
+    if (succeeds && has_status) {
+      const Term fence_term = verb == Verb::kHold ? it.command.term : 0;
+      reply.status = session::ServerStatus{false, 1, position, fence_term};
     }
+    return reply;
+  }
+
+  /// The same at the primary if it `leads`, and otherwise at a replica.
+  Reply RunAt(const SendCommand& it, bool leads, Position position) {
+    const Verb verb = it.command.statement.verb;
+    const bool refused =
+        !leads && (verb == Verb::kBegin || verb == Verb::kWrite);
+    return Run(it, position, refused ? ErrorCode::kReadOnly : ErrorCode::kNone);
   }
 
   /// Answers the oldest command of a connection that is not a status query.
@@ -259,20 +278,23 @@
     Feed(session::ServerReplied{connection, reply});
   }
 
-  /// A connection to a replica with an unanswered status query, which the proxy
-  /// is made to send by passing time; 0 if it sends none.
-  [[nodiscard]] ConnectionId ReplicaQuery() {
+  /// Takes an unanswered status query to a replica, which the proxy is made to
+  /// send by passing time. Returns its connection; 0 if the proxy sends none.
+  [[nodiscard]] ConnectionId TakeReplicaQuery() {
     for (int n = 0; n < 10; ++n) {
       for (const SendCommand& it : status_queries) {
-        const auto to = server_of.find(it.connection);
+        const ConnectionId id = it.connection;
+        const auto to = server_of.find(id);
         const bool found = to != server_of.end() && to->second != "a";
-        if (found && unanswered[it.connection] == 0) return it.connection;
+        if (!found || unanswered[id] > 0) continue;
+        status_queries.erase(status_queries.begin() +
+                             (&it - status_queries.data()));
+        return id;
       }
       AdvanceTime(Milliseconds(25));
       for (const SendCommand& it : std::exchange(sent, {})) {
-        Reply reply;
-        reply.position = Position{1, 10};
-        Answer(it.connection, reply);
+        Answer(it.connection,
+               RunAt(it, server_of[it.connection] == "a", {1, 10}));
       }
     }
     return 0;
@@ -306,30 +328,26 @@
     CompleteConnects();
   }
 
-  /// Answers the oldest unanswered command.
-  void AnswerFirst(ErrorCode error = ErrorCode::kNone,
-                   Position position = {1, 10},
-                   TransactionState state = TransactionState::kIdle) {
+  /// Answers the oldest unanswered command. With `state`, the reply has that
+  /// state instead of the one that the transaction of its connection has.
+  /// Returns the reply.
+  Reply AnswerFirst(ErrorCode error = ErrorCode::kNone,
+                    Position position = {1, 10},
+                    std::optional<TransactionState> state = {}) {
     REQUIRE(!sent.empty());
-    const ConnectionId connection = sent.front().connection;
-    Reply reply;
-    reply.error = error;
-    reply.position = position;
-    reply.state = state;
-    if (error == ErrorCode::kNone) reply.receipt = "r";
+    const SendCommand command = sent.front();
+    Reply reply = Run(command, position, error);
+    if (state) reply.state = *state;
     sent.erase(sent.begin());
-    Answer(connection, reply);
+    Answer(command.connection, reply);
     CompleteConnects();
+    return reply;
   }
 
   /// Answers commands that the proxy sent on its own account, up to the first
   /// client statement.
   void AnswerSetup() {
-    while (!sent.empty() && sent.front().command.id.empty()) {
-      const bool begin = sent.front().command.statement.verb == Verb::kBegin;
-      AnswerFirst(ErrorCode::kNone, {1, 10},
-                  begin ? TransactionState::kOpen : TransactionState::kIdle);
-    }
+    while (!sent.empty() && sent.front().command.id.empty()) AnswerFirst();
   }
 
   [[nodiscard]] std::vector<Verb> SentVerbs() const {
@@ -338,16 +356,30 @@
     return verbs;
   }
 
+  /// Verbs of the commands in `all_sent` on one connection.
+  [[nodiscard]] std::vector<Verb> VerbsOn(ConnectionId connection) const {
+    std::vector<Verb> verbs;
+    for (const auto& it : all_sent) {
+      if (it.connection != connection) continue;
+      verbs.push_back(it.command.statement.verb);
+    }
+    return verbs;
+  }
+
   session::Proxy proxy;
   TimePoint now{std::chrono::seconds(100)};
   std::vector<SendCommand> sent;  ///< unanswered commands
+  /// Those sent since a test last cleared it, answered or not.
+  std::vector<SendCommand> all_sent;
   /// Status queries and contacts stay in `sent`, in the order in which they
   /// were sent, instead of being answered apart.
   bool keeps_order = false;
   std::vector<SendCommand> status_queries;  ///< unanswered
   /// Connections to replicas with unanswered transactions without statements.
   std::vector<ConnectionId> contacts;
-  std::map<ConnectionId, int> unanswered;  ///< other commands
+  std::map<ConnectionId, int> unanswered;                 ///< other commands
+  std::map<ConnectionId, TransactionState> transactions;  ///< at the servers
+  std::uint64_t receipts = 0;                             ///< given so far
   std::set<ServerId> answers_status{"a", "b", "c"};
   std::set<ServerId> answers_contacts{"a", "b", "c"};
   std::uint64_t contact_index = 10;  ///< of the logs of the contacted replicas
@@ -403,6 +435,7 @@
   }
   void Record(const SendCommand& it) {
     const bool query = it.command.statement.verb == Verb::kStatus;
+    all_sent.push_back(it);
     if (query && !keeps_order) return status_queries.push_back(it);
     sent.push_back(it);
     ++unanswered[it.connection];
