Receipts of the simulated servers are unique, and failed transactions refuse everything

The receipts were made of the command's id, so that a retry at the same server repeated one, and a checker couldn't tell the two replies apart. Servers now number them, and answer BAD to any command but COMMIT and ROLLBACK in a failed transaction, as the platform's do. No new random numbers are drawn.

--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -778,6 +778,12 @@
       return reply;
     };
     const Statement& statement = command.statement;
+    const bool ends_transaction =
+        statement.verb == Verb::kCommit || statement.verb == Verb::kRollback;
+    if (server_session.state == TransactionState::kFailed &&
+        !ends_transaction) {
+      return fail(ErrorCode::kBad);
+    }
     if (command.after && !HasPosition(server, *command.after)) {
       return fail(ErrorCode::kBehind);
     }
@@ -870,8 +876,8 @@
     }
     CheckPinned(server_session, command, client_id);
     if (!writes && !commit) CheckFresh(server, command, client_id);
-    reply.receipt = server.id + "/" + command.id;
-    receipts_[command.id].insert(reply.receipt);
+    reply.receipt = server.id + "/" + std::to_string(++receipts_issued_);
+    statement_of_receipt_[reply.receipt] = command.id;
     if (commit) {
       server_session.state = TransactionState::kIdle;
       for (const auto& it : server_session.writes) CountExecution(it);
@@ -994,9 +1000,7 @@
     const bool ok = reply.error == ErrorCode::kNone;
     if (statement && ok) {
       ++result_.succeeded;
-      if (!receipts_[client.statement_id].contains(reply.receipt)) {
-        ReportViolation("MIXED receipt " + client.statement_id);
-      }
+      CheckReceipt(client, reply);
       const auto write = write_ids_.find(client.statement_id);
       if (ClientsJudge() && write != write_ids_.end()) {
         acknowledged_.push_back({now_, write->second, client.id});
@@ -1016,6 +1020,16 @@
     if (client.state == TransactionState::kIdle) client.writes.clear();
   }
 
+  void CheckReceipt(const Client& client, const Reply& reply) {
+    const auto it = statement_of_receipt_.find(reply.receipt);
+    if (it == statement_of_receipt_.end()) {
+      return ReportViolation("MIXED unknown receipt " + client.statement_id);
+    }
+    if (it->second == client.statement_id) return;
+    ReportViolation("MIXED receipt " + client.statement_id + " has that of " +
+                    it->second + ", " + reply.receipt);
+  }
+
   void RecordRefusal(const std::string& write_id) {
     refused_writes_.insert(write_id);
     if (execution_counts_[write_id] > 0) ReportViolation("REFUSED " + write_id);
@@ -1387,7 +1401,8 @@
   std::map<std::uint64_t, Client> clients_;
   std::uint64_t next_client_ = 1;
   std::vector<AcknowledgedWrite> acknowledged_;
-  std::map<std::string, std::set<std::string>> receipts_;
+  std::uint64_t receipts_issued_ = 0;
+  std::map<std::string, std::string> statement_of_receipt_;
   std::map<std::string, int> execution_counts_;
   std::set<std::string> refused_writes_;
   std::string committed_write_id_;
