--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -24,7 +24,7 @@
 
 lab::Group& Cluster::AddGroup(const std::string& service,
                               const std::vector<std::string>& zones) {
-  lab::Group& group = groups.emplace_back(io, record, store, service);
+  lab::Group& group = groups.emplace_back(io, record, *registry, service);
   for (std::size_t n = 0; n < zones.size(); ++n) {
     group.Add(service + "-i" + std::to_string(n), zones[n]);
   }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -64,6 +64,7 @@
   asio::io_context& io;
   lab::Record& record;
   lab::Store store;
+  lab::Store* registry = &store;  ///< in which servers register
   std::deque<lab::Group> groups;
   std::deque<Instance> instances;
   Clock::time_point stalled_until;  ///< when this process last was delayed
