Soak: audit of replies, texts, sessions and transactions

Without it, clients and faults draw the same values as before.

The TWICE is a write whose repeated BUSY was taken for the answer to a later one, which was then sent again.

--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -1,24 +1,32 @@
 #include "soak/clients.h"
 
+#include <iterator>
+
 namespace soak {
 
 namespace {
 
 constexpr std::uint64_t kStream = 1'000;
-constexpr Ms kMinPause{10};
-constexpr Ms kMaxPause{90};
 constexpr Ms kReconnectDelay{100};
 /// Until a delay of this process is noted.
 constexpr Ms kDelayNoted{100};
 constexpr std::size_t kItems = 20;
-constexpr double kTransactions = 0.25;
-constexpr double kReads = 0.15;
 constexpr double kRollbacks = 0.1;
 constexpr std::size_t kMaxWrites = 3;
 /// Longer than the time-out of every route and than the platform's time to
 /// notice that an instance is back.
 constexpr std::chrono::seconds kAnswerLimit(6);
 
+/// Few names, so that those of different clients collide.
+constexpr std::size_t kNames = 3;
+constexpr const char* kValues[] = {"1", "2", "a b", "READ k1", "1 WRITE k1 x"};
+constexpr const char* kShapes[] = {
+    "READ q1",      "WRITE q1",           "READ q1 READ k2",
+    "READ q1a",     "WRITE q1 READ q1",   "WRITE q1 WRITE k2",
+    "WRITE q1a",    "WRITE q1a WRITE cn", "READ q2 READ oggophn",
+    "WRITE q1  q2", "READ q1 ",           "WRITE - q1",
+};
+
 }  // namespace
 
 void Clients::Start(Instance& instance, const Database& database) {
@@ -31,66 +39,126 @@
 
 Task Clients::Run(Session& session) {
   while (!cluster_.stopping) {
-    lab::Client client(cluster_.io, cluster_.record, session.name);
-    (void)co_await client.Start(session.instance->proxy->client_port(),
+    Caller caller(cluster_, audit_, session.name, session.database.service);
+    (void)co_await caller.Start(session.instance->proxy->client_port(),
                                 session.database.name);
-    while (!cluster_.stopping && client.connected()) {
-      if (session.random.Chance(kReads)) {
+    while (!cluster_.stopping && caller.connected()) {
+      if (audit_ != nullptr && session.random.Chance(mix_.setups)) {
+        co_await UseSetup(session, caller);
+      } else if (session.random.Chance(mix_.reads)) {
         const std::size_t item = session.random.Index(kItems);
-        (void)co_await Ask(session, client, "READ k" + std::to_string(item));
-      } else if (session.random.Chance(kTransactions)) {
-        co_await WriteTransaction(session, client);
+        (void)co_await Ask(session, caller, "READ k" + std::to_string(item));
+      } else if (session.random.Chance(mix_.transactions)) {
+        co_await WriteTransaction(session, caller);
       } else {
-        co_await WriteOnce(session, client);
+        co_await WriteOnce(session, caller);
       }
-      co_await lab::Sleep(session.random.Between(kMinPause, kMaxPause));
+      co_await lab::Sleep(
+          session.random.Between(mix_.min_pause, mix_.max_pause));
     }
     co_await lab::Sleep(kReconnectDelay);
   }
 }
 
-Task Clients::WriteOnce(Session& session, lab::Client& client) {
-  const std::string text = "WRITE k" +
-                           std::to_string(session.random.Index(kItems)) + " v" +
-                           std::to_string(++values_);
-  const auto reply = co_await Ask(session, client, text);
+Clients::Access Clients::NextWrite(Session& session) {
+  return {"WRITE k" + std::to_string(session.random.Index(kItems)) + " v" +
+              std::to_string(++values_),
+          true};
+}
+
+Clients::Access Clients::NextExecution(Session& session, const Caller& caller) {
+  const Texts& prepared = caller.prepared();
+  const auto chosen = std::next(
+      prepared.begin(),
+      static_cast<std::ptrdiff_t>(session.random.Index(prepared.size())));
+  Access access{"EXEC " + chosen->first + " k" +
+                    std::to_string(session.random.Index(kItems)),
+                chosen->second.rfind("WRITE", 0) == 0};
+  if (access.writes) access.text += " v" + std::to_string(++values_);
+  return access;
+}
+
+Clients::Access Clients::NextAccess(Session& session, const Caller& caller) {
+  constexpr double kPrepared = 0.4;
+  if (!caller.prepared().empty() && session.random.Chance(kPrepared)) {
+    return NextExecution(session, caller);
+  }
+  if (session.random.Chance(mix_.reads)) {
+    return {"READ k" + std::to_string(session.random.Index(kItems)), false};
+  }
+  return NextWrite(session);
+}
+
+Task Clients::UseSetup(Session& session, Caller& caller) {
+  enum Kind { kSet, kPrepare, kForget, kExecute, kKinds = 8 };
+  const std::size_t kind = session.random.Index(kKinds);
+  const std::string name = std::to_string(session.random.Index(kNames));
+  if (kind >= kExecute) {
+    co_await Execute(session, caller);
+    co_return;
+  }
+  std::string text;
+  if (kind == kSet) {
+    text = "SET v" + name + " " +
+           kValues[session.random.Index(std::size(kValues))];
+  } else if (kind == kPrepare || !caller.prepared().contains("s" + name)) {
+    text = "PREPARE s" + name + " " +
+           kShapes[session.random.Index(std::size(kShapes))];
+  } else {
+    text = "FORGET s" + name;
+  }
+  const auto reply = co_await Ask(session, caller, text);
+  if (!reply.ok()) caller.Close();
+}
+
+Task Clients::Execute(Session& session, Caller& caller) {
+  if (caller.prepared().empty()) co_return;
+  const Access access = NextExecution(session, caller);
+  const auto reply = co_await Ask(session, caller, access.text);
+  if (!reply.ok() || !access.writes) co_return;
+  const std::vector<std::string> writes(1, caller.last_id());
+  ledger_.Acknowledge(session.database.service, writes, reply.receipt);
+}
+
+Task Clients::WriteOnce(Session& session, Caller& caller) {
+  const auto reply = co_await Ask(session, caller, NextWrite(session).text);
   if (!reply.ok()) co_return;
-  const std::vector<std::string> writes(1, client.last_id());
+  const std::vector<std::string> writes(1, caller.last_id());
   ledger_.Acknowledge(session.database.service, writes, reply.receipt);
 }
 
-Task Clients::WriteTransaction(Session& session, lab::Client& client) {
-  auto reply = co_await Ask(session, client, "BEGIN");
+Task Clients::WriteTransaction(Session& session, Caller& caller) {
+  auto reply = co_await Ask(session, caller, "BEGIN");
   const std::size_t size = 1 + session.random.Index(kMaxWrites);
   std::vector<std::string> writes;
-  while (reply.ok() && writes.size() < size) {
-    reply =
-        co_await Ask(session, client,
-                     "WRITE k" + std::to_string(session.random.Index(kItems)) +
-                         " v" + std::to_string(++values_));
-    if (reply.ok()) writes.push_back(client.last_id());
+  for (std::size_t n = 0; reply.ok() && n < size; ++n) {
+    const Access access =
+        audit_ == nullptr ? NextWrite(session) : NextAccess(session, caller);
+    reply = co_await Ask(session, caller, access.text);
+    if (reply.ok() && access.writes) writes.push_back(caller.last_id());
   }
   const bool commits = reply.ok() && !session.random.Chance(kRollbacks);
-  if (client.connected() && !commits && reply.state != "I") {
-    (void)co_await Ask(session, client, "ROLLBACK");
+  if (caller.connected() && !commits && reply.state != "I") {
+    (void)co_await Ask(session, caller, "ROLLBACK");
   }
   if (!commits) co_return;
-  reply = co_await Ask(session, client, "COMMIT");
+  reply = co_await Ask(session, caller, "COMMIT");
   if (!reply.ok()) co_return;
   ledger_.Acknowledge(session.database.service, writes, reply.receipt);
 }
 
-asio::awaitable<lab::Reply> Clients::Ask(Session& session, lab::Client& client,
+asio::awaitable<lab::Reply> Clients::Ask(Session& session, Caller& caller,
                                          std::string text) {
   ++statements_;
   session.statement = text;
   session.sent_at = Clock::now();
   session.reported = false;
-  lab::Reply reply = co_await client.Query(std::move(text));
+  lab::Reply reply = co_await caller.Ask(std::move(text));
+  ++(reply.ok() ? served_ : failed_);
   if (reply.closed) {
     co_await lab::Sleep(kDelayNoted);
     if (Undisturbed(session, session.sent_at - kAnswerLimit)) {
-      ledger_.Violate("ANSWER", client.last_id() + " " + session.statement +
+      ledger_.Violate("ANSWER", caller.last_id() + " " + session.statement +
                                     " at " + session.instance->proxy->name() +
                                     ": connection closed without an answer");
     }
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -29,8 +29,10 @@
 }  // namespace
 
 void Ledger::Violate(const std::string& rule, const std::string& text) {
+  constexpr std::size_t kPrinted = 20;
   ++violations_;
   cluster_.record.Line("VIOLATION " + rule + ": " + text);
+  if (++of_rules_[rule] > kPrinted) return;
   std::cout << cluster_.record.now().count() << " ms " << rule << ": " << text
             << std::endl;
 }
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -35,9 +35,14 @@
   void OnPromotion(const Order& order, const lab::Server& server);
   /// Checks the log of the primary of each service.
   void CheckPrimaries();
+  /// Records a violation. Prints it unless many of the rule are printed.
   void Violate(const std::string& rule, const std::string& text);
 
   [[nodiscard]] std::size_t violations() const { return violations_; }
+  [[nodiscard]] std::size_t violations(const std::string& rule) const {
+    const auto it = of_rules_.find(rule);
+    return it == of_rules_.end() ? 0 : it->second;
+  }
   [[nodiscard]] std::size_t acknowledged() const { return acknowledged_; }
   [[nodiscard]] std::size_t promotions() const { return promotions_; }
   [[nodiscard]] std::size_t late_promotions() const { return late_; }
@@ -59,6 +64,7 @@
   std::map<std::string, std::string> last_promotion_;  ///< by service
   std::map<std::uint64_t, std::string> holders_;       ///< by fence
   std::size_t violations_ = 0;
+  std::map<std::string, std::size_t> of_rules_;
   std::size_t acknowledged_ = 0;
   std::size_t promotions_ = 0;
   std::size_t late_ = 0;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -9,13 +9,16 @@
 #include <filesystem>
 #include <iomanip>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
+#include "soak/audit.h"
 #include "soak/clients.h"
 #include "soak/cluster.h"
 #include "soak/faults.h"
 #include "soak/ledger.h"
 #include "soak/orders.h"
+#include "soak/relays.h"
 
 namespace {
 
@@ -31,6 +34,8 @@
   std::uint64_t seed = 1;
   std::chrono::seconds duration{20};
   double rate = 1;
+  std::optional<double> answers;  ///< replies are disturbed, at this rate
+  double disturbed = 0.02;        ///< share of refused, cut and lost replies
   std::string proxy = "build/corianderdock-proxy";
   std::string logs;
 };
@@ -87,7 +92,15 @@
   auto& ledger = *new soak::Ledger(cluster);
   auto& orders = *new soak::Orders(cluster, ledger, options.seed);
   auto& faults = *new soak::Faults(cluster, orders, options.seed, options.rate);
-  auto& clients = *new soak::Clients(cluster, ledger, options.seed);
+  soak::Relays* relays = nullptr;
+  soak::Audit* audit = nullptr;
+  soak::Mix mix;
+  if (options.answers) {
+    relays = new soak::Relays(cluster, options.seed);
+    audit = new soak::Audit(cluster, ledger, *relays);
+    mix.setups = 0.4;
+  }
+  auto& clients = *new soak::Clients(cluster, ledger, options.seed, audit, mix);
   cluster.record.Line("local time " + LocalTime());
   Populate(cluster, orders, options.seed);
   faults.PutConfiguration();
@@ -100,11 +113,28 @@
   soak::asio::co_spawn(cluster.io, clients.Watch(), soak::asio::detached);
   co_await lab::Sleep(kWarmUp);
   faults.Start();
+  if (relays != nullptr) {
+    soak::asio::co_spawn(cluster.io,
+                         relays->Disturb(*options.answers, options.disturbed),
+                         soak::asio::detached);
+  }
   co_await lab::Sleep(options.duration);
   faults.Stop();
+  if (relays != nullptr) relays->Stop();
   co_await Settle(faults, orders);
   cluster.stopping = true;
   ledger.CheckPrimaries();
+  if (audit != nullptr) {
+    audit->CheckLogs();
+    std::cout << relays->repeats() << " replies repeated, " << clients.served()
+              << " statements served, " << clients.failed()
+              << " not; violations:";
+    for (const char* rule : {"ANSWER", "LOST", "MIXED", "ONE", "PINNED",
+                             "REFUSED", "TWICE", "UNASKED"}) {
+      std::cout << " " << rule << " " << ledger.violations(rule);
+    }
+    std::cout << std::endl;
+  }
   std::cout << "seed " << options.seed << ": " << cluster.instances.size()
             << " proxies, " << cluster.groups.size() << " services, "
             << clients.statements() << " statements, " << ledger.acknowledged()
@@ -118,16 +148,22 @@
   namespace po = boost::program_options;
   Options options;
   int seconds = 20;
+  double answers = 0;
   po::options_description all("soak");
   all.add_options()("seed", po::value(&options.seed), "seed of the faults")(
       "seconds", po::value(&seconds), "duration of the faults")(
       "rate", po::value(&options.rate), "faults, as a factor")(
+      "answers", po::value(&answers),
+      "also repeats, refuses, cuts and loses replies, at this rate")(
+      "disturbed", po::value(&options.disturbed),
+      "share of replies refused, cut or lost with --answers")(
       "proxy", po::value(&options.proxy), "program of the proxies")(
       "logs", po::value(&options.logs), "folder that keeps the logs of runs");
   po::variables_map values;
   po::store(po::parse_command_line(argc, argv, all), values);
   po::notify(values);
   options.duration = std::chrono::seconds(seconds);
+  if (answers > 0) options.answers = answers;
   return options;
 }
 
