The simulated servers repeat, refuse and cut off replies, and more rules are checked

New faults, off by default: servers send some replies a second time, up to 200 ms or hundreds of replies later, all the time or in periods; refuse statements with BUSY; fail a SET, PREPARE or RESET; break a reply off. Clients may use names, values and shapes with blanks and words of the protocol. Commands pass through the text of the wire both ways, and servers parse them on their own. Reads return the server's item and data.

Checked in addition: the rows and the statement of a receipt, the text and id of what a server runs, the commit of another client's transaction, the connection of a transaction, the verb of a prepared statement, writes acknowledged but never executed, and refusals of a transaction that cover its writes.

--- a/tests/session_schedules_test.cc
+++ b/tests/session_schedules_test.cc
@@ -99,6 +99,18 @@
   }
 }
 
+TEST_CASE("refused statements and replies cut off violate no guarantee") {
+  for (std::uint64_t seed = 1; seed <= kSchedules / 4; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.busy_rate = 0.1;
+    options.cut_reply_rate = 0.02;
+    const WorldResult result = RunSessionSchedule(options);
+    CAPTURE(result.violations);
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("without faults every statement is served") {
   WorldOptions options;
   options.faults_per_second = 0;
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -4,8 +4,12 @@
 #include <cstdlib>
 #include <deque>
 #include <iostream>
+#include <ranges>
+#include <string_view>
 #include <utility>
 
+#include "platform/wire.h"
+
 namespace corianderdock::test {
 
 namespace {
@@ -35,15 +39,76 @@
   bool draining = false;
 };
 
+/// Removes the next field of a line and returns it.
+std::string TakeField(std::string& line) {
+  const std::size_t end = line.find(' ');
+  std::string field = line.substr(0, end);
+  line = end == std::string::npos ? std::string() : line.substr(end + 1);
+  return field;
+}
+
+/// Parses a statement as servers do: fields end at a blank, the last one at the
+/// end of the line.
+Statement ParseStatement(const std::string& text) {
+  static const std::map<std::string, Verb> kVerbs = {
+      {"BEGIN", Verb::kBegin},   {"COMMIT", Verb::kCommit},
+      {"READ", Verb::kRead},     {"ROLLBACK", Verb::kRollback},
+      {"WRITE", Verb::kWrite},   {"SET", Verb::kSet},
+      {"EXEC", Verb::kExecute},  {"PREPARE", Verb::kPrepareRead},
+      {"FORGET", Verb::kForget}, {"RESET", Verb::kReset},
+      {"STATUS", Verb::kStatus}, {"HOLD", Verb::kHold},
+      {"RESUME", Verb::kResume}, {"DEMOTE", Verb::kDemote},
+  };
+  std::string rest = text;
+  const auto verb = kVerbs.find(TakeField(rest));
+  if (verb == kVerbs.end()) return {Verb::kUnknown, {}, {}};
+  Statement statement{verb->second, {}, {}};
+  if (statement.verb == Verb::kBegin && rest == "READ") {
+    statement.verb = Verb::kBeginRead;
+    return statement;
+  }
+  const bool named =
+      statement.verb == Verb::kSet || statement.verb == Verb::kExecute ||
+      statement.verb == Verb::kPrepareRead || statement.verb == Verb::kForget;
+  if (named) statement.name = TakeField(rest);
+  if (statement.verb == Verb::kPrepareRead) {
+    const std::string mode = TakeField(rest);
+    if (mode == "WRITE") statement.verb = Verb::kPrepareWrite;
+    if (mode != "READ" && mode != "WRITE") statement.verb = Verb::kUnknown;
+  }
+  statement.text = rest;
+  return statement;
+}
+
+/// Returns a command as the server reads it from the wire.
+ServerCommand AsReceived(const ServerCommand& sent) {
+  std::string line;
+  platform::AppendCommand(line, sent);
+  line.resize(line.size() - std::string_view("\r\n").size());
+  ServerCommand command = sent;
+  (void)TakeField(line);
+  command.id = TakeField(line);
+  if (command.id == "-") command.id.clear();
+  if (line.starts_with("AFTER ")) {
+    (void)TakeField(line);
+    (void)TakeField(line);
+  }
+  command.statement = ParseStatement(line);
+  return command;
+}
+
+using ItemData = std::map<std::string, std::string>;
+
 /// Session state that a server keeps for one connection.
 struct ServerSession {
   std::size_t instance = 0;
   std::map<std::string, std::string> values;
-  std::map<std::string, std::string> prepared;
+  std::map<std::string, PreparedStatement> prepared;
   TransactionState state = TransactionState::kIdle;
   bool read_write = false;
   Term term = 0;  ///< of the server when the transaction began
   std::vector<std::string> writes;
+  ItemData written;             ///< by the open transaction
   std::uint64_t client_id = 0;  ///< client that uses the open transaction
   std::size_t read_limit = 0;
 };
@@ -80,14 +145,18 @@
   std::size_t instance = 0;
   std::string database;
   std::map<std::string, std::string> values;
-  std::map<std::string, std::string> shapes;
+  std::map<std::string, PreparedStatement> prepared;
   bool open = false;
   bool waiting = false;  ///< for a reply
   TransactionState state = TransactionState::kIdle;
   bool read_write = false;
   int statements_left = 0;  ///< before the transaction ends
   std::vector<std::string> writes;
-  std::string statement_id;  ///< of the outstanding or last statement
+  /// Connections that the first statement of the transaction was sent over.
+  std::set<std::pair<std::size_t, ConnectionId>> connections;
+  std::string first_statement_id;  ///< of the transaction
+  std::string statement_id;        ///< of the outstanding or last statement
+  bool writing = false;            ///< that statement writes
   Verb verb = Verb::kRead;
   TimePoint started_at;  ///< start of the transaction or read
   std::size_t own_commits = 0;
@@ -135,6 +204,8 @@
     }
     if (options_.faults_per_second > 0) ScheduleFault();
     ScheduleLists();
+    repeating_ = options_.repeats.rate > 0 && !options_.repeats.in_periods;
+    if (options_.repeats.in_periods) ScheduleRepeatPeriod();
     last_commit_ = now_;
     while (!queue_.empty() && queue_.top().at < end) {
       const Item item = queue_.top();
@@ -174,6 +245,10 @@
   [[nodiscard]] double RandomFraction() {
     return std::uniform_real_distribution<>(0, 1)(random_);
   }
+  /// Draws no number if `rate` is 0, so that seeds keep their meaning.
+  [[nodiscard]] bool Chance(double rate) {
+    return rate > 0 && RandomFraction() < rate;
+  }
   [[nodiscard]] int RandomBelow(int n) {
     return std::uniform_int_distribution<>(0, n - 1)(random_);
   }
@@ -543,7 +618,7 @@
     const Term newest_term = NewestTerm();
     for (const AcknowledgedWrite& it : acknowledged_) {
       if (!LogContains(target, it.write_id)) {
-        ReportViolation("LOST " + it.write_id);
+        ReportViolation("LOST " + it.write_id + " at " + id);
       }
     }
     target.term = newest_term + 1;
@@ -630,17 +705,20 @@
     }
     if (it == server.connections.end()) return;
     if (silent_connections_.contains({n, effect.connection})) return;
-    Reply reply = RunCommand(server, it->second, effect.command);
+    Reply reply = RunCommand(server, it->second, AsReceived(effect.command),
+                             {n, effect.connection});
     reply.state = it->second.state;
     reply.position = server.End();
     const bool commits =
         reply.error == ErrorCode::kNone && !committed_write_id_.empty();
     if (commits) return Replicate(n, id, effect, std::move(reply));
-    Deliver(n, id, effect.connection, reply);
+    Deliver(n, id, effect, reply);
   }
 
-  void Deliver(std::size_t n, const ServerId& id, ConnectionId connection,
+  void Deliver(std::size_t n, const ServerId& id, const SendCommand& effect,
                const Reply& reply) {
+    const ConnectionId connection = effect.connection;
+    if (Chance(options_.cut_reply_rate)) CutConnection(n, id, connection);
     if (RandomFraction() < options_.lost_reply_rate) {
       silent_connections_.insert({n, connection});
     }
@@ -652,6 +730,88 @@
       }
       if (silent_connections_.contains({n, connection})) return;
       Feed(n, ServerReplied{connection, reply});
+      SendDueRepeats(n, id, connection);
+    });
+    PlanRepeat(n, id, effect, reply);
+  }
+
+  /// Ends a connection in the middle of a reply.
+  void CutConnection(std::size_t n, const ServerId& id,
+                     ConnectionId connection) {
+    if (servers_[id].connections.erase({n, connection}) == 0) return;
+    silent_connections_.insert({n, connection});
+    LoseConnection({n, connection});
+  }
+
+  void PlanRepeat(std::size_t n, const ServerId& id, const SendCommand& effect,
+                  const Reply& reply) {
+    using Kind = RepeatOptions::Kind;
+    const RepeatOptions& repeats = options_.repeats;
+    if (!repeating_ || (!repeating_server_.empty() && repeating_server_ != id))
+      return;
+    const bool own = effect.command.id.empty();
+    const bool error = reply.error != ErrorCode::kNone;
+    if ((repeats.kind == Kind::kStatements && own) ||
+        (repeats.kind == Kind::kOwnCommands && !own) ||
+        (repeats.kind == Kind::kErrors && !error) || !Chance(repeats.rate)) {
+      return;
+    }
+    const ConnectionId connection = effect.connection;
+    if (repeats.max_replies > 0 && RandomBelow(2) == 0) {
+      auto& line = repeat_lines_[{n, connection}];
+      const auto replies = 1 + RandomBelow(repeats.max_replies);
+      line.waiting.emplace(line.delivered + static_cast<std::uint64_t>(replies),
+                           reply);
+      return;
+    }
+    const auto max_delay =
+        std::chrono::duration_cast<milliseconds>(repeats.max_delay);
+    const Duration delay =
+        milliseconds(RandomBelow(static_cast<int>(max_delay.count()) + 1));
+    Schedule(kNetworkDelay + delay, [this, n, id, connection, reply] {
+      SendRepeat(n, id, connection, reply);
+    });
+  }
+
+  void SendDueRepeats(std::size_t n, const ServerId& id,
+                      ConnectionId connection) {
+    const auto it = repeat_lines_.find({n, connection});
+    if (it == repeat_lines_.end()) return;
+    RepeatLine& line = it->second;
+    ++line.delivered;
+    const auto end = line.waiting.upper_bound(line.delivered);
+    for (auto due = line.waiting.begin(); due != end; ++due) {
+      Schedule(milliseconds(RandomBelow(5)),
+               [this, n, id, connection, reply = due->second] {
+                 SendRepeat(n, id, connection, reply);
+               });
+    }
+    line.waiting.erase(line.waiting.begin(), end);
+  }
+
+  void SendRepeat(std::size_t n, const ServerId& id, ConnectionId connection,
+                  const Reply& reply) {
+    Server& server = servers_[id];
+    if (!server.connections.contains({n, connection}) || Paused(server)) return;
+    if (!Reachable(n, server)) silent_connections_.insert({n, connection});
+    if (silent_connections_.contains({n, connection})) return;
+    ++result_.repeats;
+    Trace("repeats p" + std::to_string(n) + " " + id + " connection " +
+          std::to_string(connection) + " receipt " + reply.receipt);
+    Feed(n, ServerReplied{connection, reply});
+  }
+
+  /// Starts and ends periods within which replies are repeated.
+  void ScheduleRepeatPeriod() {
+    Schedule(milliseconds(100 + RandomBelow(1200)), [this] {
+      repeating_ = !repeating_;
+      repeating_server_.clear();
+      if (RandomBelow(2) == 0) {
+        auto it = servers_.begin();
+        std::advance(it, RandomBelow(static_cast<int>(servers_.size())));
+        repeating_server_ = it->first;
+      }
+      ScheduleRepeatPeriod();
     });
   }
 
@@ -712,7 +872,7 @@
                 .append(" by ")
                 .append(id));
       RecordCommit();
-      Deliver(n, id, effect.connection, reply);
+      Deliver(n, id, effect, reply);
     });
   }
 
@@ -753,7 +913,7 @@
   /// when the primary acknowledges it.
   [[nodiscard]] bool ClientsJudge() const {
     return options_.joiners || options_.restarts || options_.overlap ||
-           !options_.fencing;
+           !options_.fencing || options_.repeats.rate > 0;
   }
 
   void RecordCommit() {
@@ -766,16 +926,44 @@
     return std::stoull(id.substr(0, id.find('-')));
   }
 
+  static Reply Refuse(const Server& server, ServerSession& server_session,
+                      ErrorCode code) {
+    Reply reply;
+    reply.error = code;
+    reply.detail = server.id;
+    if (server_session.state == TransactionState::kOpen) {
+      server_session.state = TransactionState::kFailed;
+    }
+    return reply;
+  }
+
+  /// Whether a command is refused or fails by a fault.
+  [[nodiscard]] ErrorCode DrawError(Verb verb) {
+    switch (verb) {
+      case Verb::kSet:
+      case Verb::kReset:
+      case Verb::kPrepareRead:
+      case Verb::kPrepareWrite:
+        return Chance(options_.setup_failure_rate) ? ErrorCode::kFailed
+                                                   : ErrorCode::kNone;
+      case Verb::kRead:
+      case Verb::kWrite:
+      case Verb::kExecute:
+      case Verb::kCommit:
+      case Verb::kStatus:
+        return Chance(options_.busy_rate) ? ErrorCode::kBusy : ErrorCode::kNone;
+      default:
+        return ErrorCode::kNone;
+    }
+  }
+
   Reply RunCommand(Server& server, ServerSession& server_session,
-                   const ServerCommand& command) {
+                   const ServerCommand& command,
+                   const std::pair<std::size_t, ConnectionId>& connection) {
     Reply reply;
     committed_write_id_.clear();
     const auto fail = [&](ErrorCode code) {
-      reply.error = code;
-      if (server_session.state == TransactionState::kOpen) {
-        server_session.state = TransactionState::kFailed;
-      }
-      return reply;
+      return Refuse(server, server_session, code);
     };
     const Statement& statement = command.statement;
     const bool ends_transaction =
@@ -787,6 +975,8 @@
     if (command.after && !HasPosition(server, *command.after)) {
       return fail(ErrorCode::kBehind);
     }
+    const ErrorCode drawn = DrawError(statement.verb);
+    if (drawn != ErrorCode::kNone) return fail(drawn);
     switch (statement.verb) {
       case Verb::kSet:
         server_session.values[statement.name] = statement.text;
@@ -797,7 +987,8 @@
         return reply;
       case Verb::kPrepareRead:
       case Verb::kPrepareWrite:
-        server_session.prepared[statement.name] = statement.text;
+        server_session.prepared[statement.name] = {
+            statement.verb == Verb::kPrepareWrite, statement.text};
         return reply;
       case Verb::kBegin:
       case Verb::kBeginRead:
@@ -808,11 +999,13 @@
         server_session.read_write = statement.verb == Verb::kBegin;
         server_session.term = server.term;
         server_session.writes.clear();
+        server_session.written.clear();
         server_session.client_id = 0;
         return reply;
       case Verb::kRollback:
         server_session.state = TransactionState::kIdle;
         server_session.writes.clear();
+        server_session.written.clear();
         return reply;
       case Verb::kStatus:
       case Verb::kHold:
@@ -840,7 +1033,7 @@
       case Verb::kRead:
       case Verb::kWrite:
       case Verb::kExecute:
-        return RunStatement(server, server_session, command);
+        return RunStatement(server, server_session, command, connection);
       default:
         return fail(ErrorCode::kBad);
     }
@@ -854,83 +1047,149 @@
   }
 
   Reply RunStatement(Server& server, ServerSession& server_session,
-                     const ServerCommand& command) {
-    Reply reply;
-    const std::uint64_t client_id = ClientOf(command.id);
+                     const ServerCommand& command,
+                     const std::pair<std::size_t, ConnectionId>& connection) {
     const bool in_transaction = server_session.state != TransactionState::kIdle;
     const bool deposed =
         in_transaction && server_session.read_write &&
         (!server.primary || server_session.term != server.term);
-    const bool commit = command.statement.verb == Verb::kCommit;
+    const Statement& statement = command.statement;
+    const bool commit = statement.verb == Verb::kCommit;
     if (server_session.state == TransactionState::kFailed ||
         (deposed && !(commit && server_session.writes.empty()))) {
-      server_session.state =
-          in_transaction ? TransactionState::kFailed : server_session.state;
-      reply.error = ErrorCode::kReadOnly;
-      return reply;
+      return Refuse(server, server_session, ErrorCode::kReadOnly);
     }
-    const bool writes = IsWrite(command.statement);
+    const bool executes = statement.verb == Verb::kExecute;
+    const auto prepared = server_session.prepared.find(statement.name);
+    const bool known = executes && prepared != server_session.prepared.end();
+    const bool writes =
+        statement.verb == Verb::kWrite || (known && prepared->second.writes);
     if (!in_transaction && writes && !server.primary) {
-      reply.error = ErrorCode::kReadOnly;
-      return reply;
+      return Refuse(server, server_session, ErrorCode::kReadOnly);
+    }
+    if (!CheckAsked(server, command)) {
+      return Refuse(server, server_session, ErrorCode::kBad);
+    }
+    const std::uint64_t client_id = ClientOf(command.id);
+    CheckPinned(server, server_session, command, connection);
+    if (executes && !known) {
+      return Refuse(server, server_session, ErrorCode::kNoStatement);
     }
-    CheckPinned(server_session, command, client_id);
     if (!writes && !commit) CheckFresh(server, command, client_id);
+    Reply reply;
     reply.receipt = server.id + "/" + std::to_string(++receipts_issued_);
-    statement_of_receipt_[reply.receipt] = command.id;
     if (commit) {
       server_session.state = TransactionState::kIdle;
-      for (const auto& it : server_session.writes) CountExecution(it);
+      for (const auto& it : server_session.writes) CountExecution(it, server);
       if (!server_session.writes.empty()) {
         committed_write_id_ = server_session.writes.front();
+        written_[committed_write_id_] = server_session.written;
       }
       server_session.writes.clear();
-    } else if (writes && in_transaction) {
-      server_session.writes.push_back(command.id);
+      server_session.written.clear();
     } else if (writes) {
-      CountExecution(command.id);
-      committed_write_id_ = command.id;
+      std::string data = statement.text;
+      const std::string item = TakeField(data);
+      if (in_transaction) {
+        server_session.writes.push_back(command.id);
+        server_session.written[item] = data;
+      } else {
+        CountExecution(command.id, server);
+        committed_write_id_ = command.id;
+        written_[command.id] = {{item, data}};
+      }
+    } else {
+      reply.rows.push_back(
+          (known ? prepared->second.shape + " " : std::string()) +
+          statement.text + " " +
+          DataOf(server, server_session, statement.text));
     }
+    issued_[reply.receipt] = {command.id, reply.rows};
     return reply;
   }
 
-  [[nodiscard]] static bool IsWrite(const Statement& statement) {
-    return statement.verb == Verb::kWrite ||
-           (statement.verb == Verb::kExecute && statement.name[0] == 'w');
+  /// Returns what a server has for an item, or "-".
+  [[nodiscard]] std::string DataOf(const Server& server,
+                                   const ServerSession& server_session,
+                                   const std::string& item) const {
+    const auto own = server_session.written.find(item);
+    if (own != server_session.written.end()) return own->second;
+    for (const LogEntry& entry : std::ranges::reverse_view(server.log)) {
+      const ItemData& written = written_.at(entry.write_id);
+      const auto found = written.find(item);
+      if (found != written.end()) return found->second;
+    }
+    return "-";
   }
 
-  void CountExecution(const std::string& write_id) {
-    if (++execution_counts_[write_id] > 1) ReportViolation("TWICE " + write_id);
+  void CountExecution(const std::string& write_id, const Server& server) {
+    executed_at_[write_id] = server.id;
+    if (++execution_counts_[write_id] > 1) {
+      ReportViolation("TWICE " + write_id + " at " + server.id);
+    }
     if (refused_writes_.contains(write_id)) {
-      ReportViolation("REFUSED " + write_id);
+      ReportViolation("REFUSED " + write_id + " at " + server.id);
     }
   }
 
-  void CheckPinned(ServerSession& server_session, const ServerCommand& command,
-                   std::uint64_t client_id) {
+  /// Whether a client has sent the statement, with the same text apart from the
+  /// name of a prepared statement.
+  bool CheckAsked(const Server& server, const ServerCommand& command) {
+    const auto it = sent_.find(command.id);
+    if (it == sent_.end()) {
+      ReportViolation("UNASKED id \"" + command.id + "\" at " + server.id);
+      return false;
+    }
+    const Statement sent = ParseStatement(it->second);
+    const Statement& ran = command.statement;
+    const bool same = sent.verb == ran.verb && sent.text == ran.text;
+    if (!same) {
+      ReportViolation("UNASKED text " + command.id + " sent \"" + it->second +
+                      "\", ran \"" + ran.name + " " + ran.text + "\" at " +
+                      server.id);
+    }
+    return true;
+  }
+
+  void CheckPinned(const Server& server, ServerSession& server_session,
+                   const ServerCommand& command,
+                   const std::pair<std::size_t, ConnectionId>& connection) {
+    const std::uint64_t client_id = ClientOf(command.id);
+    const std::string where = " " + command.id + " at " + server.id;
+    if (server_session.state == TransactionState::kOpen) {
+      const bool other = server_session.client_id != 0 &&
+                         server_session.client_id != client_id;
+      const bool commit = command.statement.verb == Verb::kCommit;
+      if (other && commit) ReportViolation("UNASKED commit" + where);
+      if (other) ReportViolation("PINNED transaction" + where);
+      server_session.client_id = client_id;
+    }
     const auto it = clients_.find(client_id);
     if (it == clients_.end()) return;
-    const Client& client = it->second;
+    Client& client = it->second;
+    if (command.id == client.first_statement_id) {
+      client.connections.insert(connection);
+    }
     if (client.statement_id != command.id) return;
-    if (server_session.state == TransactionState::kOpen) {
-      if (server_session.client_id != 0 &&
-          server_session.client_id != client_id) {
-        ReportViolation("PINNED transaction");
-      }
-      server_session.client_id = client_id;
-    } else if (client.state == TransactionState::kOpen) {
-      ReportViolation("PINNED outside its transaction " + command.id);
+    if (server_session.state != TransactionState::kOpen &&
+        client.state == TransactionState::kOpen) {
+      ReportViolation("PINNED outside its transaction" + where);
+    }
+    if (client.state == TransactionState::kOpen &&
+        !client.connections.contains(connection)) {
+      ReportViolation("PINNED connection" + where);
     }
     if (server_session.values != client.values) {
-      ReportViolation("PINNED values " + command.id);
+      ReportViolation("PINNED values" + where);
     }
     if (command.statement.verb != Verb::kExecute) return;
-    const auto shape = server_session.prepared.find(command.statement.name);
-    const std::string expected_shape = client.shapes.at("p");
-    if (shape == server_session.prepared.end() ||
-        shape->second != expected_shape) {
-      ReportViolation("PINNED shape " + command.id);
-    }
+    const auto ran = server_session.prepared.find(command.statement.name);
+    const std::string name = ParseStatement(sent_.at(command.id)).name;
+    const PreparedStatement& expected = client.prepared.at(name);
+    const bool same = ran != server_session.prepared.end() &&
+                      ran->second.writes == expected.writes &&
+                      ran->second.shape == expected.shape;
+    if (!same) ReportViolation("PINNED shape" + where);
   }
 
   void CheckFresh(const Server& server, const ServerCommand& command,
@@ -954,7 +1213,8 @@
       --commits_left;
       if (!LogContains(server, ack->write_id)) {
         return ReportViolation("STALE " + client.database + " read " +
-                               command.id + " lacks " + ack->write_id);
+                               command.id + " lacks " + ack->write_id + " at " +
+                               server.id);
       }
     }
   }
@@ -989,6 +1249,12 @@
     } else {
       client.open = true;
     }
+    const bool setup =
+        client.verb == Verb::kSet || client.verb == Verb::kForget ||
+        client.verb == Verb::kPrepareRead || client.verb == Verb::kPrepareWrite;
+    if (setup && effect.reply.error != ErrorCode::kNone) {
+      return Disconnect(client);
+    }
     Schedule(milliseconds(1 + RandomBelow(40)),
              [this, id = client.id] { SendNextStatement(id); });
   }
@@ -1001,6 +1267,7 @@
     if (statement && ok) {
       ++result_.succeeded;
       CheckReceipt(client, reply);
+      CheckExecuted(client, reply);
       const auto write = write_ids_.find(client.statement_id);
       if (ClientsJudge() && write != write_ids_.end()) {
         acknowledged_.push_back({now_, write->second, client.id});
@@ -1009,7 +1276,9 @@
     const bool not_executed = reply.error == ErrorCode::kBusy ||
                               reply.error == ErrorCode::kAborted ||
                               reply.error == ErrorCode::kReadOnly ||
-                              reply.error == ErrorCode::kBehind;
+                              reply.error == ErrorCode::kBehind ||
+                              reply.error == ErrorCode::kMisrouted ||
+                              reply.error == ErrorCode::kTooMany;
     if (not_executed) {
       ++result_.refused;
       for (const auto& it : client.writes) RecordRefusal(it);
@@ -1021,18 +1290,39 @@
   }
 
   void CheckReceipt(const Client& client, const Reply& reply) {
-    const auto it = statement_of_receipt_.find(reply.receipt);
-    if (it == statement_of_receipt_.end()) {
-      return ReportViolation("MIXED unknown receipt " + client.statement_id);
+    const auto it = issued_.find(reply.receipt);
+    if (it == issued_.end()) {
+      return ReportViolation("MIXED unknown receipt " + client.statement_id +
+                             " \"" + reply.receipt + "\"");
+    }
+    if (it->second.statement_id != client.statement_id) {
+      return ReportViolation("MIXED receipt " + client.statement_id +
+                             " has that of " + it->second.statement_id + ", " +
+                             reply.receipt);
+    }
+    if (it->second.rows == reply.rows) return;
+    ReportViolation("MIXED rows " + client.statement_id + " " + reply.receipt);
+  }
+
+  /// Checks that the writes that a reply acknowledges were executed.
+  void CheckExecuted(const Client& client, const Reply& reply) {
+    std::vector<std::string> writes;
+    if (client.verb == Verb::kCommit) writes = client.writes;
+    if (client.state == TransactionState::kIdle && client.writing) {
+      writes.push_back(client.statement_id);
+    }
+    for (const std::string& it : writes) {
+      if (execution_counts_.contains(it)) continue;
+      ReportViolation("LOST acknowledged, never executed " + it +
+                      " receipt \"" + reply.receipt + "\"");
     }
-    if (it->second == client.statement_id) return;
-    ReportViolation("MIXED receipt " + client.statement_id + " has that of " +
-                    it->second + ", " + reply.receipt);
   }
 
   void RecordRefusal(const std::string& write_id) {
     refused_writes_.insert(write_id);
-    if (execution_counts_[write_id] > 0) ReportViolation("REFUSED " + write_id);
+    const auto it = executed_at_.find(write_id);
+    if (it == executed_at_.end()) return;
+    ReportViolation("REFUSED " + write_id + " at " + it->second);
   }
 
   void SendNextStatement(std::uint64_t id) {
@@ -1040,14 +1330,29 @@
     if (it == clients_.end()) return;
     Client& client = it->second;
     if (RandomFraction() < 0.003) return Disconnect(client);
-    Statement statement = Compose(client);
-    client.verb = statement.verb;
+    const std::string text = Compose(client);
     client.statement_id =
         std::to_string(id) + "-" + std::to_string(next_sequence_++);
+    sent_[client.statement_id] = text;
+    const platform::ClientMessage message = platform::ParseClientMessage(
+        "QUERY " + client.statement_id + " " + text);
+    const Statement statement = ParseStatement(text);
+    client.verb = statement.verb;
+    client.writing = statement.verb == Verb::kWrite ||
+                     (statement.verb == Verb::kExecute &&
+                      client.prepared.at(statement.name).writes);
+    if (client.state == TransactionState::kOpen) {
+      if (client.first_statement_id.empty()) {
+        client.first_statement_id = client.statement_id;
+      }
+      if (client.writing) client.writes.push_back(client.statement_id);
+    } else {
+      client.first_statement_id.clear();
+      client.connections.clear();
+    }
     client.waiting = true;
     if (client.state == TransactionState::kIdle) client.started_at = now_;
-    Feed(client.instance,
-         StatementReceived{id, client.statement_id, statement});
+    Feed(client.instance, StatementReceived{id, message.id, message.statement});
   }
 
   void Disconnect(const Client& client) {
@@ -1058,49 +1363,83 @@
     OpenClient(n);
   }
 
-  Statement Compose(Client& client) {
-    if (client.state == TransactionState::kFailed) {
-      return {Verb::kRollback, {}, {}};
-    }
+  std::string Compose(Client& client) {
+    if (client.state == TransactionState::kFailed) return "ROLLBACK";
     if (client.state == TransactionState::kOpen) {
       if (client.statements_left-- <= 0) {
-        const bool commits = RandomFraction() < 0.8;
-        return {commits ? Verb::kCommit : Verb::kRollback, {}, {}};
+        return RandomFraction() < 0.8 ? "COMMIT" : "ROLLBACK";
       }
       return ComposeData(client, client.read_write);
     }
     const double fraction = RandomFraction();
-    if (fraction < 0.08) {
-      const std::string value = std::to_string(RandomBelow(3));
-      const std::string name = RandomBelow(2) == 0 ? "a" : "b";
-      client.values[name] = value;
-      return {Verb::kSet, name, value};
-    }
-    if (fraction < 0.14) {
-      const bool writes = RandomBelow(2) == 0;
-      client.shapes["p"] = "q" + std::to_string(RandomBelow(3));
-      client.shapes["mode"] = writes ? "w" : "r";
-      return {writes ? Verb::kPrepareWrite : Verb::kPrepareRead, "p",
-              client.shapes["p"]};
-    }
+    if (fraction < 0.08) return ComposeSet(client);
+    if (fraction < 0.14) return ComposePrepare(client);
     if (fraction < 0.34) {
       client.read_write = RandomBelow(2) == 0;
       client.statements_left = 1 + RandomBelow(4);
       client.started_at = now_;
-      return {client.read_write ? Verb::kBegin : Verb::kBeginRead, {}, {}};
+      return client.read_write ? "BEGIN" : "BEGIN READ";
     }
     return ComposeData(client, true);
   }
 
-  Statement ComposeData(Client& client, bool read_write) {
-    const bool prepared = client.shapes.contains("p") && RandomBelow(3) == 0;
-    if (prepared && (read_write || client.shapes["mode"] == "r")) {
-      return {Verb::kExecute, "p", "item"};
+  template <std::size_t kSize>
+  [[nodiscard]] std::string Draw(const char* const (&texts)[kSize]) {
+    return texts[RandomBelow(static_cast<int>(kSize))];
+  }
+
+  std::string ComposeSet(Client& client) {
+    constexpr const char* kValues[] = {"1",  "2",   "",        " 1",
+                                       "1 ", "1 2", "READ q0", " "};
+    constexpr const char* kNames[] = {"a", "b", "A", "READ"};
+    const std::string value =
+        options_.varied_texts ? Draw(kValues) : std::to_string(RandomBelow(3));
+    const std::string name = options_.varied_texts ? Draw(kNames)
+                             : RandomBelow(2) == 0 ? "a"
+                                                   : "b";
+    client.values[name] = value;
+    return "SET " + name + " " + value;
+  }
+
+  std::string ComposePrepare(Client& client) {
+    constexpr const char* kShapes[] = {
+        "q0",      "q0 ",   "q0 READ q0", "q0 WRITE q0", "q0 READ q1",
+        "READ q0", "WRITE", "READ",       "q1 x",        "q",
+        "r_q0",    "p1",    "q0 WRITE",   "q0 x READ q0"};
+    constexpr const char* kNames[] = {"p", "p1", "r_q0", "w_q0", "READ"};
+    const bool writes = RandomBelow(2) == 0;
+    std::string name = "p";
+    std::string shape;
+    if (options_.varied_texts) {
+      name = Draw(kNames);
+      if (RandomBelow(8) == 0 && client.prepared.erase(name) > 0) {
+        return "FORGET " + name;
+      }
+      shape = Draw(kShapes);
+    } else {
+      shape = "q" + std::to_string(RandomBelow(3));
+    }
+    client.prepared[name] = {writes, shape};
+    return "PREPARE " + name + (writes ? " WRITE " : " READ ") + shape;
+  }
+
+  std::string ComposeData(Client& client, bool read_write) {
+    const bool executes = !client.prepared.empty() && RandomBelow(3) == 0;
+    auto it = client.prepared.begin();
+    std::string item = "item";
+    if (options_.varied_texts) {
+      constexpr const char* kItems[] = {"1", "2", "3", "READ", "WRITE"};
+      item = Draw(kItems);
+      if (executes) {
+        std::advance(it, RandomBelow(static_cast<int>(client.prepared.size())));
+      }
     }
-    if (read_write && RandomBelow(3) == 0) {
-      return {Verb::kWrite, {}, "item data"};
+    const std::string data = item + " " + std::to_string(next_sequence_);
+    if (executes && (read_write || !it->second.writes)) {
+      return "EXEC " + it->first + " " + (it->second.writes ? data : item);
     }
-    return {Verb::kRead, {}, "item"};
+    if (read_write && RandomBelow(3) == 0) return "WRITE " + data;
+    return "READ " + item;
   }
 
   // Faults.
@@ -1402,7 +1741,24 @@
   std::uint64_t next_client_ = 1;
   std::vector<AcknowledgedWrite> acknowledged_;
   std::uint64_t receipts_issued_ = 0;
-  std::map<std::string, std::string> statement_of_receipt_;
+  /// By receipt, what it was issued for.
+  struct Issued {
+    std::string statement_id;
+    std::vector<std::string> rows;
+  };
+  std::map<std::string, Issued> issued_;
+  std::map<std::string, std::string> sent_;  ///< texts of clients' statements
+  /// By write identifier of a commit.
+  std::map<std::string, ItemData> written_;
+  std::map<std::string, ServerId> executed_at_;  ///< by write
+  /// Repeats of a connection that wait for its later replies.
+  struct RepeatLine {
+    std::uint64_t delivered = 0;  ///< replies since the first repeat
+    std::multimap<std::uint64_t, Reply> waiting;
+  };
+  std::map<std::pair<std::size_t, ConnectionId>, RepeatLine> repeat_lines_;
+  bool repeating_ = false;
+  ServerId repeating_server_;  ///< all if empty
   std::map<std::string, int> execution_counts_;
   std::set<std::string> refused_writes_;
   std::string committed_write_id_;
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -18,6 +18,19 @@
 
 namespace corianderdock::test {
 
+/// Replies that servers send a second time, later.
+struct RepeatOptions {
+  enum class Kind { kStatements, kOwnCommands, kErrors, kAll };
+  double rate = 0;         ///< fraction of the replies of `kind`
+  Kind kind = Kind::kAll;  ///< `kOwnCommands`: to commands of the proxy itself
+  Duration max_delay = std::chrono::milliseconds(200);
+  /// Half of the repeats are sent only after at most so many other replies of
+  /// the connection. 0: none.
+  int max_replies = 0;
+  /// Only in random periods, by one server or by all.
+  bool in_periods = false;
+};
+
 /// Parameters of a simulation run.
 struct WorldOptions {
   int instances = 3;
@@ -44,6 +57,13 @@
   /// the store away for seconds, and strike while replicas are fenced or an
   /// order may be executed.
   bool overlap = false;
+  RepeatOptions repeats;
+  double busy_rate = 0;           ///< fraction of statements refused as busy
+  double setup_failure_rate = 0;  ///< fraction of `SET`, `PREPARE`, `RESET`
+  /// Fraction of server replies that are cut off; the connection ends.
+  double cut_reply_rate = 0;
+  /// Clients use names, values and shapes that other texts contain.
+  bool varied_texts = false;
   session::ProxyOptions proxy;
 };
 
@@ -55,6 +75,7 @@
   int unsure = 0;   ///< replied that the outcome is unknown
   int promotions = 0;
   int replica_reads = 0;
+  int repeats = 0;                 ///< server replies sent a second time
   int losses_reported = 0;         ///< acknowledged commits that instances miss
   Duration longest_commit_gap{0};  ///< longest time without a commit
 };
