--- /dev/null
+++ b/tests/session_repeats_test.cc
@@ -0,0 +1,121 @@
+/// Random schedules of servers that send replies twice, refuse statements, fail
+/// to set up connections and break replies off, together with the other faults.
+/// The environment variables FIRST_SEED and SEEDS set the first seed and the
+/// number of seeds of each test.
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <iterator>
+#include <set>
+#include <string>
+
+#include "support/seeds.h"
+#include "support/session_world.h"
+
+namespace corianderdock::test {
+
+namespace {
+
+using Kind = RepeatOptions::Kind;
+
+constexpr std::uint64_t kSchedules = 12;
+
+/// A world whose servers repeat replies, with or without periods, one kind of
+/// them or all, by `seed`.
+WorldOptions RepeatingWorld(std::uint64_t seed) {
+  constexpr Kind kKinds[] = {Kind::kAll, Kind::kStatements, Kind::kOwnCommands,
+                             Kind::kErrors};
+  constexpr double kRates[] = {0.05, 0.2, 0.5};
+  WorldOptions options;
+  options.seed = seed;
+  options.duration = std::chrono::seconds(4);
+  options.repeats.kind = kKinds[seed % std::size(kKinds)];
+  options.repeats.rate = kRates[seed / std::size(kKinds) % std::size(kRates)];
+  options.repeats.in_periods = seed % 2 == 0;
+  options.repeats.max_replies = seed % 3 == 0 ? 400 : 0;
+  options.repeats.max_delay =
+      std::chrono::milliseconds(seed % 5 == 0 ? 3 : 200);
+  options.busy_rate = 0.05;
+  return options;
+}
+
+/// Prints the first violation of each rule.
+void PrintViolations(const WorldResult& result) {
+  std::set<std::string> rules;
+  for (const std::string& it : result.violations) {
+    if (rules.insert(it.substr(0, it.find(' '))).second) {
+      std::cout << it << "\n";
+    }
+  }
+}
+
+void CheckSchedules(WorldOptions (*world)(std::uint64_t seed)) {
+  const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
+  const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
+  WorldResult total;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const WorldResult result = RunSessionSchedule(world(seed));
+    PrintViolations(result);
+    CHECK(result.violations.empty());
+    total.succeeded += result.succeeded;
+    total.refused += result.refused;
+    total.unsure += result.unsure;
+    total.repeats += result.repeats;
+  }
+  std::cout << "done " << total.succeeded << ", refused " << total.refused
+            << ", unsure " << total.unsure << ", repeats " << total.repeats
+            << "\n";
+  CHECK(total.succeeded > 0);
+}
+
+}  // namespace
+
+// A repeated reply reached the client of another statement.
+TEST_CASE("no schedule with repeated replies violates a guarantee") {
+  CheckSchedules(RepeatingWorld);
+}
+
+// The same, where a replaced primary goes on until it is told.
+TEST_CASE("no schedule with repeated replies and no fencing is stale") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options = RepeatingWorld(seed);
+    options.fencing = false;
+    return options;
+  });
+}
+
+// The same, while claimants and servers fail during promotions.
+TEST_CASE("no schedule with repeated replies during promotions loses commits") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options = RepeatingWorld(seed);
+    options.overlap = true;
+    options.restarts = seed % 2 == 0;
+    options.cut_reply_rate = 0.005;
+    options.duration = std::chrono::seconds(8);
+    return options;
+  });
+}
+
+// A statement ran after the SET or PREPARE that it depends on had failed.
+TEST_CASE("no statement runs on a connection whose setup failed") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.duration = std::chrono::seconds(4);
+    options.setup_failure_rate = 0.05;
+    options.cut_reply_rate = 0.01;
+    return options;
+  });
+}
+
+TEST_CASE("all faults of replies together violate no guarantee") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options = RepeatingWorld(seed);
+    options.varied_texts = true;
+    options.setup_failure_rate = 0.02;
+    options.cut_reply_rate = 0.005;
+    options.joiners = seed % 2 == 1;
+    return options;
+  });
+}
+
+}  // namespace corianderdock::test
