--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -251,6 +251,9 @@
     reply.error = error;
     reply.position = position;
     reply.state = state;
+    if (succeeds && verb == Verb::kRead) {
+      reply.rows = {"row of " + it.command.statement.text};
+    }
     const bool has_result = verb == Verb::kRead || verb == Verb::kWrite ||
                             verb == Verb::kExecute || verb == Verb::kCommit;
     if (succeeds && has_result)
@@ -344,6 +347,13 @@
     return reply;
   }
 
+  /// Sends a reply on a connection for the second time, or one that answers no
+  /// command.
+  void Repeat(ConnectionId connection, const Reply& reply) {
+    Feed(session::ServerReplied{connection, reply});
+    CompleteConnects();
+  }
+
   /// Answers commands that the proxy sent on its own account, up to the first
   /// client statement.
   void AnswerSetup() {
@@ -387,6 +397,7 @@
   std::vector<session::CloseSession> closed;
   std::vector<session::AnswerPeer> peer_answers;
   std::vector<session::ClosePeer> peers_closed;
+  std::set<ConnectionId> connections_closed;  ///< to servers, by the proxy
   std::vector<session::PromoteServer> promotions;
   std::vector<session::ClaimPromotion> claims;
   /// Pending connection attempts.
@@ -426,6 +437,7 @@
   void Record(const session::AnswerPeer& it) { peer_answers.push_back(it); }
   void Record(const session::ClosePeer& it) { peers_closed.push_back(it); }
   void Record(const session::CloseServerConnection& it) {
+    connections_closed.insert(it.connection);
     const auto of_connection = [&](const SendCommand& command) {
       return command.connection == it.connection;
     };
