Name prepared statements at servers by a counter

Callers saw a statement run with another item, or with another client's shape: "EXEC r_q2 READ oggophn 1b4" runs the name r_q2 with the item READ, and "PREPARE w_q2a WRITE cn WRITE q2a WRITE cn" replaces the shape of w_q2a.

Cause: the name at a server was r_ or w_ and the shape. A shape is the last field of its line and may hold blanks; a name can't. The name is now a counter of the connection, never reused on it, not even after RESET, so no text of a client is part of it. A connection has at most 256 statements; the least recently used one is dropped with FORGET and prepared anew under a new name when it is used again. The one that is being run is the most recently used.

The fake server of the session schedules told writes by the first letter of the name. It keeps the PREPARE instead and also checks that a statement prepared as a read isn't run as a write.

--- a/include/corianderdock/session/connection_state.h
+++ b/include/corianderdock/session/connection_state.h
@@ -2,9 +2,10 @@
 /// Session values and prepared statements that exist on a server connection.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,13 +28,18 @@
 };
 
 /// Tracks the values and prepared statements of one server connection, so that
-/// it can be brought to a session's state with the fewest commands. Statements
-/// are prepared under a name derived from their shape, so that sessions share
-/// them. Not thread-safe.
+/// it can be brought to a session's state with the fewest commands. Sessions
+/// share the statements of a connection. It names them by a counter and never
+/// reuses a name, so that no text of a client is part of one. Not thread-safe.
 class ConnectionState {
  public:
+  /// Statements that are prepared on a connection at once. Before one more is
+  /// prepared, the least recently used one is dropped.
+  static constexpr std::size_t kMaxPreparedStatements = 256;
+
   /// Returns the commands after which the connection has exactly `values`, and
-  /// `statement` if set, and assumes that they will succeed.
+  /// `statement` if set, and assumes that they will succeed. Until the next
+  /// call, `statement` isn't dropped.
   [[nodiscard]] std::vector<ServerCommand> Synchronize(
       const SessionValues& values,
       const std::optional<PreparedStatement>& statement);
@@ -43,16 +49,27 @@
       const SessionValues& values,
       const std::optional<PreparedStatement>& statement) const;
 
-  /// Returns the name under which a statement is prepared on servers.
-  [[nodiscard]] static std::string ServerStatementName(
-      const PreparedStatement& statement);
+  /// Returns the name under which a statement is prepared on this connection.
+  /// \pre It was passed to the last call of `Synchronize`.
+  [[nodiscard]] const std::string& ServerStatementName(
+      const PreparedStatement& statement) const;
 
  private:
-  /// Whether the connection has a value that `values` lacks.
-  [[nodiscard]] bool HasExtraValue(const SessionValues& values) const;
+  struct Prepared {
+    std::string name;
+    std::uint64_t last_used = 0;  ///< count of uses at that time
+  };
+
+  /// Whether the connection must be reset to have no value that `values` lacks.
+  [[nodiscard]] bool NeedsReset(const SessionValues& values) const;
+  /// Appends the commands that prepare a statement unless it is prepared.
+  void Prepare(const PreparedStatement& statement,
+               std::vector<ServerCommand>& commands);
 
   SessionValues values_;
-  std::set<PreparedStatement> prepared_;
+  std::map<PreparedStatement, Prepared> prepared_;
+  std::uint64_t names_given_ = 0;
+  std::uint64_t uses_ = 0;
 };
 
 }  // namespace corianderdock::session
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -401,7 +401,8 @@
   [[nodiscard]] AttemptKind AttemptKindOf(const Session& session) const;
   [[nodiscard]] std::vector<ServerCommand> SetupCommands(
       const Session& session, Connection& connection) const;
-  [[nodiscard]] ServerCommand CommandFor(const Session& session) const;
+  [[nodiscard]] static ServerCommand CommandFor(const Session& session,
+                                                const Connection& connection);
 
   // Servers (proxy_servers.cc).
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -190,7 +190,7 @@
   Send(peer.bound_connection,
        connection.state.Synchronize(peer.values, prepared), Step::kSetup);
   if (prepared) {
-    command.statement.name = ConnectionState::ServerStatementName(*prepared);
+    command.statement.name = connection.state.ServerStatementName(*prepared);
   }
   SendOne(peer.bound_connection, std::move(command), Step::kPeer, false);
   return true;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -60,7 +60,7 @@
     SendOne(connection, std::move(begin), Step::kBegin, !read_only);
     return true;
   }
-  ServerCommand command = CommandFor(session);
+  ServerCommand command = CommandFor(session, server_connection);
   command.after = position;
   SendOne(connection, std::move(command), Step::kStatement, pending.writes);
   return true;
@@ -74,14 +74,15 @@
       session.pending->prepared);
 }
 
-ServerCommand Proxy::CommandFor(const Session& session) const {
+ServerCommand Proxy::CommandFor(const Session& session,
+                                const Connection& connection) {
   const PendingStatement& pending = *session.pending;
   ServerCommand command;
   command.id = pending.id;
   command.statement = pending.statement;
   if (pending.prepared) {
     command.statement.name =
-        ConnectionState::ServerStatementName(*pending.prepared);
+        connection.state.ServerStatementName(*pending.prepared);
   }
   return command;
 }
@@ -104,7 +105,7 @@
   }
   Send(connection, SetupCommands(session, server_connection), Step::kSetup);
   if (pending.writes) session.sent_write = true;
-  SendOne(connection, CommandFor(session), Step::kStatement,
+  SendOne(connection, CommandFor(session, server_connection), Step::kStatement,
           commit && session.sent_write);
   if (!pending.in_proxy_transaction) return;
   ServerCommand end;
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -82,6 +82,34 @@
   CHECK(driver.SentVerbs() == std::vector{Verb::kPrepareWrite, Verb::kExecute});
 }
 
+// Guards against a statement that runs with another item or another client's
+// shape, as a blank in a shape ended the name that was made of it.
+TEST_CASE("shapes with blanks of two clients run as they were prepared") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.OpenSession(2, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q2a");
+  driver.Query(2, Verb::kPrepareWrite, "p", "q2a WRITE cn");
+  std::map<std::string, std::string> prepared;
+  for (const session::SessionId id : {1, 2, 1, 2}) {
+    driver.sent.clear();
+    driver.Query(id, Verb::kExecute, "p", "item data");
+    for (const auto& it : driver.sent) {
+      const Statement& statement = it.command.statement;
+      CHECK(statement.name.find(' ') == std::string::npos);
+      if (statement.verb == Verb::kPrepareWrite) {
+        CHECK(prepared.emplace(statement.name, statement.text).second);
+      }
+    }
+    const Statement& run = driver.sent.back().command.statement;
+    REQUIRE(run.verb == Verb::kExecute);
+    CHECK(run.text == "item data");
+    CHECK(prepared[run.name] == (id == 1 ? "q2a" : "q2a WRITE cn"));
+    driver.AnswerSetup();
+    driver.AnswerFirst();
+  }
+}
+
 TEST_CASE("a shape is prepared once per connection") {
   ProxyDriver driver;
   driver.OpenSession(1, "claims");
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -39,7 +39,7 @@
 struct ServerSession {
   std::size_t instance = 0;
   std::map<std::string, std::string> values;
-  std::map<std::string, std::string> prepared;
+  std::map<std::string, Statement> prepared;  ///< as the server received them
   TransactionState state = TransactionState::kIdle;
   bool read_write = false;
   Term term = 0;  ///< of the server when the transaction began
@@ -791,7 +791,12 @@
         return reply;
       case Verb::kPrepareRead:
       case Verb::kPrepareWrite:
-        server_session.prepared[statement.name] = statement.text;
+        server_session.prepared[statement.name] = statement;
+        return reply;
+      case Verb::kForget:
+        if (server_session.prepared.erase(statement.name) == 0) {
+          return fail(ErrorCode::kNoStatement);
+        }
         return reply;
       case Verb::kBegin:
       case Verb::kBeginRead:
@@ -863,7 +868,7 @@
       reply.error = ErrorCode::kReadOnly;
       return reply;
     }
-    const bool writes = IsWrite(command.statement);
+    const bool writes = IsWrite(server_session, command.statement);
     if (!in_transaction && writes && !server.primary) {
       reply.error = ErrorCode::kReadOnly;
       return reply;
@@ -888,9 +893,14 @@
     return reply;
   }
 
-  [[nodiscard]] static bool IsWrite(const Statement& statement) {
-    return statement.verb == Verb::kWrite ||
-           (statement.verb == Verb::kExecute && statement.name[0] == 'w');
+  [[nodiscard]] static bool IsWrite(const ServerSession& server_session,
+                                    const Statement& statement) {
+    if (statement.verb != Verb::kExecute) {
+      return statement.verb == Verb::kWrite;
+    }
+    const auto it = server_session.prepared.find(statement.name);
+    return it != server_session.prepared.end() &&
+           it->second.verb == Verb::kPrepareWrite;
   }
 
   void CountExecution(const std::string& write_id) {
@@ -922,7 +932,9 @@
     const auto shape = server_session.prepared.find(command.statement.name);
     const std::string expected_shape = client.shapes.at("p");
     if (shape == server_session.prepared.end() ||
-        shape->second != expected_shape) {
+        shape->second.text != expected_shape ||
+        (shape->second.verb == Verb::kPrepareWrite) !=
+            (client.shapes.at("mode") == "w")) {
       ReportViolation("PINNED shape " + command.id);
     }
   }
