Set up a connection anew whose server lacks a statement

A connection counted as having a prepared statement that its server doesn't know, so that each further EXEC on it got NOSTMT. The next use of the connection now starts with RESET.

Before: "a statement that the server doesn't know is prepared anew" failed on the code before: the retry sent EXEC alone. After: session_statements_test and connection_state_test pass.

--- a/include/corianderdock/session/connection_state.h
+++ b/include/corianderdock/session/connection_state.h
@@ -54,6 +54,10 @@
   [[nodiscard]] const std::string& ServerStatementName(
       const PreparedStatement& statement) const;
 
+  /// Notes that the server lacks something that it was assumed to have. The
+  /// next `Synchronize` sets up the connection anew.
+  void Invalidate() noexcept { valid_ = false; }
+
  private:
   struct Prepared {
     std::string name;
@@ -70,6 +74,7 @@
   std::map<PreparedStatement, Prepared> prepared_;
   std::uint64_t names_given_ = 0;
   std::uint64_t uses_ = 0;
+  bool valid_ = true;
 };
 
 }  // namespace corianderdock::session
--- a/src/session/connection_state.cc
+++ b/src/session/connection_state.cc
@@ -20,6 +20,7 @@
 }
 
 bool ConnectionState::NeedsReset(const SessionValues& values) const {
+  if (!valid_) return true;
   return std::any_of(values_.begin(), values_.end(), [&](const auto& it) {
     return !values.contains(it.first);
   });
@@ -54,6 +55,7 @@
     commands.push_back(Command(Verb::kReset, {}, {}));
     values_.clear();
     prepared_.clear();
+    valid_ = true;
   }
   for (const auto& [name, value] : values) {
     const auto it = values_.find(name);
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -198,6 +198,9 @@
   PendingStatement& pending = *session.pending;
   pending.tried_servers.insert(server_connection.server);
   NoteRefusal(pool, reply.error);
+  if (reply.error == ErrorCode::kNoStatement) {
+    server_connection.state.Invalidate();
+  }
   const bool commit = pending.statement.verb == Verb::kCommit;
   const bool autocommit = session.state == TransactionState::kIdle;
   const bool ended = commit && reply.state == TransactionState::kIdle;
--- a/tests/connection_state_test.cc
+++ b/tests/connection_state_test.cc
@@ -124,6 +124,15 @@
   CHECK(it.Use({true, "q1"}) != second);
 }
 
+TEST_CASE("a connection that lacks a statement is set up anew") {
+  ConnectionFixture it;
+  const SessionValues values = {{"a", "1"}};
+  const std::string before = it.Use({true, "q1"}, values);
+  it.state.Invalidate();
+  CHECK(it.Use({true, "q1"}, values) != before);
+  CHECK(it.state.Synchronize(values, PreparedStatement{true, "q1"}).empty());
+}
+
 TEST_CASE("values of one session never remain for the next") {
   ConnectionFixture it;
   (void)it.Use({true, "q1"}, {{"a", "1"}, {"b", ""}, {"c", " 1 "}});
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -110,6 +110,22 @@
   }
 }
 
+// Guards against a statement that stays unknown at a server: the connection
+// counted as having it.
+TEST_CASE("a statement that the server doesn't know is prepared anew") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q1");
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  driver.AnswerSetup();
+  driver.AnswerFirst();
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kExecute});
+  driver.AnswerFirst(ErrorCode::kNoStatement);
+  CHECK(driver.SentVerbs() ==
+        std::vector{Verb::kReset, Verb::kPrepareWrite, Verb::kExecute});
+}
+
 TEST_CASE("a shape is prepared once per connection") {
   ProxyDriver driver;
   driver.OpenSession(1, "claims");
