Keep the names of a forwarding instance apart from a server's

An instance that forwards names its statements itself; the owner of the connection sends its own names to the server. FORGET and EXEC of a name that the owner doesn't know went to the server as they were, where the name may be another instance's, and the owner's maps of names and values had no bound. The owner now answers FORGET itself and an unknown name with NOSTMT, and refuses more statements or values than an instance can have.

Before, on the code before: "an owner maps another instance's names to its connection's" and "an owner bounds what another instance sets up" failed (10,000 names and values accepted). After: session_peers_test passes.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -475,7 +475,12 @@
   [[nodiscard]] bool ForwardsTo(const ServerPool& pool) const;
   bool TryNextOwner(ServerPool& pool);
   void RunNextCommand(PeerId id, Peer& peer);
-  void AnswerPeerLocally(PeerId id, Peer& peer);
+  void AnswerPeerLocally(PeerId id, Peer& peer,
+                         ErrorCode error = ErrorCode::kNone);
+  [[nodiscard]] ErrorCode StoreValue(Peer& peer,
+                                     const Statement& statement) const;
+  [[nodiscard]] static ErrorCode StorePrepared(Peer& peer,
+                                               const Statement& statement);
   [[nodiscard]] std::optional<PreparedStatement> PreparedOf(
       const Peer& peer, const ServerCommand& command) const;
   bool StartPeerCommand(PeerId id, Peer& peer, ServerPool& pool);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -112,28 +112,58 @@
   peers_.erase(event.peer);
 }
 
-void Proxy::AnswerPeerLocally(PeerId id, Peer& peer) {
+void Proxy::AnswerPeerLocally(PeerId id, Peer& peer, ErrorCode error) {
   Reply reply;
+  reply.error = error;
   reply.position = pools_.at(peer.server).log_position;
   if (peer.bound_connection != 0) reply.state = TransactionState::kOpen;
   peer.commands.pop_front();
   Emit(AnswerPeer{id, std::move(reply)});
 }
 
+ErrorCode Proxy::StoreValue(Peer& peer, const Statement& statement) const {
+  const bool known = peer.values.contains(statement.name);
+  if (!known && peer.values.size() >= options_.max_session_values) {
+    return ErrorCode::kBad;
+  }
+  peer.values[statement.name] = statement.text;
+  return ErrorCode::kNone;
+}
+
+/// The names are those of the instance that forwards, which drops one before it
+/// exceeds the limit.
+ErrorCode Proxy::StorePrepared(Peer& peer, const Statement& statement) {
+  const bool known = peer.prepared.contains(statement.name);
+  if (!known &&
+      peer.prepared.size() >= ConnectionState::kMaxPreparedStatements) {
+    return ErrorCode::kBad;
+  }
+  peer.prepared[statement.name] = {statement.verb == Verb::kPrepareWrite,
+                                   statement.text};
+  return ErrorCode::kNone;
+}
+
 /// Runs the oldest commands of a peer until one needs the server.
 void Proxy::RunNextCommand(PeerId id, Peer& peer) {
   while (!peer.commands.empty() && !peer.running) {
     const Statement& statement = peer.commands.front().statement;
     switch (statement.verb) {
       case Verb::kSet:
-        peer.values[statement.name] = statement.text;
-        AnswerPeerLocally(id, peer);
+        AnswerPeerLocally(id, peer, StoreValue(peer, statement));
         continue;
       case Verb::kPrepareRead:
       case Verb::kPrepareWrite:
-        peer.prepared[statement.name] = {statement.verb == Verb::kPrepareWrite,
-                                         statement.text};
-        AnswerPeerLocally(id, peer);
+        AnswerPeerLocally(id, peer, StorePrepared(peer, statement));
+        continue;
+      case Verb::kForget:
+        AnswerPeerLocally(id, peer,
+                          peer.prepared.erase(statement.name) == 0
+                              ? ErrorCode::kNoStatement
+                              : ErrorCode::kNone);
+        continue;
+      case Verb::kExecute:
+        if (peer.prepared.contains(statement.name)) break;
+        AnswerPeerLocally(id, peer, ErrorCode::kNoStatement);
         continue;
       case Verb::kReset:
         peer.values.clear();
@@ -205,6 +235,7 @@
   Peer& peer = it->second;
   peer.running = false;
   peer.commands.pop_front();
+  if (reply.error == ErrorCode::kNoStatement) connection.state.Invalidate();
   if (reply.error == ErrorCode::kBusy) {
     NoteRefusal(pool, reply.error);
   } else if (reply.error == ErrorCode::kNone) {
--- a/tests/session_peers_test.cc
+++ b/tests/session_peers_test.cc
@@ -242,6 +242,56 @@
   CHECK(it.driver.peer_answers.back().reply.receipt == "r");
 }
 
+// Guards against another instance's names at the server: it would drop a name
+// that this connection doesn't have, and run unknown ones.
+TEST_CASE("an owner maps another instance's names to its connection's") {
+  OwnerFixture it;
+  it.driver.sent.clear();
+  it.driver.Feed(PeerOpened{2, "books", "b"});
+  for (const session::PeerId peer : {1, 2}) {
+    const std::string shape = peer == 1 ? "q1" : "q1 READ cn";
+    it.driver.Feed(
+        PeerCommand{peer, Command(Verb::kPrepareRead, {}, "p1", shape)});
+    it.driver.Feed(PeerCommand{
+        peer,
+        Command(Verb::kExecute, "x" + std::to_string(peer), "p1", "item")});
+    REQUIRE(it.driver.SentVerbs() ==
+            std::vector{Verb::kPrepareRead, Verb::kExecute});
+    const Statement& prepare = it.driver.sent.front().command.statement;
+    CHECK(prepare.text == shape);
+    CHECK(prepare.name == it.driver.sent.back().command.statement.name);
+    it.driver.AnswerSetup();
+    it.driver.AnswerFirst();
+  }
+  // Dropped names are the forwarding instance's.
+  it.driver.Feed(PeerCommand{1, Command(Verb::kForget, {}, "p1")});
+  CHECK(it.driver.peer_answers.back().reply.error == ErrorCode::kNone);
+  it.driver.Feed(PeerCommand{1, Command(Verb::kForget, {}, "p1")});
+  CHECK(it.driver.peer_answers.back().reply.error == ErrorCode::kNoStatement);
+  it.driver.Feed(PeerCommand{1, Command(Verb::kExecute, "y", "p1", "item")});
+  CHECK(it.driver.peer_answers.back().reply.error == ErrorCode::kNoStatement);
+  CHECK(it.driver.sent.empty());
+}
+
+TEST_CASE("an owner bounds what another instance sets up") {
+  OwnerFixture it;
+  it.driver.sent.clear();
+  const auto refused_at = [&](Verb verb) {
+    std::size_t n = 0;
+    while (n < 10'000) {
+      it.driver.Feed(
+          PeerCommand{1, Command(verb, {}, "n" + std::to_string(n), "text")});
+      if (it.driver.peer_answers.back().reply.error != ErrorCode::kNone) break;
+      ++n;
+    }
+    return n;
+  };
+  CHECK(refused_at(Verb::kPrepareRead) ==
+        session::ConnectionState::kMaxPreparedStatements);
+  CHECK(refused_at(Verb::kSet) == session::ProxyOptions().max_session_values);
+  CHECK(it.driver.sent.empty());
+}
+
 TEST_CASE("a forwarded transaction keeps its connection until it ends") {
   OwnerFixture it;
   it.driver.sent.clear();
