End lines at CR LF only

A client's "SET v 1<LF>QUERY zz3 WRITE b stolen" ran the statement zz3, which no client sent, and a CR within a text went on to the server.

Cause: a LF ended a line with or without CR before it, and a CR elsewhere was part of the line. A CR or LF alone now ends the connection, and only it: clients get ERR BAD, with one log line; what servers and other instances sent counts as no answer. The limit of 1 MiB counts the line without CR LF however reads divide it; before, the CR counted when it arrived apart from the LF.

Nothing else uses LineSocket; the relay reads its own first line.

--- a/include/corianderdock/net/line_socket.h
+++ b/include/corianderdock/net/line_socket.h
@@ -16,7 +16,7 @@
 
 /// Limits of one connection.
 struct LineLimits {
-  std::size_t max_line_bytes = 1 << 20;
+  std::size_t max_line_bytes = 1 << 20;    ///< without the line ending
   std::size_t max_unsent_bytes = 4 << 20;  ///< bytes the socket did not accept
   /// Longest time from the first byte of a line to its end.
   Duration line_timeout = std::chrono::seconds(10);
@@ -25,8 +25,9 @@
   Duration peer_timeout = std::chrono::seconds(3);
 };
 
-/// Reads lines that end in LF or CR LF, and batches writes until `Flush`.
-/// Confined to its io_context's thread.
+/// Reads lines that end in CR LF, and batches writes until `Flush`. A CR or LF
+/// alone is neither a line ending nor part of a line. Confined to its
+/// io_context's thread.
 ///
 /// \code
 /// auto socket = LineSocket::Make(std::move(tcp_socket), limits);
@@ -40,12 +41,16 @@
   using OnLine = std::function<void(std::string_view)>;
   /// Receives the reason; called at most once, and not after `Close`.
   using OnClosed = std::function<void(std::string)>;
+  /// Receives the reason for which the peer's input isn't a line; called at
+  /// most once. It may write a last line and call `Close`; otherwise the
+  /// connection is closed afterwards and `OnClosed` called.
+  using OnInvalid = std::function<void(std::string)>;
 
   [[nodiscard]] static std::shared_ptr<LineSocket> Make(
       boost::asio::ip::tcp::socket socket, const LineLimits& limits);
 
   /// Begins to read. \pre The socket is connected.
-  void Start(OnLine on_line, OnClosed on_closed);
+  void Start(OnLine on_line, OnClosed on_closed, OnInvalid on_invalid = {});
 
   /// Appends bytes; the next `Flush` sends them.
   void Write(std::string_view bytes) { unsent_.append(bytes); }
@@ -67,6 +72,7 @@
   void WaitReadable();
   void ReadSome();
   bool Consume(std::string_view bytes);
+  bool Refuse(const std::string& reason);
   void WaitWritable();
   void StartPartialLineTimer();
   void Fail(const std::string& reason);
@@ -75,6 +81,7 @@
   LineLimits limits_;
   OnLine on_line_;
   OnClosed on_closed_;
+  OnInvalid on_invalid_;
   std::string partial_line_;  ///< beginning of an incomplete line
   std::unique_ptr<boost::asio::steady_timer> partial_line_timer_;
   std::string unsent_;
--- a/src/adapters/line_socket.cc
+++ b/src/adapters/line_socket.cc
@@ -24,9 +24,11 @@
 LineSocket::LineSocket(tcp::socket socket, const LineLimits& limits)
     : socket_(std::move(socket)), limits_(limits) {}
 
-void LineSocket::Start(OnLine on_line, OnClosed on_closed) {
+void LineSocket::Start(OnLine on_line, OnClosed on_closed,
+                       OnInvalid on_invalid) {
   on_line_ = std::move(on_line);
   on_closed_ = std::move(on_closed);
+  on_invalid_ = std::move(on_invalid);
   error_code ec;
   socket_.non_blocking(true, ec);
   if (ec) return Fail(ec.message());
@@ -61,9 +63,9 @@
   while (!bytes.empty()) {
     const std::size_t end = bytes.find('\n');
     if (end == std::string_view::npos) {
-      if (partial_line_.size() + bytes.size() > limits_.max_line_bytes) {
-        Fail("line too long");
-        return false;
+      // The last byte may be the CR of the line ending.
+      if (partial_line_.size() + bytes.size() > limits_.max_line_bytes + 1) {
+        return Refuse("line too long");
       }
       if (partial_line_.empty()) StartPartialLineTimer();
       partial_line_.append(bytes);
@@ -78,17 +80,26 @@
       joined.append(line);
       line = joined;
     }
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    if (line.size() > limits_.max_line_bytes) {
-      Fail("line too long");
-      return false;
+    if (line.empty() || line.back() != '\r') return Refuse("LF without CR");
+    line.remove_suffix(1);
+    if (line.find('\r') != std::string_view::npos) {
+      return Refuse("CR without LF");
     }
+    if (line.size() > limits_.max_line_bytes) return Refuse("line too long");
     on_line_(line);
     if (closed_) return false;
   }
   return true;
 }
 
+/// Ends the connection because of what the peer sent. Returns false.
+bool LineSocket::Refuse(const std::string& reason) {
+  const OnInvalid on_invalid = std::exchange(on_invalid_, {});
+  if (on_invalid) on_invalid(reason);
+  Fail(reason);
+  return false;
+}
+
 void LineSocket::StartPartialLineTimer() {
   partial_line_timer_ =
       std::make_unique<asio::steady_timer>(socket_.get_executor());
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -157,6 +157,11 @@
         const std::lock_guard lock(mutex_);
         seen_.emplace_back(line);
       }
+      if (line.ends_with(" divided")) {
+        // A row that ends in LF alone.
+        socket.Write("ROW value\nDONE receipt\r\nREADY I 1.5\r\n");
+        return socket.Flush();
+      }
       const bool begins = line.find(" BEGIN") != std::string_view::npos;
       socket.Write(sent_by_proxy ? "DONE -\r\n"
                                  : "ROW value\r\nDONE receipt\r\n");
@@ -325,6 +330,20 @@
   CHECK(answer[1] == "DONE receipt");
 }
 
+/// Waits until the proxy has connected to its server again.
+void AwaitServed(const Fixture& fixture) {
+  const TimePoint until = Clock::now() + kReadyTimeout;
+  while (Clock::now() < until) {
+    TestClient client(fixture.client_port());
+    client.Send("START db me\r\n");
+    (void)client.ReadReply();
+    client.Send("QUERY q0 READ item\r\n");
+    if (client.ReadReply().size() == 3) return;
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
+  FAIL("no statement was served within the time limit");
+}
+
 }  // namespace
 
 TEST_CASE("a session is proxied from client to server") {
@@ -359,6 +378,9 @@
       start + "QUERY q1 RESUME\r\n",
       start + "QUERY q1 WRITE item\r\n",
       std::string(2 << 20, 'x'),
+      start + "QUERY q1 SET v 1\nQUERY q2 WRITE item stolen\r\n",
+      start + "QUERY q1 WRITE item a\rb\r\n",
+      start + "QUERY q1 WRITE item a\n",
   };
   for (const auto& input : inputs) {
     TestClient client(fixture.client_port());
@@ -375,6 +397,47 @@
   CheckServed(fixture);
 }
 
+// Guards against a statement that no client sent: a LF within a value ended the
+// line, and the rest of it ran as another statement.
+TEST_CASE("a LF without CR is refused once and ends only its connection") {
+  Fixture fixture;
+  TestClient other(fixture.client_port());
+  other.Send("START db me\r\n");
+  (void)other.ReadReply();
+  TestClient client(fixture.client_port());
+  client.Send("START db me\r\n");
+  (void)client.ReadReply();
+  client.Send("QUERY q1 SET v 1\nQUERY q2 WRITE item stolen\r\n");
+  const auto refusal = client.ReadLine();
+  REQUIRE(refusal);
+  CHECK(refusal->starts_with("ERR BAD "));
+  CHECK_FALSE(client.ReadLine());
+  other.Send("QUERY q3 READ item\r\n");
+  CHECK(other.ReadReply().back().starts_with("READY I"));
+  CHECK(fixture.server().seen() ==
+        std::vector<std::string>{"QUERY q3 READ item"});
+  CHECK(fixture.Stop() == 0);
+  const std::string log = Fixture::Log();
+  const std::string event = "reason=LF without CR";
+  const auto at = log.find(event);
+  REQUIRE(at != std::string::npos);
+  CHECK(log.find(event, at + 1) == std::string::npos);
+}
+
+TEST_CASE("a server's reply with a LF without CR isn't a success") {
+  Fixture fixture;
+  TestClient client(fixture.client_port());
+  client.Send("START db me\r\n");
+  (void)client.ReadReply();
+  client.Send("QUERY q1 WRITE item divided\r\n");
+  const auto reply = client.ReadReply();
+  REQUIRE(reply.size() == 2);
+  CHECK(reply.front().starts_with("ERR UNSURE"));
+  CHECK(fixture.server().seen() ==
+        std::vector<std::string>{"QUERY q1 WRITE item divided"});
+  AwaitServed(fixture);
+}
+
 TEST_CASE("SIGTERM closes idle sessions and ends the process") {
   Fixture fixture;
   TestClient client(fixture.client_port());
