Accept only whole replies and lines of one grammar

Two DONE, rows after DONE or ERR, ERR after rows, READY alone, an unknown state letter, an unreadable position or a missing receipt were merged into a reply, so that a client could get rows of two replies. Such lines now end the connection. The reply to START is READY, or ERR and the close.

Texts were mostly passed on unchanged, but "SET v" became "SET v ", and peers' "HOLD 04" and "AFTER 01.2" other texts.

"the lines of a server reply are combined" now begins with the reply to START.

--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -381,6 +381,8 @@
       start + "QUERY q1 SET v 1\nQUERY q2 WRITE item stolen\r\n",
       start + "QUERY q1 WRITE item a\rb\r\n",
       start + "QUERY q1 WRITE item a\n",
+      "START db\r\n",
+      start + "BYE now\r\n",
   };
   for (const auto& input : inputs) {
     TestClient client(fixture.client_port());
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -98,6 +98,7 @@
 
 TEST_CASE("the lines of a server reply are combined") {
   platform::ReplyParser parser;
+  CHECK(parser.AddLine("READY I 3.1207"));
   CHECK_FALSE(parser.AddLine("ROW qhz kwm"));
   CHECK_FALSE(parser.AddLine("DONE 7.1f3.c"));
   const auto reply = parser.AddLine("READY T 3.1209");
