--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -30,20 +30,14 @@
   if (expected.uses_slot) --pool.running;
   const Reply& reply = event.reply;
   const bool failed = reply.error != ErrorCode::kNone;
-  const bool decides = expected.step == Step::kStatement ||
-                       expected.step == Step::kPeer ||
-                       expected.step == Step::kBegin;
-  const bool no_promise = !certain && failed && decides;
-  if (no_promise || matched.origin == ReplyOrigin::kForeign) {
+  NoteHeard(pool);
+  if (matched.origin == ReplyOrigin::kForeign ||
+      !Suffices(pool, connection, expected, certain, failed)) {
     if (expected.step == Step::kWitness) --pool.queries;
-    NoteHeard(pool);
-    // What the server is short of needs no certainty.
-    if (reply.error == ErrorCode::kBusy || reply.error == ErrorCode::kBehind) {
-      NoteRefusal(pool, reply.error);
-    }
-    return CloseConnection(event.connection, true);
+    return CloseInDoubt(event.connection, reply);
   }
-  NoteHeard(pool);
+  if (certain && !reply.receipt.empty()) connection.setup_in_doubt = false;
+  connection.retired = connection.retired || connection.replies.full();
   services_to_dispatch_.insert(connection.service);
   // A BEGIN that failed has opened no transaction.
   const Verb verb = expected.form.verb;
@@ -53,10 +47,10 @@
   }
   pool.log_position = LaterPosition(pool.log_position, reply.position);
   if (reply.position) CheckAcknowledged(pool, *reply.position);
-  NoteContact(pool, connection, expected, reply);
   // What may be a repeat shows nothing that its predecessor didn't.
   if (!certain) expected.sent = std::min(expected.sent, matched.first_sent);
   NotePosition(pool, expected.sent, reply.position);
+  NoteContact(pool, connection, expected, reply);
   switch (expected.step) {
     case Step::kBegin:
       expected.proves_leadership = expected.proves_leadership && certain;
@@ -69,9 +63,11 @@
       OnPeerReply(event.connection, reply);
       break;
     case Step::kProbe:
-      if (!failed) {
-        connection.retired = !certain;
-        if (certain) NotePrimary(pool, reply.position, expected.sent);
+      if (!failed && certain) {
+        NotePrimary(pool, reply.position, expected.sent);
+      } else if (!failed) {
+        // Statements prove a known primary; others need a reply that is new.
+        connection.retired = PrimaryOfService(pool) != pool.entry.id;
       } else if (reply.error == ErrorCode::kReadOnly && certain) {
         NoteNotPrimary(pool);
       }
@@ -85,6 +81,7 @@
       break;
     case Step::kSetup:
       if (!failed) {
+        if (!certain) connection.setup_in_doubt = pool.repeats_replies;
         OnSetupReply(event.connection);
         break;
       }
@@ -99,6 +96,43 @@
   ReturnToPool(event.connection);
 }
 
+/// Whether a reply that fits its command decides the outcome of a statement or
+/// of the BEGIN of a client's transaction.
+bool Proxy::Suffices(const ServerPool& pool, const Connection& connection,
+                     const ExpectedReply& expected, bool certain, bool failed) {
+  const bool statement =
+      expected.step == Step::kStatement || expected.step == Step::kPeer;
+  if (!statement && expected.step != Step::kBegin) return true;
+  if (failed) return certain && !(statement && connection.setup_in_doubt);
+  // A read of its own shows by its reply whether BEGIN succeeded. A client's
+  // statements would run outside their transaction.
+  const bool begins = expected.form.verb == Verb::kBegin ||
+                      expected.form.verb == Verb::kBeginRead;
+  return certain || !begins || expected.own_read || !pool.repeats_replies;
+}
+
+/// Closes a connection after a reply that promises nothing about the command
+/// that it was taken for.
+void Proxy::CloseInDoubt(ConnectionId id, const Reply& reply) {
+  const Connection& connection = connections_.at(id);
+  const ServerId server = connection.server;
+  const SessionId session = connection.bound_session;
+  // What the server is short of needs no certainty.
+  const bool refused =
+      reply.error == ErrorCode::kBusy || reply.error == ErrorCode::kBehind;
+  if (refused) NoteRefusal(pools_.at(server), reply.error);
+  CloseConnection(id, false);
+  const auto it = sessions_.find(session);
+  if (it == sessions_.end()) return;
+  if (!refused || !it->second.pending || !it->second.pending->sent) {
+    return FailLostConnection(session, it->second, server);
+  }
+  it->second.bound_connection = 0;
+  it->second.pending->tried_servers.insert(server);
+  FailAttempt(session, it->second, EndWithoutReply(*it->second.pending),
+              reply.error, "reply in doubt");
+}
+
 /// Finds the origin of a reply to the oldest outstanding command. An instance
 /// that shares its connections has decided already.
 Proxy::MatchedReply Proxy::Match(const ServerPool& pool, Connection& connection,
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -60,6 +60,8 @@
     // The statement itself, which follows the reply, proves leadership anew.
     const bool proves = !read_only && !pending.in_proxy_transaction;
     SendOne(connection, std::move(begin), Step::kBegin, proves);
+    connections_.at(connection).expected.back().own_read =
+        pending.in_proxy_transaction;
     return true;
   }
   pending.awaits_setup = !set_up;
@@ -86,14 +88,15 @@
       session.pending->prepared);
 }
 
-ServerCommand Proxy::CommandFor(const Session& session) const {
+ServerCommand Proxy::CommandFor(const Session& session,
+                                const Connection& connection) {
   const PendingStatement& pending = *session.pending;
   ServerCommand command;
   command.id = pending.id;
   command.statement = pending.statement;
   if (pending.prepared) {
     command.statement.name =
-        ConnectionState::ServerStatementName(*pending.prepared);
+        connection.state.ServerStatementName(*pending.prepared);
   }
   return command;
 }
@@ -120,7 +123,8 @@
 /// Sends the outstanding statement over its connection, which is set up.
 void Proxy::SendPending(Session& session, ConnectionId connection) {
   const PendingStatement& pending = *session.pending;
-  const bool in_transaction = connections_.at(connection).in_transaction;
+  const Connection& server_connection = connections_.at(connection);
+  const bool in_transaction = server_connection.in_transaction;
   const bool commit = pending.statement.verb == Verb::kCommit;
   if (in_transaction && pending.writes) session.sent_write = true;
   const bool commits_writes =
@@ -128,7 +132,7 @@
   // The primary runs no statement of a plain transaction once it is replaced.
   const bool plain_transaction =
       pending.in_proxy_transaction || (in_transaction && session.read_write);
-  ServerCommand command = CommandFor(session);
+  ServerCommand command = CommandFor(session, server_connection);
   if (!in_transaction) command.after = pending.required;
   SendOne(connection, std::move(command), Step::kStatement,
           commits_writes || (plain_transaction && !commit), commits_writes);
@@ -228,6 +232,9 @@
   PendingStatement& pending = *session.pending;
   pending.tried_servers.insert(server_connection.server);
   NoteRefusal(pool, reply.error);
+  if (reply.error == ErrorCode::kNoStatement) {
+    server_connection.state.Invalidate();
+  }
   const bool commit = pending.statement.verb == Verb::kCommit;
   const bool autocommit = session.state == TransactionState::kIdle;
   const bool ended = commit && reply.state == TransactionState::kIdle;
