--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -305,6 +306,19 @@
   CHECK(it.Only(2).receipt == own.receipt);
 }
 
+TEST_CASE("a repeat between statements doesn't end a transaction") {
+  Fixture it;
+  it.driver.Query(1, Verb::kBegin);
+  const SendCommand read = it.StartRead(1, "one");
+  const Reply first = it.driver.AnswerFirst();
+  it.driver.Repeat(read.connection, first);
+  it.driver.Query(1, Verb::kRead, {}, "two");
+  REQUIRE_FALSE(it.driver.sent.empty());
+  CHECK(OnlyOutstanding(it.driver).connection == read.connection);
+  const Reply own = it.driver.AnswerFirst();
+  CHECK(it.driver.answers.back().reply.receipt == own.receipt);
+}
+
 TEST_CASE("a result that no command awaits closes the connection") {
   Fixture it;
   const SendCommand write = it.StartWrite(1);
@@ -863,4 +877,50 @@
   CHECK(it.driver.answers.back().reply.error == ErrorCode::kUnsure);
 }
 
+// Guards against answers that belong to other statements, whatever commands a
+// server repeats the answers of, and when.
+TEST_CASE("every statement gets its own answer among any repeats") {
+  const auto seed = GENERATE(range(1U, 21U));
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  const auto choose = [&](std::size_t count) { return random() % count; };
+  Fixture it;
+  std::map<ConnectionId, std::vector<Reply>> replies;
+  std::uint64_t end = 10;
+  for (int n = 0; n < 40; ++n) {
+    const SessionId session = 1 + choose(3);
+    if (choose(4) == 0) {
+      it.driver.Query(session, Verb::kSet, "a", std::to_string(choose(2)));
+    }
+    const bool prepared = choose(3) == 0;
+    const bool writes = choose(2) == 0;
+    if (prepared) {
+      it.driver.Query(session,
+                      writes ? Verb::kPrepareWrite : Verb::kPrepareRead, "p",
+                      "q" + std::to_string(choose(2)));
+      it.driver.Query(session, Verb::kExecute, "p", "item data");
+    } else {
+      it.driver.Query(session, writes ? Verb::kWrite : Verb::kRead, {},
+                      "item data");
+    }
+    if (writes) ++end;
+    Reply own;
+    for (int k = 0; k < 100 && !it.driver.sent.empty(); ++k) {
+      const SendCommand command = it.driver.sent.front();
+      std::vector<Reply>& earlier = replies[command.connection];
+      if (!earlier.empty() && choose(2) == 0) {
+        it.driver.Repeat(command.connection, earlier[choose(earlier.size())]);
+        if (it.driver.connections_closed.contains(command.connection)) break;
+      }
+      earlier.push_back(it.driver.AnswerFirst(ErrorCode::kNone, {1, end}));
+      if (!command.command.id.empty()) own = earlier.back();
+    }
+    REQUIRE(it.driver.connections_closed.empty());
+    REQUIRE(it.driver.sent.empty());
+    REQUIRE(it.driver.answers.back().session == session);
+    REQUIRE(it.driver.answers.back().reply.receipt == own.receipt);
+    it.driver.AdvanceTime(Milliseconds(5));
+  }
+}
+
 }  // namespace corianderdock::test
