--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -4,7 +4,6 @@
 #include <cstdlib>
 #include <deque>
 #include <iostream>
-#include <ranges>
 #include <string_view>
 #include <utility>
 
@@ -1114,12 +1113,12 @@
                                    const std::string& item) const {
     const auto own = server_session.written.find(item);
     if (own != server_session.written.end()) return own->second;
-    for (const LogEntry& entry : std::ranges::reverse_view(server.log)) {
-      const ItemData& written = written_.at(entry.write_id);
-      const auto found = written.find(item);
-      if (found != written.end()) return found->second;
-    }
-    return "-";
+    const auto it = std::find_if(
+        server.log.rbegin(), server.log.rend(), [&](const LogEntry& entry) {
+          return written_.at(entry.write_id).contains(item);
+        });
+    if (it == server.log.rend()) return "-";
+    return written_.at(it->write_id).at(item);
   }
 
   void CountExecution(const std::string& write_id, const Server& server) {
