--- a/tests/session_repeats_test.cc
+++ b/tests/session_repeats_test.cc
@@ -5,11 +5,10 @@
 #include <catch2/catch.hpp>
 #include <iostream>
 #include <iterator>
-#include <set>
-#include <string>
 
 #include "support/seeds.h"
 #include "support/session_world.h"
+#include "support/violations.h"
 
 namespace corianderdock::test {
 
@@ -38,16 +37,6 @@
   return options;
 }
 
-/// Prints the first violation of each rule.
-void PrintViolations(const WorldResult& result) {
-  std::set<std::string> rules;
-  for (const std::string& it : result.violations) {
-    if (rules.insert(it.substr(0, it.find(' '))).second) {
-      std::cout << it << "\n";
-    }
-  }
-}
-
 void CheckSchedules(WorldOptions (*world)(std::uint64_t seed)) {
   const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
   const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
@@ -95,6 +84,22 @@
   });
 }
 
+// A repeat that came after hundreds of other replies wasn't recognized.
+TEST_CASE("replies repeated after hundreds of others reach no other client") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.faults_per_second = 0;
+    options.lost_reply_rate = 0;
+    options.duration = std::chrono::seconds(12);
+    options.clients_per_instance = 4;
+    options.repeats.kind = Kind::kStatements;
+    options.repeats.rate = 0.05;
+    options.repeats.max_replies = 2000;
+    return options;
+  });
+}
+
 TEST_CASE("all faults of replies together violate no guarantee") {
   CheckSchedules([](std::uint64_t seed) {
     WorldOptions options = RepeatingWorld(seed);
--- a/tests/session_setup_test.cc
+++ b/tests/session_setup_test.cc
@@ -2,10 +2,10 @@
 /// The environment variables FIRST_SEED and SEEDS set the first seed and the
 /// number of seeds of each test.
 #include <catch2/catch.hpp>
-#include <iostream>
 
 #include "support/seeds.h"
 #include "support/session_world.h"
+#include "support/violations.h"
 
 namespace corianderdock::test {
 
@@ -21,9 +21,7 @@
     options.seed = seed;
     options.duration = std::chrono::seconds(4);
     const WorldResult result = RunSessionSchedule(options);
-    if (!result.violations.empty()) {
-      std::cout << result.violations.front() << "\n";
-    }
+    PrintViolations(result);
     CHECK(result.violations.empty());
     CHECK(result.succeeded > 0);
   }
--- a/tests/session_texts_test.cc
+++ b/tests/session_texts_test.cc
@@ -2,10 +2,10 @@
 /// and words of the protocol. The environment variables FIRST_SEED and SEEDS
 /// set the seeds.
 #include <catch2/catch.hpp>
-#include <iostream>
 
 #include "support/seeds.h"
 #include "support/session_world.h"
+#include "support/violations.h"
 
 namespace corianderdock::test {
 
@@ -25,9 +25,7 @@
     options.duration = std::chrono::seconds(4);
     options.varied_texts = true;
     const WorldResult result = RunSessionSchedule(options);
-    if (!result.violations.empty()) {
-      std::cout << result.violations.front() << "\n";
-    }
+    PrintViolations(result);
     CHECK(result.violations.empty());
     CHECK(result.succeeded > 0);
   }
