Take no repeated BEGIN whose log may lack the position that it required

A success that came before to the letter now counts only if its own position covers the one required.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -123,6 +123,7 @@
   struct ExpectedReply {
     Step step = Step::kSetup;
     CommandForm form;
+    std::optional<Position> after;  ///< that the command requires
     TimePoint sent;
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
@@ -478,7 +479,7 @@
   [[nodiscard]] static bool Suffices(const ServerPool& pool,
                                      const Connection& connection,
                                      const ExpectedReply& expected,
-                                     bool certain, bool failed);
+                                     const Reply& reply, bool certain);
   void CloseInDoubt(ConnectionId id, const Reply& reply);
   [[nodiscard]] static std::string DescribeReply(const Reply& reply);
   void NoteUncertain(ServerPool& pool, const ExpectedReply& expected,
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -32,7 +32,7 @@
   const bool failed = reply.error != ErrorCode::kNone;
   NoteHeard(pool);
   if (matched.origin == ReplyOrigin::kForeign ||
-      !Suffices(pool, connection, expected, certain, failed)) {
+      !Suffices(pool, connection, expected, reply, certain)) {
     if (expected.step == Step::kWitness) --pool.queries;
     return CloseInDoubt(event.connection, reply);
   }
@@ -99,16 +99,23 @@
 /// Whether a reply that fits its command decides the outcome of a statement or
 /// of the BEGIN of a client's transaction.
 bool Proxy::Suffices(const ServerPool& pool, const Connection& connection,
-                     const ExpectedReply& expected, bool certain, bool failed) {
+                     const ExpectedReply& expected, const Reply& reply,
+                     bool certain) {
   const bool statement =
       expected.step == Step::kStatement || expected.step == Step::kPeer;
   if (!statement && expected.step != Step::kBegin) return true;
-  if (failed) return certain && !(statement && connection.setup_in_doubt);
+  if (reply.error != ErrorCode::kNone) {
+    return certain && !(statement && connection.setup_in_doubt);
+  }
+  if (certain) return true;
+  // A repeat may hide that the log lacks the position, unless its predecessor
+  // has shown that it doesn't.
+  const bool reached =
+      !expected.after ||
+      (reply.position && LogContains(*reply.position, *expected.after));
   // A read of its own shows by its reply whether BEGIN succeeded. A client's
   // statements would run outside their transaction.
-  const bool begins = expected.form.verb == Verb::kBegin ||
-                      expected.form.verb == Verb::kBeginRead;
-  return certain || !begins || expected.own_read || !pool.repeats_replies;
+  return reached && (expected.own_read || !pool.repeats_replies);
 }
 
 /// Closes a connection after a reply that promises nothing about the command
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -360,6 +360,7 @@
   expected.sent = now_;
   const Verb verb = command.statement.verb;
   expected.form = {verb, connection.in_transaction};
+  expected.after = command.after;
   if (verb == Verb::kBegin || verb == Verb::kBeginRead) {
     connection.in_transaction = true;
   } else if (verb == Verb::kCommit || verb == Verb::kRollback) {
