--- a/tests/connection_state_test.cc
+++ b/tests/connection_state_test.cc
@@ -73,7 +73,7 @@
     REQUIRE(commands.size() == expected);
     server.Run(commands);
     REQUIRE(server.values() == values);
-    const std::string name = state.ServerStatementName(statement);
+    std::string name = state.ServerStatementName(statement);
     REQUIRE(server.prepared().contains(name));
     REQUIRE(server.prepared().at(name).writes == statement.writes);
     REQUIRE(server.prepared().at(name).shape == statement.shape);
