--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -134,6 +135,11 @@
     return seen_;
   }
 
+  [[nodiscard]] std::string last_receipt() const {
+    const std::lock_guard lock(mutex_);
+    return last_receipt_;
+  }
+
  private:
   void Accept() {
     acceptor_.async_accept([this](boost::system::error_code ec,
@@ -162,18 +168,35 @@
         socket.Write("ROW value\nDONE receipt\r\nREADY I 1.5\r\n");
         return socket.Flush();
       }
-      const bool begins = line.find(" BEGIN") != std::string_view::npos;
-      socket.Write(sent_by_proxy ? "DONE -\r\n"
-                                 : "ROW value\r\nDONE receipt\r\n");
-      socket.Write(begins ? "READY T 1.5\r\n" : "READY I 1.5\r\n");
+      bool& open = in_transaction_[&socket];
+      if (line.find(" BEGIN") != std::string_view::npos) open = true;
+      if (line.ends_with(" ROLLBACK") || line.ends_with(" COMMIT")) {
+        open = false;
+      }
+      if (line.ends_with(" STATUS")) {
+        socket.Write("ROW primary 1 1.5 0 0 0 1\r\n");
+      }
+      socket.Write(sent_by_proxy
+                       ? "DONE -\r\n"
+                       : "ROW value\r\nDONE " + NextReceipt() + "\r\n");
+      socket.Write(open ? "READY T 1.5\r\n" : "READY I 1.5\r\n");
     }
     socket.Flush();
   }
 
+  std::string NextReceipt() {
+    const std::lock_guard lock(mutex_);
+    last_receipt_ = "receipt-" + std::to_string(++receipts_);
+    return last_receipt_;
+  }
+
   tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<net::LineSocket>> sockets_;
+  std::map<const net::LineSocket*, bool> in_transaction_;
   mutable std::mutex mutex_;
   std::vector<std::string> seen_;
+  int receipts_ = 0;
+  std::string last_receipt_;
 };
 
 /// A client connection with blocking calls.
@@ -327,7 +350,7 @@
   const auto answer = client.ReadReply();
   REQUIRE(answer.size() == 3);
   CHECK(answer[0] == "ROW value");
-  CHECK(answer[1] == "DONE receipt");
+  CHECK(answer[1] == "DONE " + fixture.server().last_receipt());
 }
 
 /// Waits until the proxy has connected to its server again.
