--- a/tests/session_repeats_test.cc
+++ b/tests/session_repeats_test.cc
@@ -84,6 +84,21 @@
   });
 }
 
+// The repeat of a BEGIN that succeeded was taken for the reply to one that
+// failed, whose error then counted as the reply to its first statement.
+TEST_CASE("no statement runs after the repeat of a BEGIN that failed") {
+  CheckSchedules([](std::uint64_t seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.faults_per_second = 3;
+    options.repeats.kind = Kind::kOwnCommands;
+    options.repeats.rate = 0.6;
+    options.repeats.max_delay = std::chrono::milliseconds(1000);
+    options.repeats.copies = 20;
+    return options;
+  });
+}
+
 // A repeat that came after hundreds of other replies wasn't recognized.
 TEST_CASE("replies repeated after hundreds of others reach no other client") {
   CheckSchedules([](std::uint64_t seed) {
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -765,11 +765,13 @@
     }
     const auto max_delay =
         std::chrono::duration_cast<milliseconds>(repeats.max_delay);
-    const Duration delay =
-        milliseconds(RandomBelow(static_cast<int>(max_delay.count()) + 1));
-    Schedule(kNetworkDelay + delay, [this, n, id, connection, reply] {
-      SendRepeat(n, id, connection, reply);
-    });
+    for (int copy = 0; copy < repeats.copies; ++copy) {
+      const Duration delay =
+          milliseconds(RandomBelow(static_cast<int>(max_delay.count()) + 1));
+      Schedule(kNetworkDelay + delay, [this, n, id, connection, reply] {
+        SendRepeat(n, id, connection, reply);
+      });
+    }
   }
 
   void SendDueRepeats(std::size_t n, const ServerId& id,
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -24,6 +24,7 @@
   double rate = 0;         ///< fraction of the replies of `kind`
   Kind kind = Kind::kAll;  ///< `kOwnCommands`: to commands of the proxy itself
   Duration max_delay = std::chrono::milliseconds(200);
+  int copies = 1;  ///< repeats of a reply
   /// Half of the repeats are sent only after at most so many other replies of
   /// the connection. 0: none.
   int max_replies = 0;
