--- a/soak/audit.cc
+++ b/soak/audit.cc
@@ -65,6 +65,13 @@
 // --------------------------------------------------------------- clients
 
 void Audit::OnSent(const std::string& id, Statement statement) {
+  statement.acknowledged = acknowledged_[statement.service].size();
+  if (statement.transaction != 0) {
+    statement.acknowledged =
+        acknowledged_before_
+            .try_emplace(statement.transaction, statement.acknowledged)
+            .first->second;
+  }
   sent_[id] = std::move(statement);
 }
 
@@ -96,6 +103,16 @@
     ledger_.Violate("MIXED", what + " got rows " + Join(reply.rows) +
                                  ", the server sent " +
                                  Join(result->second.rows));
+  } else if (!result->second.missing.empty()) {
+    ledger_.Violate("STALE", what + " receipt " + reply.receipt +
+                                 " ran without " + result->second.missing);
+  }
+  auto& acknowledged = acknowledged_[statement.service];
+  if (verb == "COMMIT") {
+    const auto& writes = writes_[statement.transaction];
+    acknowledged.insert(acknowledged.end(), writes.begin(), writes.end());
+  } else if (statement.transaction == 0 && reply.rows.empty()) {
+    acknowledged.push_back(id);
   }
 }
 
@@ -138,7 +155,11 @@
   }
   if (reply.error.empty()) {
     if (reply.receipt != "-") {
-      results_[reply.receipt] = {command.id, reply.rows};
+      Result& result = results_[reply.receipt];
+      result = {command.id, reply.rows, ""};
+      if (sent != sent_.end() && !reply.rows.empty()) {
+        result.missing = FindMissing(command.server, sent->second);
+      }
     }
     const auto fields = SplitFields(text, 3);
     if (verb == "SET") {
@@ -179,6 +200,24 @@
                   what + " as " + shape + ", the client prepared " + wanted);
 }
 
+std::string Audit::FindMissing(const std::string& server,
+                               const Statement& statement) {
+  constexpr std::size_t kRecent = 8;
+  lab::Group& group = *cluster_.FindGroup(statement.service);
+  const lab::Server* primary = NewestPrimary(group);
+  const lab::Server* reader = group.Find(server);
+  if (primary == nullptr || reader == nullptr) return "";
+  const auto& writes = acknowledged_[statement.service];
+  const std::size_t first =
+      statement.acknowledged - std::min(statement.acknowledged, kRecent);
+  for (std::size_t n = first; n < statement.acknowledged; ++n) {
+    if (!HoldsRecent(*reader, writes[n]) && HoldsRecent(*primary, writes[n])) {
+      return writes[n];
+    }
+  }
+  return "";
+}
+
 void Audit::CheckPlace(const Command& command, const Statement& statement,
                        Connection& connection) {
   const std::string what = command.server + " ran " + command.id + " " +
@@ -206,11 +245,7 @@
 
 void Audit::CheckLogs() {
   for (const lab::Group& group : cluster_.groups) {
-    const lab::Server* primary = nullptr;
-    for (const auto& it : group.servers()) {
-      const bool leads = it->primary() && it->term() == group.newest_term();
-      if (leads) primary = it.get();
-    }
+    const lab::Server* primary = NewestPrimary(group);
     if (primary == nullptr) continue;
     std::set<std::string> seen;
     for (const auto& entry : primary->log()) {
--- a/soak/audit.h
+++ b/soak/audit.h
@@ -26,6 +26,9 @@
   Texts prepared;  ///< mode and shape by name
   /// Number of the transaction, unique among all clients; 0: none.
   std::uint64_t transaction = 0;
+  /// Writes of the service acknowledged before the statement was sent, or its
+  /// transaction began. Set by the audit.
+  std::size_t acknowledged = 0;
 };
 
 class Audit {
@@ -56,12 +59,17 @@
   struct Result {
     std::string id;
     std::vector<std::string> rows;
+    std::string missing;  ///< acknowledged write that a read didn't see
   };
 
   void OnCommand(const Command& command);
   void OnReply(const Command& command, const ServerReply& reply);
   void CheckSetup(const Command& command, const Statement& statement,
                   const Connection& connection);
+  /// Returns a write that had been acknowledged before a statement was sent
+  /// and that the server's log lacks, unless the newest primary lacks it too.
+  [[nodiscard]] std::string FindMissing(const std::string& server,
+                                        const Statement& statement);
   void CheckPlace(const Command& command, const Statement& statement,
                   Connection& connection);
 
@@ -73,6 +81,10 @@
   std::map<std::string, Result> results_;  ///< by receipt
   std::map<std::uint64_t, Place> places_;  ///< by transaction
   std::map<std::uint64_t, std::vector<std::string>> writes_;  ///< likewise
+  /// Writes in the order in which they were acknowledged, by service.
+  std::map<std::string, std::vector<std::string>> acknowledged_;
+  /// Writes acknowledged before a transaction began.
+  std::map<std::uint64_t, std::size_t> acknowledged_before_;
   std::map<std::string, std::string> refused_;  ///< reply by id of the write
 };
 
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -1,5 +1,6 @@
 #include "soak/cluster.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace soak {
@@ -79,6 +80,22 @@
   return nullptr;
 }
 
+const lab::Server* NewestPrimary(const lab::Group& group) {
+  for (const auto& it : group.servers()) {
+    if (it->primary() && it->term() == group.newest_term()) return it.get();
+  }
+  return nullptr;
+}
+
+bool HoldsRecent(const lab::Server& server, const std::string& write) {
+  const auto& log = server.log();
+  return std::any_of(log.rbegin(), log.rend(), [&](const lab::Entry& entry) {
+    return std::any_of(
+        entry.writes.begin(), entry.writes.end(),
+        [&](const lab::Write& it) { return it.statement == write; });
+  });
+}
+
 void EnterFolder(const std::filesystem::path& folder,
                  const std::filesystem::path& program) {
   namespace fs = std::filesystem;
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -71,6 +71,12 @@
   bool stopping = false;            ///< ends the clients
 };
 
+/// Returns the server that leads the newest term, running or not; null if none.
+[[nodiscard]] const lab::Server* NewestPrimary(const lab::Group& group);
+/// Whether a server's log has a write, by its id. Recent ones are found first.
+[[nodiscard]] bool HoldsRecent(const lab::Server& server,
+                               const std::string& write);
+
 /// Makes `folder`, which is emptied, the working folder, in which the lab finds
 /// the program of the proxies and leaves their logs.
 void EnterFolder(const std::filesystem::path& folder,
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -1,33 +1,10 @@
 #include "soak/ledger.h"
 
-#include <algorithm>
 #include <iostream>
 #include <set>
 
 namespace soak {
 
-namespace {
-
-/// Returns the server that leads the newest term, running or not.
-const lab::Server* NewestPrimary(const lab::Group& group) {
-  for (const auto& it : group.servers()) {
-    if (it->primary() && it->term() == group.newest_term()) return it.get();
-  }
-  return nullptr;
-}
-
-/// Recent commits are found first.
-bool HoldsRecent(const lab::Server& server, const std::string& write) {
-  const auto& log = server.log();
-  return std::any_of(log.rbegin(), log.rend(), [&](const lab::Entry& entry) {
-    return std::any_of(
-        entry.writes.begin(), entry.writes.end(),
-        [&](const lab::Write& it) { return it.statement == write; });
-  });
-}
-
-}  // namespace
-
 void Ledger::Violate(const std::string& rule, const std::string& text) {
   constexpr std::size_t kPrinted = 20;
   ++violations_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -130,7 +130,7 @@
               << " statements served, " << clients.failed()
               << " not; violations:";
     for (const char* rule : {"ANSWER", "LOST", "MIXED", "ONE", "PINNED",
-                             "REFUSED", "TWICE", "UNASKED"}) {
+                             "REFUSED", "STALE", "TWICE", "UNASKED"}) {
       std::cout << " " << rule << " " << ledger.violations(rule);
     }
     std::cout << std::endl;
--- a/tests/process_repeated_answers_test.cc
+++ b/tests/process_repeated_answers_test.cc
@@ -107,7 +107,7 @@
   // MIXED: answers of other statements. LOST: acknowledged, but not run.
   // REFUSED: run, but answered with a promise that it isn't.
   for (const char* rule : {"MIXED", "LOST", "REFUSED", "TWICE", "PINNED",
-                           "UNASKED", "ANSWER", "ONE"}) {
+                           "UNASKED", "STALE", "ANSWER", "ONE"}) {
     CAPTURE(rule);
     CHECK(ledger.violations(rule) == 0);
   }
