--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -151,7 +151,6 @@
 }
 
 void Faults::PutConfiguration(Random& random) {
-  constexpr int kConnections = 60;
   constexpr double kSpareRoute = 0.5;
   std::vector<std::string> services;
   std::vector<lab::RouteSpec> routes;
@@ -171,7 +170,7 @@
   }
   version_ += 1 + static_cast<int>(random.Index(3));
   cluster_.store.Put("op/config", lab::ConfigText(version_, routes, services,
-                                                  kConnections, 1));
+                                                  connections_, 1));
 }
 
 void Faults::OnOrder(const Order& order) {
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -18,6 +18,8 @@
   Faults(Cluster& cluster, Orders& orders, std::uint64_t seed, double rate)
       : cluster_(cluster), orders_(orders), seed_(seed), rate_(rate) {}
 
+  /// Sets how many connections a server accepts in all.
+  void SetConnections(int connections) { connections_ = connections; }
   /// Writes the first configuration.
   void PutConfiguration() { PutConfiguration(NewRandom()); }
   /// Starts all series.
@@ -79,6 +81,7 @@
   std::deque<Random> randoms_;
   std::set<std::string> taken_;      ///< servers with a fault in progress
   std::set<std::string> replacing_;  ///< services
+  int connections_ = 60;             ///< of a server
   int version_ = 1;                  ///< of the configuration
   int servers_added_ = 0;
   int active_ = 0;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -34,6 +34,7 @@
   std::uint64_t seed = 1;
   std::chrono::seconds duration{20};
   double rate = 1;
+  int connections = 60;           ///< that a server accepts
   std::optional<double> answers;  ///< replies are disturbed, at this rate
   double disturbed = 0.02;        ///< share of refused, cut and lost replies
   std::string proxy = "build/corianderdock-proxy";
@@ -103,6 +104,7 @@
   auto& clients = *new soak::Clients(cluster, ledger, options.seed, audit, mix);
   cluster.record.Line("local time " + LocalTime());
   Populate(cluster, orders, options.seed);
+  faults.SetConnections(options.connections);
   faults.PutConfiguration();
   co_await cluster.StartInstances();
   for (soak::Instance& instance : cluster.instances) {
@@ -153,6 +155,8 @@
   all.add_options()("seed", po::value(&options.seed), "seed of the faults")(
       "seconds", po::value(&seconds), "duration of the faults")(
       "rate", po::value(&options.rate), "faults, as a factor")(
+      "connections", po::value(&options.connections),
+      "connections that a server accepts")(
       "answers", po::value(&answers),
       "also repeats, refuses, cuts and loses replies, at this rate")(
       "disturbed", po::value(&options.disturbed),
