--- a/soak/audit.cc
+++ b/soak/audit.cc
@@ -91,6 +91,10 @@
       refused_[it] = reply.error;
     }
   }
+  if (verb == "EXEC" && reply.error == "NOSTMT" &&
+      statement.prepared.contains(SplitFields(statement.text, 3).at(1))) {
+    ledger_.Violate("PINNED", what + " got NOSTMT, but it was prepared");
+  }
   if (!reply.ok() || !NeedsReceipt(verb)) return;
   const auto result = results_.find(reply.receipt);
   if (result == results_.end()) {
@@ -123,7 +127,10 @@
   const std::string verb = VerbOf(text);
   const std::string what = command.server + " got " + command.id + " " + text;
   if (command.id == kOwnId) {
-    if (verb == "WRITE" || verb == "EXEC") ledger_.Violate("UNASKED", what);
+    const bool owned = !connections_[command.connection].owner.empty();
+    if (verb == "WRITE" || verb == "EXEC" || (verb == "COMMIT" && owned)) {
+      ledger_.Violate("UNASKED", what);
+    }
     return;
   }
   const auto sent = sent_.find(command.id);
--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -19,7 +19,10 @@
 
 /// Few names, so that those of different clients collide.
 constexpr std::size_t kNames = 3;
-constexpr const char* kValues[] = {"1", "2", "a b", "READ k1", "1 WRITE k1 x"};
+constexpr const char* kValues[] = {
+    "1",    "2", "a b", "READ k1", "1 WRITE k1 x", "1\nQUERY zz WRITE k1 x",
+    "1\rx",
+};
 constexpr const char* kShapes[] = {
     "READ q1",      "WRITE q1",           "READ q1 READ k2",
     "READ q1a",     "WRITE q1 READ q1",   "WRITE q1 WRITE k2",
