--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -126,6 +126,7 @@
     TimePoint sent;
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
+    bool own_read = false;           ///< BEGIN of the proxy for a single read
     bool commits_writes = false;     ///< single write or COMMIT after writes
     /// Log position of the server that was known then, if it commits writes.
     std::optional<Position> known_position;
@@ -146,6 +147,7 @@
     std::deque<ExpectedReply> expected;
     ReplyHistory replies;
     bool in_transaction = false;  ///< once all commands sent have run
+    bool setup_in_doubt = false;  ///< its last setup may have failed
     bool retired = false;         ///< closed once it has no outstanding command
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
@@ -417,7 +419,8 @@
   [[nodiscard]] AttemptKind AttemptKindOf(const Session& session) const;
   [[nodiscard]] std::vector<ServerCommand> SetupCommands(
       const Session& session, Connection& connection) const;
-  [[nodiscard]] ServerCommand CommandFor(const Session& session) const;
+  [[nodiscard]] static ServerCommand CommandFor(const Session& session,
+                                                const Connection& connection);
 
   // Servers (proxy_servers.cc).
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
@@ -472,6 +475,11 @@
                                           Connection& connection,
                                           const ExpectedReply& expected,
                                           const Reply& reply);
+  [[nodiscard]] static bool Suffices(const ServerPool& pool,
+                                     const Connection& connection,
+                                     const ExpectedReply& expected,
+                                     bool certain, bool failed);
+  void CloseInDoubt(ConnectionId id, const Reply& reply);
   [[nodiscard]] static std::string DescribeReply(const Reply& reply);
   void NoteUncertain(ServerPool& pool, const ExpectedReply& expected,
                      ReplyOrigin origin, const Reply& reply);
@@ -496,7 +504,12 @@
   [[nodiscard]] bool ForwardsTo(const ServerPool& pool) const;
   bool TryNextOwner(ServerPool& pool);
   void RunNextCommand(PeerId id, Peer& peer);
-  void AnswerPeerLocally(PeerId id, Peer& peer);
+  void AnswerPeerLocally(PeerId id, Peer& peer,
+                         ErrorCode error = ErrorCode::kNone);
+  [[nodiscard]] ErrorCode StoreValue(Peer& peer,
+                                     const Statement& statement) const;
+  [[nodiscard]] static ErrorCode StorePrepared(Peer& peer,
+                                               const Statement& statement);
   [[nodiscard]] std::optional<PreparedStatement> PreparedOf(
       const Peer& peer, const ServerCommand& command) const;
   bool StartPeerCommand(PeerId id, Peer& peer, ServerPool& pool);
--- a/src/session/reply_match.cc
+++ b/src/session/reply_match.cc
@@ -135,21 +135,30 @@
 
 SeenReply ReplyHistory::FindOrAdd(const Reply& reply, TimePoint sent) {
   SeenReply seen;
-  const std::uint64_t identity = HashIdentity(reply);
-  const std::uint64_t all = HashAll(reply, identity);
-  for (const Entry& it : entries_) {
-    if (it.receipt != identity) continue;
+  const Entry added{HashAll(reply, HashIdentity(reply)), HashIdentity(reply),
+                    sent};
+  const bool failed = reply.error != ErrorCode::kNone;
+  if (!failed && !reply.receipt.empty()) {
+    const auto [it, is_new] = receipts_.try_emplace(added.identity, added);
+    seen.receipt = !is_new;
+    seen.reply = !is_new && it->second.reply == added.reply;
+    seen.sent = it->second.sent;
+    return seen;
+  }
+  std::vector<Entry>& entries = failed ? errors_ : others_;
+  for (const Entry& it : entries) {
+    if (it.identity != added.identity) continue;
     seen.receipt = true;
-    if (it.reply != all) continue;
+    if (it.reply != added.reply) continue;
     seen.reply = true;
     seen.sent = it.sent;
     return seen;
   }
-  if (entries_.size() < kCapacity) {
-    entries_.push_back({all, identity, sent});
+  if (failed || others_.size() < kMaxOthers) {
+    entries.push_back(added);
   } else {
-    entries_[oldest_] = {all, identity, sent};
-    oldest_ = (oldest_ + 1) % kCapacity;
+    others_[oldest_] = added;
+    oldest_ = (oldest_ + 1) % kMaxOthers;
   }
   return seen;
 }
--- a/tests/reply_match_test.cc
+++ b/tests/reply_match_test.cc
@@ -310,22 +310,66 @@
   CHECK(history.FindOrAdd(status, At(3)).sent == At(1));
 }
 
-TEST_CASE("a history forgets the oldest reply once it is full") {
+namespace {
+
+/// A status that no other number has.
+Reply Status(int n) {
+  Reply reply = MakeReply(Content::kStatus, kIdle);
+  reply.position = Position{1, static_cast<std::uint64_t>(n)};
+  return reply;
+}
+
+/// An error that no other number has.
+Reply Refusal(int n) {
+  Reply reply = MakeReply(Content::kError, kIdle);
+  reply.position = Position{1, static_cast<std::uint64_t>(n)};
+  return reply;
+}
+
+}  // namespace
+
+TEST_CASE("a history forgets the oldest reply without receipt or error") {
   ReplyHistory history;
-  const int capacity = static_cast<int>(ReplyHistory::kCapacity);
+  const int capacity = static_cast<int>(ReplyHistory::kMaxOthers);
   for (int n = 0; n < capacity; ++n) {
-    CHECK_FALSE(history.FindOrAdd(Receipted(n), At(n)).reply);
+    CHECK_FALSE(history.FindOrAdd(Status(n), At(n)).reply);
   }
   for (int n = 0; n < capacity; ++n) {
-    CHECK(history.FindOrAdd(Receipted(n), At(n)).reply);
+    CHECK(history.FindOrAdd(Status(n), At(n)).reply);
   }
   // Takes the place of the first, which takes that of the second.
-  CHECK_FALSE(history.FindOrAdd(Receipted(capacity), At(0)).reply);
-  CHECK_FALSE(history.FindOrAdd(Receipted(0), At(0)).reply);
+  CHECK_FALSE(history.FindOrAdd(Status(capacity), At(0)).reply);
+  CHECK_FALSE(history.FindOrAdd(Status(0), At(0)).reply);
   for (int n = 2; n <= capacity; ++n) {
-    CHECK(history.FindOrAdd(Receipted(n), At(0)).reply);
+    CHECK(history.FindOrAdd(Status(n), At(0)).reply);
+  }
+  CHECK_FALSE(history.FindOrAdd(Status(1), At(0)).reply);
+  CHECK_FALSE(history.full());
+}
+
+// Guards against a client's answer that is another one's: the history had
+// forgotten the receipt.
+TEST_CASE("a history forgets no receipt and no error, and is full instead") {
+  ReplyHistory receipts;
+  const int max_receipts = static_cast<int>(ReplyHistory::kMaxReceipts);
+  for (int n = 0; n < max_receipts; ++n) {
+    CHECK_FALSE(receipts.full());
+    CHECK_FALSE(receipts.FindOrAdd(Receipted(n), At(n)).receipt);
+  }
+  CHECK(receipts.full());
+  for (int n = 0; n < max_receipts; ++n) {
+    CHECK(receipts.FindOrAdd(Receipted(n), At(n)).reply);
+  }
+  ReplyHistory errors;
+  const int max_errors = static_cast<int>(ReplyHistory::kMaxErrors);
+  for (int n = 0; n < max_errors; ++n) {
+    CHECK_FALSE(errors.full());
+    CHECK_FALSE(errors.FindOrAdd(Refusal(n), At(n)).reply);
+  }
+  CHECK(errors.full());
+  for (int n = 0; n < max_errors; ++n) {
+    CHECK(errors.FindOrAdd(Refusal(n), At(n)).reply);
   }
-  CHECK_FALSE(history.FindOrAdd(Receipted(1), At(0)).reply);
 }
 
 TEST_CASE("a history knows any of its last replies, in any order") {
@@ -363,7 +407,7 @@
       const SeenReply seen = history.FindOrAdd(own, At(number));
       RC_ASSERT(OriginOf(form, own, seen, false) == ReplyOrigin::kOwn);
       earlier.push_back(own);
-      RC_PRE(earlier.size() <= ReplyHistory::kCapacity);
+      RC_PRE(earlier.size() <= ReplyHistory::kMaxReceipts);
     }
   }));
 }
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -990,6 +990,11 @@
         server_session.prepared[statement.name] = {
             statement.verb == Verb::kPrepareWrite, statement.text};
         return reply;
+      case Verb::kForget:
+        if (server_session.prepared.erase(statement.name) == 0) {
+          return fail(ErrorCode::kNoStatement);
+        }
+        return reply;
       case Verb::kBegin:
       case Verb::kBeginRead:
         if (statement.verb == Verb::kBegin && !server.primary) {
