--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -158,7 +158,10 @@
   session.reported = false;
   lab::Reply reply = co_await caller.Ask(std::move(text));
   ++(reply.ok() ? served_ : failed_);
-  if (reply.closed) {
+  // A CR or LF alone is not of the protocol, and may end the session.
+  const bool valid =
+      session.statement.find_first_of("\r\n") == std::string::npos;
+  if (reply.closed && valid) {
     co_await lab::Sleep(kDelayNoted);
     if (Undisturbed(session, session.sent_at - kAnswerLimit)) {
       ledger_.Violate("ANSWER", caller.last_id() + " " + session.statement +
