--- a/include/corianderdock/session/reply_match.h
+++ b/include/corianderdock/session/reply_match.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <unordered_map>
 #include <vector>
 
 #include "corianderdock/session/statement.h"
@@ -51,25 +52,36 @@
 [[nodiscard]] const char* NameOf(ReplyOrigin origin) noexcept;
 [[nodiscard]] const char* NameOf(Verb verb) noexcept;
 
-/// The last replies of one server connection. Not thread-safe.
+/// The replies of one server connection. Not thread-safe.
 class ReplyHistory {
  public:
-  /// Replies remembered. A repeat that comes later counts as a new reply.
-  static constexpr std::size_t kCapacity = 256;
+  /// Replies with receipts, and errors, after which the history is full.
+  static constexpr std::size_t kMaxReceipts = 4096;
+  static constexpr std::size_t kMaxErrors = 256;
+  /// Other replies remembered. A repeat that comes later counts as new.
+  static constexpr std::size_t kMaxOthers = 256;
 
   /// Returns what came before a reply, and adds the reply if it is new. `sent`
   /// is the time of the command that awaits it.
   [[nodiscard]] SeenReply FindOrAdd(const Reply& reply, TimePoint sent);
 
+  /// Whether the connection should carry no more commands: the history would
+  /// outgrow its limits, and it forgets no receipt and no error.
+  [[nodiscard]] bool full() const {
+    return receipts_.size() >= kMaxReceipts || errors_.size() >= kMaxErrors;
+  }
+
  private:
   struct Entry {
-    std::uint64_t reply = 0;    ///< hash of all fields
-    std::uint64_t receipt = 0;  ///< hash of the receipt, or of the error
+    std::uint64_t reply = 0;     ///< hash of all fields
+    std::uint64_t identity = 0;  ///< hash of the receipt or the error
     TimePoint sent;
   };
 
-  std::vector<Entry> entries_;
-  std::size_t oldest_ = 0;  ///< replaced next, once there are `kCapacity`
+  std::unordered_map<std::uint64_t, Entry> receipts_;  ///< by `identity`
+  std::vector<Entry> errors_;
+  std::vector<Entry> others_;
+  std::size_t oldest_ = 0;  ///< of `others_`, replaced next
 };
 
 }  // namespace corianderdock::session
--- a/tests/session_statements_test.cc
+++ b/tests/session_statements_test.cc
@@ -85,6 +85,52 @@
         std::vector{Verb::kPrepareWrite, Verb::kExecute});
 }
 
+// Guards against a statement that runs with another item or another client's
+// shape, as a blank in a shape ended the name that was made of it.
+TEST_CASE("shapes with blanks of two clients run as they were prepared") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.OpenSession(2, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q2a");
+  driver.Query(2, Verb::kPrepareWrite, "p", "q2a WRITE cn");
+  std::map<std::string, std::string> prepared;
+  for (const session::SessionId id : {1, 2, 1, 2}) {
+    driver.sent.clear();
+    driver.Query(id, Verb::kExecute, "p", "item data");
+    for (const auto& it : driver.sent) {
+      const Statement& statement = it.command.statement;
+      CHECK(statement.name.find(' ') == std::string::npos);
+      if (statement.verb == Verb::kPrepareWrite) {
+        CHECK(prepared.emplace(statement.name, statement.text).second);
+      }
+    }
+    driver.AnswerSetup();
+    REQUIRE(!driver.sent.empty());
+    const Statement& run = driver.sent.back().command.statement;
+    REQUIRE(run.verb == Verb::kExecute);
+    CHECK(run.text == "item data");
+    CHECK(prepared[run.name] == (id == 1 ? "q2a" : "q2a WRITE cn"));
+    driver.AnswerFirst();
+  }
+}
+
+// Guards against a statement that stays unknown at a server: the connection
+// counted as having it.
+TEST_CASE("a statement that the server doesn't know is prepared anew") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kPrepareWrite, "p", "q1");
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  driver.AnswerSetup();
+  driver.AnswerFirst();
+  driver.Query(1, Verb::kExecute, "p", "item data");
+  REQUIRE(driver.SentVerbs() == std::vector{Verb::kExecute});
+  driver.AnswerFirst(ErrorCode::kNoStatement);
+  CHECK(driver.SentVerbs() == std::vector{Verb::kReset, Verb::kPrepareWrite});
+  driver.AnswerSetup();
+  CHECK(driver.SentVerbs() == std::vector{Verb::kExecute});
+}
+
 TEST_CASE("a shape is prepared once per connection") {
   ProxyDriver driver;
   driver.OpenSession(1, "claims");
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -943,6 +943,7 @@
     switch (verb) {
       case Verb::kSet:
       case Verb::kReset:
+      case Verb::kForget:
       case Verb::kPrepareRead:
       case Verb::kPrepareWrite:
         if (!Chance(options_.setup_failure_rate)) return ErrorCode::kNone;
@@ -991,6 +992,11 @@
         server_session.prepared[statement.name] = {
             statement.verb == Verb::kPrepareWrite, statement.text};
         return reply;
+      case Verb::kForget:
+        if (server_session.prepared.erase(statement.name) == 0) {
+          return fail(ErrorCode::kNoStatement);
+        }
+        return reply;
       case Verb::kBegin:
       case Verb::kBeginRead:
         if (statement.verb == Verb::kBegin && !server.primary) {
