A failing test: a write behind a BEGIN that failed runs twice

The first repeat of a BEGIN on a connection hides that the next one fails. The write runs outside of any transaction; the error of BEGIN is taken for the write's, which is sent again (TWICE, BUSY) or aborted (REFUSED, FAILED).

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -1015,4 +1015,38 @@
   }
 }
 
+// Guards against a write that runs twice, as it ran outside the transaction
+// whose BEGIN failed behind the repeat of another one.
+TEST_CASE("a write behind a BEGIN that failed isn't sent again") {
+  const ErrorCode error = GENERATE(ErrorCode::kBusy, ErrorCode::kFailed);
+  Fixture it;
+  it.driver.Query(1, Verb::kBegin);
+  it.driver.Query(1, Verb::kWrite, {}, "item data");
+  const Reply begin = it.driver.AnswerFirst();
+  it.driver.AnswerFirst();
+  it.driver.Query(1, Verb::kRollback);
+  AnswerEverything(it.driver);
+  it.driver.Query(2, Verb::kBegin);
+  it.driver.all_sent.clear();
+  it.driver.Query(2, Verb::kWrite, {}, "item data");
+  REQUIRE(it.driver.SentVerbs() == std::vector{Verb::kBegin});
+  const std::size_t answered = it.Answered(2);
+  it.driver.Repeat(it.driver.sent.front().connection, begin);
+  const bool sent = !Outstanding(it.driver).empty();
+  // The reply of the second BEGIN itself. The write runs after that.
+  it.driver.AnswerFirst(error);
+  if (!sent) return;
+  for (int n = 0; n < 10; ++n) {
+    AnswerEverything(it.driver);
+    it.driver.AdvanceTime(Milliseconds(5));
+    it.driver.CompleteConnects();
+  }
+  const auto writes = std::count_if(
+      it.driver.all_sent.begin(), it.driver.all_sent.end(),
+      [](const auto& command) { return !command.command.id.empty(); });
+  CHECK(writes == 1);
+  if (it.Answered(2) == answered) return;
+  CHECK(it.driver.answers.back().reply.error == ErrorCode::kUnsure);
+}
+
 }  // namespace corianderdock::test
