A failing test: an owner passes on evidence that may be a repeat

An owner dates a reply that may be a repeat from its predecessor for itself, but passes it to the instance that forwarded the command, which takes it for new: a status without a fence, a fence, the position and leadership that BEGIN shows (STALE, LOST).

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -1049,4 +1049,28 @@
   CHECK(it.driver.answers.back().reply.error == ErrorCode::kUnsure);
 }
 
+// Guards against another instance that takes an old reply for fresh evidence of
+// a fence, a log position or the primary.
+TEST_CASE("an owner passes no evidence on that may be a repeat") {
+  const Verb verb = GENERATE(Verb::kStatus, Verb::kHold, Verb::kBegin);
+  INFO(session::NameOf(verb));
+  OwnerFixture it;
+  it.driver.keeps_order = true;
+  it.Forward(verb);
+  REQUIRE(it.driver.sent.size() == 1);
+  const Reply first = it.driver.AnswerFirst();
+  if (verb == Verb::kBegin) {
+    it.Forward(Verb::kRollback);
+    it.driver.AnswerFirst();
+  }
+  const std::size_t answered = it.Answered();
+  it.Forward(verb);
+  REQUIRE_FALSE(it.driver.sent.empty());
+  it.driver.Repeat(it.driver.sent.front().connection, first);
+  if (it.Answered() == answered) return;
+  const Reply& passed = it.driver.peer_answers.back().reply;
+  CHECK_FALSE(passed.status);
+  CHECK_FALSE(passed.position);
+}
+
 }  // namespace corianderdock::test
