A failing test: a BEGIN repeated after hundreds of others counts as new

The history forgets replies without receipt after 256 others. One repeated later counts as certain: its old position becomes a sample of the present, and reads at replicas lack commits of the last max_age (STALE).

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -1073,4 +1073,56 @@
   CHECK_FALSE(passed.position);
 }
 
+// Guards against reads that lack commits of the last `max_age`, when the repeat
+// comes after more replies than the history of a connection keeps.
+TEST_CASE("a BEGIN repeated after hundreds of others gives no position") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "lookups");
+  driver.OpenSession(99, "claims");
+  driver.Query(99, Verb::kWrite, {}, "item data");
+  driver.AnswerFirst();
+  const auto next_probe = [&](std::uint64_t end) {
+    for (int n = 0; n < 100; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      const bool probes =
+          driver.SentVerbs() == std::vector{Verb::kBegin, Verb::kRollback};
+      if (probes) return driver.sent.front();
+      AnswerEverything(driver);
+      driver.Query(1, Verb::kRead, {}, "item");
+      driver.AnswerFirst(ErrorCode::kNone, {1, end});
+    }
+    FAIL("no probe");
+    return SendCommand{};
+  };
+  const SendCommand first = next_probe(30);
+  const Reply begin = driver.AnswerFirst(ErrorCode::kNone, {1, 11});
+  driver.AnswerFirst(ErrorCode::kNone, {1, 11});
+  std::uint64_t end = 20;
+  std::size_t others = 0;
+  while (others < 2 * session::ReplyHistory::kMaxOthers) {
+    ++end;
+    driver.Query(99, Verb::kRead, {}, "item");
+    while (!driver.sent.empty()) {
+      if (driver.sent.front().connection == first.connection) ++others;
+      driver.AnswerFirst(ErrorCode::kNone, {1, end});
+    }
+    REQUIRE(end < 2000);
+  }
+  const SendCommand second = next_probe(end);
+  REQUIRE(second.connection == first.connection);
+  const TimePoint sampled = driver.now;
+  driver.Repeat(second.connection, begin);
+  while (!driver.sent.empty()) {
+    driver.AnswerFirst(ErrorCode::kNone, {1, end + 1});
+  }
+  // The samples before that of the probe are too old.
+  driver.now = sampled + kMaxAge - Milliseconds(250);
+  driver.all_sent.clear();
+  driver.Query(1, Verb::kRead, {}, "item");
+  REQUIRE_FALSE(driver.all_sent.empty());
+  for (const SendCommand& it : driver.all_sent) {
+    CHECK(it.command.after != Position{1, 11});
+  }
+}
+
 }  // namespace corianderdock::test
