--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -583,6 +583,27 @@
   CHECK_FALSE(Outstanding(it.driver).empty());
 }
 
+// Guards against commits that are acknowledged although the last known state of
+// a replica is that it is fenced.
+TEST_CASE("a repeated status doesn't end a fence that was reported since") {
+  ProofFixture it;
+  const SendCommand first = it.TakeQuery("b");
+  const Reply unfenced = it.driver.Run(first, {1, 5});
+  it.driver.Feed(session::ServerReplied{first.connection, unfenced});
+  const SendCommand second = it.TakeQueryAfterProof("b");
+  REQUIRE(second.connection == first.connection);
+  Reply fenced = it.driver.Run(second, {1, 6});
+  fenced.status->fence_term = 2;
+  it.driver.Feed(session::ServerReplied{second.connection, fenced});
+  const SendCommand third = it.TakeQuery("b");
+  REQUIRE(third.connection == first.connection);
+  it.driver.log.clear();
+  it.driver.Repeat(third.connection, unfenced);
+  for (const session::LogDecision& line : it.driver.log) {
+    CHECK(line.text.find("replica fence changed") == std::string::npos);
+  }
+}
+
 // Guards against the loss of commits that only a server which no list shows yet
 // has received, in a zone that is cut off.
 TEST_CASE("a replica's repeated answer doesn't show that it can be reached") {
