A failing test: an extra reply of an owner splits a transaction

OnOwnerDraining unbinds a session whose transaction is open and idle and leaves it open: its next statement begins another one elsewhere, whose COMMIT then acknowledges what the first one wrote too.

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -1146,4 +1146,25 @@
   }
 }
 
+// Guards against a transaction whose second half commits without the first.
+TEST_CASE("a reply of an owner that no command awaits ends a transaction") {
+  ForwarderFixture it;
+  it.driver.Query(1, Verb::kBegin);
+  it.driver.Query(1, Verb::kWrite, {}, "one data");
+  it.driver.AnswerSetup();
+  const SendCommand write = OnlyOutstanding(it.driver);
+  REQUIRE(it.driver.share_addresses.contains(write.connection));
+  const Reply written = it.driver.AnswerFirst();
+  it.driver.Repeat(write.connection, written);
+  it.driver.all_sent.clear();
+  it.driver.Query(1, Verb::kWrite, {}, "two data");
+  it.driver.AdvanceTime(Milliseconds(30));
+  it.driver.CompleteConnects();
+  it.driver.AnswerSetup();
+  for (const SendCommand& command : it.driver.all_sent) {
+    CHECK(
+        (command.command.id.empty() || command.connection == write.connection));
+  }
+}
+
 }  // namespace corianderdock::test
