Failing tests: transactions at a server that has repeated a reply once

From then on every BEGIN or ROLLBACK whose reply equals an earlier one, as usual between commits, closes the connection of another instance, and aborts a client's transaction of which no statement was sent. Both pass without the one repeat.

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -1167,4 +1167,42 @@
   }
 }
 
+// Guards against a server that once repeated a reply and can't be reached
+// through others from then on.
+TEST_CASE("an owner keeps the connections to a server that repeated a reply") {
+  OwnerFixture it;
+  it.Forward(Verb::kRead, {}, "one");
+  const ConnectionId connection = it.driver.sent.front().connection;
+  it.driver.Repeat(connection, it.driver.AnswerFirst());
+  for (int n = 0; n < 3; ++n) {
+    it.Forward(Verb::kBegin);
+    it.driver.AnswerFirst();
+    it.Forward(Verb::kRead, {}, "item");
+    it.Forward(Verb::kRollback);
+    while (!it.driver.sent.empty()) it.driver.AnswerFirst();
+    REQUIRE_FALSE(it.PeerClosed());
+  }
+}
+
+// Guards against the same: a transaction of which no statement was sent yet can
+// be opened anew.
+TEST_CASE("a transaction whose BEGIN is in doubt is opened again") {
+  Fixture it;
+  const SendCommand read = it.StartWrite(3);
+  it.driver.Repeat(read.connection, it.driver.AnswerFirst());
+  for (const SessionId id : {1, 2}) {
+    it.driver.Query(id, Verb::kBegin);
+    it.driver.Query(id, Verb::kRead, {}, "item");
+    for (int n = 0; n < 10 && it.Answered(id) < 2; ++n) {
+      if (!it.driver.sent.empty()) it.driver.AnswerFirst();
+      it.driver.AdvanceTime(Milliseconds(2));
+      it.driver.CompleteConnects();
+    }
+    REQUIRE(it.Answered(id) == 2);
+    CHECK(it.driver.answers.back().reply.error == ErrorCode::kNone);
+    it.driver.Query(id, Verb::kRollback);
+    AnswerEverything(it.driver);
+  }
+}
+
 }  // namespace corianderdock::test
