--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -583,6 +583,27 @@
   CHECK_FALSE(Outstanding(it.driver).empty());
 }
 
+// Guards against commits that are acknowledged although the last known state of
+// a replica is that it is fenced.
+TEST_CASE("a repeated status doesn't end a fence that was reported since") {
+  ProofFixture it;
+  const SendCommand first = it.TakeQuery("b");
+  const Reply unfenced = it.driver.Run(first, {1, 5});
+  it.driver.Feed(session::ServerReplied{first.connection, unfenced});
+  const SendCommand second = it.TakeQueryAfterProof("b");
+  REQUIRE(second.connection == first.connection);
+  Reply fenced = it.driver.Run(second, {1, 6});
+  fenced.status->fence_term = 2;
+  it.driver.Feed(session::ServerReplied{second.connection, fenced});
+  const SendCommand third = it.TakeQuery("b");
+  REQUIRE(third.connection == first.connection);
+  it.driver.log.clear();
+  it.driver.Repeat(third.connection, unfenced);
+  for (const session::LogDecision& line : it.driver.log) {
+    CHECK(line.text.find("replica fence changed") == std::string::npos);
+  }
+}
+
 // Guards against the loss of commits that only a server which no list shows yet
 // has received, in a zone that is cut off.
 TEST_CASE("a replica's repeated answer doesn't show that it can be reached") {
@@ -665,6 +686,93 @@
 
 namespace {
 
+/// A planned switchover of "a", which leads in `term` again if no replica has
+/// its whole log.
+struct Switchover {
+  Switchover() {
+    driver.keeps_order = true;
+    driver.claims_answered = 60;
+    driver.ListServers({"a", "b", "c"}, "zone", "a");
+  }
+
+  /// Answers the oldest commands up to a DEMOTE, which is returned, for at most
+  /// 5 s.
+  std::optional<SendCommand> NextDemote() {
+    for (int n = 0; n < 200; ++n) {
+      while (!driver.sent.empty()) {
+        const SendCommand it = driver.sent.front();
+        if (it.command.statement.verb == Verb::kDemote) return it;
+        AnswerOldest();
+        if (!driver.promotions.empty()) return std::nullopt;
+      }
+      for (const auto& it : std::exchange(driver.claims, {})) {
+        driver.Feed(session::ClaimAnswered{it.service, ++driver.claims_answered,
+                                           false});
+      }
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnects();
+      if (!driver.promotions.empty()) return std::nullopt;
+      driver.OpenSession(++sessions, "claims");
+      driver.Query(sessions, Verb::kRead, {}, "item");
+    }
+    return std::nullopt;
+  }
+
+  Reply AnswerOldest() {
+    const SendCommand it = driver.sent.front();
+    driver.sent.erase(driver.sent.begin());
+    const ServerId server = driver.server_of[it.connection];
+    Reply reply = driver.RunAt(it, server == leader, ends[server]);
+    if (reply.status) {
+      reply.status->term = term;
+      reply.status->primary = server == leader;
+    }
+    driver.Answer(it.connection, reply);
+    return reply;
+  }
+
+  ProxyDriver driver;
+  std::map<ServerId, Position> ends;
+  ServerId leader = "a";
+  Term term = 1;
+  SessionId sessions = 0;
+};
+
+}  // namespace
+
+// Guards against the loss of commits that only the old primary and a server
+// which no list shows yet have.
+TEST_CASE("a repeated reply to DEMOTE doesn't tell where the log ends") {
+  Switchover it;
+  it.ends = {{"a", {1, 12}}, {"b", {1, 10}}, {"c", {1, 10}}};
+  const auto first = it.NextDemote();
+  REQUIRE(first);
+  it.leader.clear();
+  const Reply demoted = it.AnswerOldest();
+  REQUIRE_FALSE(it.NextDemote());
+  REQUIRE_FALSE(it.driver.promotions.empty());
+  REQUIRE(it.driver.promotions.front().server == "a");
+  it.driver.promotions.clear();
+  it.driver.Feed(session::PromotionAnswered{
+      "books", "a", session::PromotionResult::kAccepted});
+  it.leader = "a";
+  it.term = 2;
+  it.ends = {{"a", {2, 20}}, {"b", {2, 15}}, {"c", {2, 14}}};
+  const auto second = it.NextDemote();
+  REQUIRE(second);
+  REQUIRE(second->connection == first->connection);
+  it.leader.clear();
+  it.driver.Repeat(second->connection, demoted);
+  // The server's own reply, unless its connection was closed.
+  const auto own = it.NextDemote();
+  if (own) (void)it.AnswerOldest();
+  (void)it.NextDemote();
+  REQUIRE_FALSE(it.driver.promotions.empty());
+  CHECK(it.driver.promotions.front().server == "a");
+}
+
+namespace {
+
 /// A fleet in which "self" owns every server, and another instance that
 /// forwards to it over the shared connection 1 to the primary.
 struct OwnerFixture {
@@ -928,4 +1036,173 @@
   }
 }
 
+// Guards against a write that runs twice, as it ran outside the transaction
+// whose BEGIN failed behind the repeat of another one.
+TEST_CASE("a write behind a BEGIN that failed isn't sent again") {
+  const ErrorCode error = GENERATE(ErrorCode::kBusy, ErrorCode::kFailed);
+  Fixture it;
+  it.driver.Query(1, Verb::kBegin);
+  it.driver.Query(1, Verb::kWrite, {}, "item data");
+  const Reply begin = it.driver.AnswerFirst();
+  it.driver.AnswerFirst();
+  it.driver.Query(1, Verb::kRollback);
+  AnswerEverything(it.driver);
+  it.driver.Query(2, Verb::kBegin);
+  it.driver.all_sent.clear();
+  it.driver.Query(2, Verb::kWrite, {}, "item data");
+  REQUIRE(it.driver.SentVerbs() == std::vector{Verb::kBegin});
+  const std::size_t answered = it.Answered(2);
+  it.driver.Repeat(it.driver.sent.front().connection, begin);
+  const bool sent = !Outstanding(it.driver).empty();
+  // The reply of the second BEGIN itself. The write runs after that.
+  it.driver.AnswerFirst(error);
+  if (!sent) return;
+  for (int n = 0; n < 10; ++n) {
+    AnswerEverything(it.driver);
+    it.driver.AdvanceTime(Milliseconds(5));
+    it.driver.CompleteConnects();
+  }
+  const auto writes = std::count_if(
+      it.driver.all_sent.begin(), it.driver.all_sent.end(),
+      [](const auto& command) { return !command.command.id.empty(); });
+  CHECK(writes == 1);
+  if (it.Answered(2) == answered) return;
+  CHECK(it.driver.answers.back().reply.error == ErrorCode::kUnsure);
+}
+
+// Guards against another instance that takes an old reply for fresh evidence of
+// a fence, a log position or the primary.
+TEST_CASE("an owner passes no evidence on that may be a repeat") {
+  const Verb verb = GENERATE(Verb::kStatus, Verb::kHold, Verb::kBegin);
+  INFO(session::NameOf(verb));
+  OwnerFixture it;
+  it.driver.keeps_order = true;
+  it.Forward(verb);
+  REQUIRE(it.driver.sent.size() == 1);
+  const Reply first = it.driver.AnswerFirst();
+  if (verb == Verb::kBegin) {
+    it.Forward(Verb::kRollback);
+    it.driver.AnswerFirst();
+  }
+  const std::size_t answered = it.Answered();
+  it.Forward(verb);
+  REQUIRE_FALSE(it.driver.sent.empty());
+  it.driver.Repeat(it.driver.sent.front().connection, first);
+  if (it.Answered() == answered) return;
+  const Reply& passed = it.driver.peer_answers.back().reply;
+  CHECK_FALSE(passed.status);
+  CHECK_FALSE(passed.position);
+}
+
+// Guards against reads that lack commits of the last `max_age`, when the repeat
+// comes after more replies than the history of a connection keeps.
+TEST_CASE("a BEGIN repeated after hundreds of others gives no position") {
+  ProxyDriver driver;
+  driver.OpenSession(1, "lookups");
+  driver.OpenSession(99, "claims");
+  driver.Query(99, Verb::kWrite, {}, "item data");
+  driver.AnswerFirst();
+  const auto next_probe = [&](std::uint64_t end) {
+    for (int n = 0; n < 100; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      const bool probes =
+          driver.SentVerbs() == std::vector{Verb::kBegin, Verb::kRollback};
+      if (probes) return driver.sent.front();
+      AnswerEverything(driver);
+      driver.Query(1, Verb::kRead, {}, "item");
+      driver.AnswerFirst(ErrorCode::kNone, {1, end});
+    }
+    FAIL("no probe");
+    return SendCommand{};
+  };
+  const SendCommand first = next_probe(30);
+  const Reply begin = driver.AnswerFirst(ErrorCode::kNone, {1, 11});
+  driver.AnswerFirst(ErrorCode::kNone, {1, 11});
+  std::uint64_t end = 20;
+  std::size_t others = 0;
+  while (others < 2 * session::ReplyHistory::kMaxOthers) {
+    ++end;
+    driver.Query(99, Verb::kRead, {}, "item");
+    while (!driver.sent.empty()) {
+      if (driver.sent.front().connection == first.connection) ++others;
+      driver.AnswerFirst(ErrorCode::kNone, {1, end});
+    }
+    REQUIRE(end < 2000);
+  }
+  const SendCommand second = next_probe(end);
+  REQUIRE(second.connection == first.connection);
+  const TimePoint sampled = driver.now;
+  driver.Repeat(second.connection, begin);
+  while (!driver.sent.empty()) {
+    driver.AnswerFirst(ErrorCode::kNone, {1, end + 1});
+  }
+  // The samples before that of the probe are too old.
+  driver.now = sampled + kMaxAge - Milliseconds(250);
+  driver.all_sent.clear();
+  driver.Query(1, Verb::kRead, {}, "item");
+  REQUIRE_FALSE(driver.all_sent.empty());
+  for (const SendCommand& it : driver.all_sent) {
+    CHECK(it.command.after != Position{1, 11});
+  }
+}
+
+// Guards against a transaction whose second half commits without the first.
+TEST_CASE("a reply of an owner that no command awaits ends a transaction") {
+  ForwarderFixture it;
+  it.driver.Query(1, Verb::kBegin);
+  it.driver.Query(1, Verb::kWrite, {}, "one data");
+  it.driver.AnswerSetup();
+  const SendCommand write = OnlyOutstanding(it.driver);
+  REQUIRE(it.driver.share_addresses.contains(write.connection));
+  const Reply written = it.driver.AnswerFirst();
+  it.driver.Repeat(write.connection, written);
+  it.driver.all_sent.clear();
+  it.driver.Query(1, Verb::kWrite, {}, "two data");
+  it.driver.AdvanceTime(Milliseconds(30));
+  it.driver.CompleteConnects();
+  it.driver.AnswerSetup();
+  for (const SendCommand& command : it.driver.all_sent) {
+    CHECK(
+        (command.command.id.empty() || command.connection == write.connection));
+  }
+}
+
+// Guards against a server that once repeated a reply and can't be reached
+// through others from then on.
+TEST_CASE("an owner keeps the connections to a server that repeated a reply") {
+  OwnerFixture it;
+  it.Forward(Verb::kRead, {}, "one");
+  const ConnectionId connection = it.driver.sent.front().connection;
+  it.driver.Repeat(connection, it.driver.AnswerFirst());
+  for (int n = 0; n < 3; ++n) {
+    it.Forward(Verb::kBegin);
+    it.driver.AnswerFirst();
+    it.Forward(Verb::kRead, {}, "item");
+    it.Forward(Verb::kRollback);
+    while (!it.driver.sent.empty()) it.driver.AnswerFirst();
+    REQUIRE_FALSE(it.PeerClosed());
+  }
+}
+
+// Guards against the same: a transaction of which no statement was sent yet can
+// be opened anew.
+TEST_CASE("a transaction whose BEGIN is in doubt is opened again") {
+  Fixture it;
+  const SendCommand read = it.StartWrite(3);
+  it.driver.Repeat(read.connection, it.driver.AnswerFirst());
+  for (const SessionId id : {1, 2}) {
+    it.driver.Query(id, Verb::kBegin);
+    it.driver.Query(id, Verb::kRead, {}, "item");
+    for (int n = 0; n < 10 && it.Answered(id) < 2; ++n) {
+      if (!it.driver.sent.empty()) it.driver.AnswerFirst();
+      it.driver.AdvanceTime(Milliseconds(2));
+      it.driver.CompleteConnects();
+    }
+    REQUIRE(it.Answered(id) == 2);
+    CHECK(it.driver.answers.back().reply.error == ErrorCode::kNone);
+    it.driver.Query(id, Verb::kRollback);
+    AnswerEverything(it.driver);
+  }
+}
+
 }  // namespace corianderdock::test
