Count no reply that may be a repeat as evidence, nor pass it on as such

From the independent review, each with a test of its branch that failed before: - a status that may be a repeat is no fence, end of a log or position; HOLD and DEMOTE are sent again over another connection (LOST, stale fences); - an owner leaves the position, or the status, out of an uncertain reply, and the instance that it answers takes it for no evidence (STALE, LOST); - a reply without receipt below the highest position of its connection is never new, however long ago its predecessor came (STALE); - if a BEGIN may have failed, an error outside a transaction isn't the write's, and the write is in doubt (TWICE, REFUSED); - a transaction whose BEGIN doesn't count is tried again, as no statement of it was sent; a server that starts again isn't known to repeat (availability); - an extra reply of an owner ends the transaction that it was in (PINNED); - an HTTP response that follows another one answers no later request.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -124,9 +124,11 @@
     Step step = Step::kSetup;
     CommandForm form;
     std::optional<Position> after;  ///< that the command requires
+    Term term = 0;                  ///< of HOLD and DEMOTE
     TimePoint sent;
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
+    bool begin_in_doubt = false;     ///< its transaction may not be open
     bool own_read = false;           ///< BEGIN of the proxy for a single read
     bool commits_writes = false;     ///< single write or COMMIT after writes
     /// Log position of the server that was known then, if it commits writes.
@@ -184,9 +186,8 @@
     int path_probes = 0;  ///< started since a path probe last succeeded
     TimePoint last_path_probe;
     int connect_failures = 0;  ///< consecutive
-    bool repeats_replies = false;
-    int lost_commits = 0;  ///< closed unanswered since the last success
-    TimePoint last_heard;  ///< last reply or opened connection
+    int lost_commits = 0;      ///< closed unanswered since the last success
+    TimePoint last_heard;      ///< last reply or opened connection
     TimePoint connect_after;
     TimePoint avoid_reads_until;  ///< for reads that require a later position
     TimePoint busy_until;
@@ -195,8 +196,9 @@
     TimePoint last_probe;  ///< last leadership probe or reconnect
     bool failing = false;
     bool listed = true;
-    bool renewed = false;     ///< its entry was written again since it is known
-    TimePoint known_since;    ///< when this instance learned of it
+    bool renewed = false;   ///< its entry was written again since it is known
+    TimePoint known_since;  ///< when this instance learned of it
+    bool repeats_replies = false;  ///< it sent a reply more than once
     bool superseded = false;  ///< another one of its service has its address
     /// Commits had waited long, or had no answer, before the last one.
     bool commits_waited = false;
@@ -291,13 +293,14 @@
     bool writes = false;
     bool queued = false;
     bool sent = false;          ///< an attempt is in flight
-    bool awaits_setup = false;  ///< only the setup of its connection was sent
+    bool awaits_setup = false;  ///< only commands before it were sent
     /// Log position that the server must have reached.
     std::optional<Position> required;
     /// The proxy runs it in a transaction of its own, as a successful BEGIN
     /// proves that the server is the primary.
     bool in_proxy_transaction = false;
     bool opens_transaction = false;  ///< first statement of its transaction
+    bool begin_in_doubt = false;     ///< the reply to BEGIN may be a repeat
     bool force_primary = false;
     std::set<ServerId> tried_servers;  ///< not chosen again for the read
     /// The reply to a commit, held until a replica has received the commit at
@@ -399,7 +402,7 @@
   [[nodiscard]] static AttemptEnd EndWithoutReply(
       const PendingStatement& pending);
   void OnBeginReply(ConnectionId id, const ExpectedReply& expected,
-                    const Reply& reply);
+                    const Reply& reply, bool certain);
   void OnStatementReply(ConnectionId id, const ExpectedReply& expected,
                         Reply reply);
   void NoteRunTime(const Session& session, Duration run_time);
@@ -481,6 +484,9 @@
                                      const ExpectedReply& expected,
                                      const Reply& reply, bool certain);
   void CloseInDoubt(ConnectionId id, const Reply& reply);
+  void RepeatQuery(ServerPool& pool, const ExpectedReply& expected);
+  [[nodiscard]] static Reply WithoutEvidence(const ExpectedReply& expected,
+                                             const Reply& reply);
   [[nodiscard]] static std::string DescribeReply(const Reply& reply);
   void NoteUncertain(ServerPool& pool, const ExpectedReply& expected,
                      ReplyOrigin origin, const Reply& reply);
--- a/include/corianderdock/session/reply_match.h
+++ b/include/corianderdock/session/reply_match.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -58,7 +59,8 @@
   /// Replies with receipts, and errors, after which the history is full.
   static constexpr std::size_t kMaxReceipts = 4096;
   static constexpr std::size_t kMaxErrors = 256;
-  /// Other replies remembered. A repeat that comes later counts as new.
+  /// Other replies remembered. One below the highest position counts as known
+  /// even if it is forgotten.
   static constexpr std::size_t kMaxOthers = 256;
 
   /// Returns what came before a reply, and adds the reply if it is new. `sent`
@@ -81,7 +83,8 @@
   std::unordered_map<std::uint64_t, Entry> receipts_;  ///< by `identity`
   std::vector<Entry> errors_;
   std::vector<Entry> others_;
-  std::size_t oldest_ = 0;  ///< of `others_`, replaced next
+  std::size_t oldest_ = 0;           ///< of `others_`, replaced next
+  std::optional<Position> highest_;  ///< position of any reply
 };
 
 }  // namespace corianderdock::session
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -35,10 +35,13 @@
     while (!streams.empty()) {
       IdleStream last = std::move(streams.back());
       streams.pop_back();
-      if (Clock::now() - last.idle_since < kMaxIdleTime) {
-        return std::move(last.stream);
+      if (Clock::now() - last.idle_since >= kMaxIdleTime) {
+        streams.clear();  // the others have been idle for longer
+        break;
       }
-      streams.clear();  // the others have been idle for longer
+      beast::error_code ec;
+      const bool silent = last.stream->socket().available(ec) == 0 && !ec;
+      if (silent) return std::move(last.stream);
     }
     return nullptr;
   }
@@ -126,7 +129,8 @@
     for (const auto& it : parser_.get()) {
       result_.headers.emplace_back(it.name_string(), it.value());
     }
-    if (parser_.get().keep_alive()) {
+    // Bytes after the response are none that the next request asked for.
+    if (parser_.get().keep_alive() && buffer_.size() == 0) {
       stream_->expires_never();
       pool_->Put(address_, std::move(stream_));
     }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -149,7 +149,8 @@
       return;
     }
     const bool free = control.bound_session == 0 && control.bound_peer == 0;
-    if (free && !control.retired) {
+    // What was sent before on a retired one must come first.
+    if (free && (!control.retired || !control.expected.empty())) {
       std::erase(pool.idle, pool.control_connection);
       return SendOne(pool.control_connection, std::move(command), step,
                      step == Step::kProbe);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -340,6 +340,7 @@
   const Connection& connection = connections_.at(id);
   ServerPool& pool = pools_.at(connection.server);
   const SessionId session = connection.bound_session;
+  const ServerId server = connection.server;
   const bool current = connection.relay == pool.relay && pool.shared;
   Log("shared connection drained server=" + connection.server +
       " owner=" + connection.relay);
@@ -347,8 +348,10 @@
   if (current) TryNextOwner(pool);
   const auto it = sessions_.find(session);
   if (it == sessions_.end()) return;
+  if (!it->second.pending || !it->second.pending->sent) {
+    return FailLostConnection(session, it->second, server);
+  }
   it->second.bound_connection = 0;
-  if (!it->second.pending || !it->second.pending->sent) return;
   FailAttempt(session, it->second, AttemptEnd::kNotRun, ErrorCode::kTooMany,
               "the owner of the connection leaves");
 }
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -53,14 +53,14 @@
   NoteContact(pool, connection, expected, reply);
   switch (expected.step) {
     case Step::kBegin:
-      expected.proves_leadership = expected.proves_leadership && certain;
-      OnBeginReply(event.connection, expected, reply);
+      OnBeginReply(event.connection, expected, reply, certain);
       break;
     case Step::kStatement:
       OnStatementReply(event.connection, expected, reply);
       break;
     case Step::kPeer:
-      OnPeerReply(event.connection, reply);
+      OnPeerReply(event.connection,
+                  certain ? reply : WithoutEvidence(expected, reply));
       break;
     case Step::kProbe:
       if (!failed && certain) {
@@ -76,8 +76,12 @@
     case Step::kWitness:
     case Step::kDemote:
     case Step::kFence:
-      connection.retired = connection.retired || !certain;
-      OnStatusAnswer(pool, expected, reply);
+      if (certain) {
+        OnStatusAnswer(pool, expected, reply);
+        break;
+      }
+      connection.retired = true;
+      RepeatQuery(pool, expected);
       break;
     case Step::kSetup:
       if (!failed) {
@@ -105,9 +109,15 @@
       expected.step == Step::kStatement || expected.step == Step::kPeer;
   if (!statement && expected.step != Step::kBegin) return true;
   if (reply.error != ErrorCode::kNone) {
-    return certain && !(statement && connection.setup_in_doubt);
+    // The error may be that of the command before.
+    const bool of_setup = statement && connection.setup_in_doubt;
+    const bool of_begin =
+        expected.begin_in_doubt && reply.state == TransactionState::kIdle;
+    return certain && !of_setup && !of_begin;
   }
-  if (certain) return true;
+  const bool begins = expected.form.verb == Verb::kBegin ||
+                      expected.form.verb == Verb::kBeginRead;
+  if (certain || !begins || connection.shared) return true;
   // A repeat may hide that the log lacks the position, unless its predecessor
   // has shown that it doesn't.
   const bool reached =
@@ -115,7 +125,8 @@
       (reply.position && LogContains(*reply.position, *expected.after));
   // A read of its own shows by its reply whether BEGIN succeeded. A client's
   // statements would run outside their transaction.
-  return reached && (expected.own_read || !pool.repeats_replies);
+  const bool harmless = expected.own_read || expected.step == Step::kPeer;
+  return reached && (harmless || !pool.repeats_replies);
 }
 
 /// Closes a connection after a reply that promises nothing about the command
@@ -127,6 +138,9 @@
   // What the server is short of needs no certainty.
   const bool refused =
       reply.error == ErrorCode::kBusy || reply.error == ErrorCode::kBehind;
+  Count("connections_closed_in_doubt");
+  LogRequest("connection closed server=" + server + " reason=reply in doubt " +
+             DescribeReply(reply));
   if (refused) NoteRefusal(pools_.at(server), reply.error);
   CloseConnection(id, false);
   const auto it = sessions_.find(session);
@@ -140,16 +154,44 @@
               reply.error, "reply in doubt");
 }
 
+/// Asks again, over another connection, after a reply that may be a repeat.
+void Proxy::RepeatQuery(ServerPool& pool, const ExpectedReply& expected) {
+  // Such queries have a pause and are repeated while they are needed.
+  if (expected.step == Step::kWitness) {
+    --pool.queries;
+    return;
+  }
+  ServerCommand command;
+  command.statement.verb = expected.form.verb;
+  command.term = expected.term;
+  SendControl(pool.entry.id, std::move(command), expected.step);
+}
+
+/// Returns what another instance may learn of a reply that may be a repeat.
+Reply Proxy::WithoutEvidence(const ExpectedReply& expected,
+                             const Reply& reply) {
+  Reply rest = reply;
+  rest.position.reset();
+  if (!reply.status) return rest;
+  rest = {};
+  rest.error = ErrorCode::kBusy;
+  rest.detail = "status may be a repeat";
+  if (expected.form.in_transaction) rest.state = TransactionState::kOpen;
+  return rest;
+}
+
 /// Finds the origin of a reply to the oldest outstanding command. An instance
-/// that shares its connections has decided already.
+/// that shares its connections drops repeats itself, and leaves out the
+/// position where it isn't certain of a reply.
 Proxy::MatchedReply Proxy::Match(const ServerPool& pool, Connection& connection,
                                  const ExpectedReply& expected,
                                  const Reply& reply) {
   MatchedReply matched;
   if (connection.shared) {
-    if (!HasReplyForm(expected.form, reply)) {
-      matched.origin = ReplyOrigin::kForeign;
-    }
+    const bool evident = reply.position || reply.error != ErrorCode::kNone;
+    matched.origin = !HasReplyForm(expected.form, reply) ? ReplyOrigin::kForeign
+                     : evident                           ? ReplyOrigin::kOwn
+                               : ReplyOrigin::kPossibleRepeat;
     return matched;
   }
   const SeenReply seen = connection.replies.FindOrAdd(reply, expected.sent);
@@ -183,7 +225,8 @@
              " " + DescribeReply(reply));
 }
 
-/// From now on the server's errors are trusted less.
+/// From now on, errors of the server that are equal but for the position, and
+/// equal replies to BEGIN, may be repeats.
 void Proxy::NoteRepeats(ServerPool& pool) {
   if (pool.repeats_replies) return;
   pool.repeats_replies = true;
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -16,6 +16,18 @@
 /// How long a connection cap learned from a full server applies.
 constexpr Duration kConnectionCapDuration = std::chrono::milliseconds(500);
 
+/// Longest text of a client in a log line.
+constexpr std::size_t kMaxExcerpt = 64;
+
+/// Returns the beginning of a client's text as printable characters.
+std::string Excerpt(std::string_view text) {
+  std::string excerpt(text.substr(0, kMaxExcerpt));
+  for (char& it : excerpt) {
+    if (it < ' ' || it > '~') it = '?';
+  }
+  return text.size() > kMaxExcerpt ? excerpt + "..." : excerpt;
+}
+
 bool UsesSlot(Verb verb) {
   return verb == Verb::kRead || verb == Verb::kWrite ||
          verb == Verb::kExecute || verb == Verb::kCommit;
@@ -68,6 +80,7 @@
       const auto connections = pool.connections;
       for (const ConnectionId it : connections) CloseConnection(it, true);
       pool.failing = false;
+      pool.repeats_replies = false;
       pool.covered_by.reset();
     }
     PlanPath(pool);
@@ -346,7 +359,7 @@
       LogRequest("statement prepared server=" + connections_.at(id).server +
                  " connection=" + std::to_string(id) +
                  " name=" + it.statement.name + " verb=" + NameOf(verb) +
-                 " shape=" + it.statement.text);
+                 " shape=" + Excerpt(it.statement.text));
     }
     SendOne(id, std::move(it), step, false);
   }
@@ -361,6 +374,7 @@
   const Verb verb = command.statement.verb;
   expected.form = {verb, connection.in_transaction};
   expected.after = command.after;
+  expected.term = command.term;
   if (verb == Verb::kBegin || verb == Verb::kBeginRead) {
     connection.in_transaction = true;
   } else if (verb == Verb::kCommit || verb == Verb::kRollback) {
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -62,6 +62,7 @@
     SendOne(connection, std::move(begin), Step::kBegin, proves);
     connections_.at(connection).expected.back().own_read =
         pending.in_proxy_transaction;
+    pending.awaits_setup = true;
     return true;
   }
   pending.awaits_setup = !set_up;
@@ -136,6 +137,8 @@
   if (!in_transaction) command.after = pending.required;
   SendOne(connection, std::move(command), Step::kStatement,
           commits_writes || (plain_transaction && !commit), commits_writes);
+  connections_.at(connection).expected.back().begin_in_doubt =
+      pending.begin_in_doubt;
   if (!pending.in_proxy_transaction) return;
   ServerCommand end;
   end.statement.verb = Verb::kRollback;
@@ -177,17 +180,18 @@
 }
 
 void Proxy::OnBeginReply(ConnectionId id, const ExpectedReply& expected,
-                         const Reply& reply) {
+                         const Reply& reply, bool certain) {
   Connection& server_connection = connections_.at(id);
   ServerPool& pool = pools_.at(server_connection.server);
   const auto it = sessions_.find(server_connection.bound_session);
   if (reply.error == ErrorCode::kNone) {
-    if (expected.proves_leadership) {
+    if (expected.proves_leadership && certain) {
       NotePrimary(pool, reply.position, expected.sent);
     }
     if (it == sessions_.end() || !it->second.pending) {
       return CloseConnection(id, false);
     }
+    it->second.pending->begin_in_doubt = !certain;
     return SendStatement(it->first, it->second, id);
   }
   NoteRefusal(pool, reply.error);
@@ -320,6 +324,9 @@
   pending.sent = false;
   pending.awaits_setup = false;
   Verdict verdict = DecideVerdict(AttemptKindOf(session), end);
+  // If BEGIN failed, the statement has run outside its transaction.
+  const bool ran_alone = pending.begin_in_doubt && pending.writes;
+  if (ran_alone && end == AttemptEnd::kLost) verdict = Verdict::kUnsure;
   if (verdict == Verdict::kUnsure &&
       !options_.safety->UnansweredWriteInDoubt()) {
     verdict = Verdict::kRetry;
--- a/src/session/reply_match.cc
+++ b/src/session/reply_match.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "corianderdock/detail/hash.h"
+#include "corianderdock/session/freshness.h"
 
 namespace corianderdock::session {
 
@@ -138,6 +139,7 @@
   const Entry added{HashAll(reply, HashIdentity(reply)), HashIdentity(reply),
                     sent};
   const bool failed = reply.error != ErrorCode::kNone;
+  highest_ = LaterPosition(highest_, reply.position);
   if (!failed && !reply.receipt.empty()) {
     const auto [it, is_new] = receipts_.try_emplace(added.identity, added);
     seen.receipt = !is_new;
@@ -160,6 +162,8 @@
     others_[oldest_] = added;
     oldest_ = (oldest_ + 1) % kMaxOthers;
   }
+  // A log position doesn't go back, so the reply may be one that was forgotten.
+  if (!failed && reply.position != highest_) seen.reply = true;
   return seen;
 }
 
--- a/tests/reply_match_test.cc
+++ b/tests/reply_match_test.cc
@@ -312,10 +312,10 @@
 
 namespace {
 
-/// A status that no other number has.
+/// A status that no other number has, at the same position.
 Reply Status(int n) {
   Reply reply = MakeReply(Content::kStatus, kIdle);
-  reply.position = Position{1, static_cast<std::uint64_t>(n)};
+  reply.status->fence_term = static_cast<Term>(n) + 1000;
   return reply;
 }
 
@@ -347,6 +347,22 @@
   CHECK_FALSE(history.full());
 }
 
+// Guards against evidence that is dated too late: a BEGIN that was repeated
+// after hundreds of others counted as new.
+TEST_CASE("a reply below the highest position is never new") {
+  ReplyHistory history;
+  Reply later = MakeReply(Content::kBare, kIdle);
+  later.position = Position{2, 7};
+  CHECK_FALSE(history.FindOrAdd(later, At(1)).reply);
+  Reply older = later;
+  older.position = Position{1, 9};
+  const SeenReply seen = history.FindOrAdd(older, At(2));
+  CHECK(seen.reply);
+  CHECK(seen.sent == TimePoint{});
+  later.position = Position{2, 8};
+  CHECK_FALSE(history.FindOrAdd(later, At(3)).reply);
+}
+
 // Guards against a client's answer that is another one's: the history had
 // forgotten the receipt.
 TEST_CASE("a history forgets no receipt and no error, and is full instead") {
--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -139,6 +139,7 @@
   WorldOptions options;
   options.fencing = false;
   options.joiners = true;
+  options.overlap = true;
   CHECK(ViolatesRule(SkipReplicaProof{}, "STALE claims", options));
 }
 
