--- a/src/session/reply_match.cc
+++ b/src/session/reply_match.cc
@@ -163,7 +163,9 @@
     oldest_ = (oldest_ + 1) % kMaxOthers;
   }
   // A log position doesn't go back, so the reply may be one that was forgotten.
-  if (!failed && reply.position != highest_) seen.reply = true;
+  if (!failed && reply.position && reply.position != highest_) {
+    seen.reply = true;
+  }
   return seen;
 }
 
