Keep a connection whose refusal of a read may be a repeat

From a server not known to repeat, such an error of a read or a BEGIN is now taken, and the connection serves no other statement until a ROLLBACK is answered: if the error was a repeat, the read's own reply comes first and closes the connection. Statements prefer connections without an error at the newest position. The test of a repeated BUSY now also feeds that own reply, which must reach nobody.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -129,8 +129,11 @@
     bool uses_slot = false;
     bool proves_leadership = false;  ///< if the command succeeds
     bool begin_in_doubt = false;     ///< its transaction may not be open
-    bool own_read = false;           ///< BEGIN of the proxy for a single read
-    bool commits_writes = false;     ///< single write or COMMIT after writes
+    bool repeatable =
+        false;              ///< a read, or BEGIN: running it again is harmless
+    bool certain = true;    ///< the reply is the command's own
+    bool own_read = false;  ///< BEGIN of the proxy for a single read
+    bool commits_writes = false;  ///< single write or COMMIT after writes
     /// Log position of the server that was known then, if it commits writes.
     std::optional<Position> known_position;
   };
@@ -150,6 +153,8 @@
     std::deque<ExpectedReply> expected;
     ReplyHistory replies;
     bool in_transaction = false;  ///< once all commands sent have run
+    /// Log position with the last error; equal errors at it may be repeats.
+    std::optional<Position> refused_at;
     bool setup_in_doubt = false;  ///< its last setup may have failed
     bool retired = false;         ///< closed once it has no outstanding command
     SessionId bound_session = 0;  ///< 0 while unbound
@@ -484,6 +489,7 @@
                                      const ExpectedReply& expected,
                                      const Reply& reply, bool certain);
   void CloseInDoubt(ConnectionId id, const Reply& reply);
+  void AwaitEnd(ConnectionId id);
   void RepeatQuery(ServerPool& pool, const ExpectedReply& expected);
   [[nodiscard]] static Reply WithoutEvidence(const ExpectedReply& expected,
                                              const Reply& reply);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -226,11 +226,19 @@
 /// Sends the oldest command of a peer over its connection, which is set up.
 void Proxy::SendPeerCommand(Peer& peer) {
   ServerCommand command = peer.commands.front();
-  if (const auto prepared = PreparedOf(peer, command)) {
+  const Verb verb = command.statement.verb;
+  const auto prepared = PreparedOf(peer, command);
+  const bool reads = verb == Verb::kRead || (prepared && !prepared->writes);
+  const bool begins = verb == Verb::kBegin || verb == Verb::kBeginRead;
+  const bool in_transaction =
+      connections_.at(peer.bound_connection).in_transaction;
+  if (prepared) {
     command.statement.name = connections_.at(peer.bound_connection)
                                  .state.ServerStatementName(*prepared);
   }
   SendOne(peer.bound_connection, std::move(command), Step::kPeer, false);
+  connections_.at(peer.bound_connection).expected.back().repeatable =
+      begins || (reads && !in_transaction);
 }
 
 void Proxy::OnPeerReply(ConnectionId id, Reply reply) {
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -24,6 +24,7 @@
   }
   const MatchedReply matched = Match(pool, connection, expected, event.reply);
   const bool certain = matched.origin == ReplyOrigin::kOwn;
+  expected.certain = certain;
   if (!certain) NoteUncertain(pool, expected, matched.origin, event.reply);
   if (matched.origin == ReplyOrigin::kRepeat) return NoteHeard(pool);
   connection.expected.pop_front();
@@ -37,6 +38,8 @@
     return CloseInDoubt(event.connection, reply);
   }
   if (certain && !reply.receipt.empty()) connection.setup_in_doubt = false;
+  if (failed) connection.refused_at = reply.position;
+  if (failed && !certain && expected.repeatable) AwaitEnd(event.connection);
   connection.retired = connection.retired || connection.replies.full();
   services_to_dispatch_.insert(connection.service);
   // A BEGIN that failed has opened no transaction.
@@ -113,7 +116,8 @@
     const bool of_setup = statement && connection.setup_in_doubt;
     const bool of_begin =
         expected.begin_in_doubt && reply.state == TransactionState::kIdle;
-    return certain && !of_setup && !of_begin;
+    const bool harmless = expected.repeatable && !pool.repeats_replies;
+    return (certain || harmless) && !of_setup && !of_begin;
   }
   const bool begins = expected.form.verb == Verb::kBegin ||
                       expected.form.verb == Verb::kBeginRead;
@@ -154,6 +158,15 @@
               reply.error, "reply in doubt");
 }
 
+/// Keeps a connection from other statements until a ROLLBACK is answered. If an
+/// error was a repeat, the statement's own reply comes before and is found out.
+void Proxy::AwaitEnd(ConnectionId id) {
+  if (!connections_.at(id).expected.empty()) return;
+  ServerCommand end;
+  end.statement.verb = Verb::kRollback;
+  SendOne(id, std::move(end), Step::kEnd, false);
+}
+
 /// Asks again, over another connection, after a reply that may be a repeat.
 void Proxy::RepeatQuery(ServerPool& pool, const ExpectedReply& expected) {
   // Such queries have a pause and are repeated while they are needed.
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -16,6 +16,9 @@
 /// How long a connection cap learned from a full server applies.
 constexpr Duration kConnectionCapDuration = std::chrono::milliseconds(500);
 
+/// Setup commands that another connection may cost instead of one whose last
+/// error came at the newest log position.
+constexpr std::size_t kRefusedDistance = 4;
 /// Longest text of a client in a log line.
 constexpr std::size_t kMaxExcerpt = 64;
 
@@ -248,9 +251,13 @@
   std::size_t best = 0;
   std::size_t best_distance = SIZE_MAX;
   for (std::size_t n = pool.idle.size(); n-- > 0;) {
-    const auto& state = connections_.at(pool.idle[n]).state;
-    const std::size_t distance =
-        state.SynchronizeCommandCount(values, statement);
+    const Connection& connection = connections_.at(pool.idle[n]);
+    std::size_t distance =
+        connection.state.SynchronizeCommandCount(values, statement);
+    // An equal error on it would be no promise.
+    if (connection.refused_at && connection.refused_at == pool.log_position) {
+      distance += kRefusedDistance;
+    }
     if (distance >= best_distance) continue;
     best = n;
     best_distance = distance;
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -60,8 +60,9 @@
     // The statement itself, which follows the reply, proves leadership anew.
     const bool proves = !read_only && !pending.in_proxy_transaction;
     SendOne(connection, std::move(begin), Step::kBegin, proves);
-    connections_.at(connection).expected.back().own_read =
-        pending.in_proxy_transaction;
+    ExpectedReply& expected = connections_.at(connection).expected.back();
+    expected.own_read = pending.in_proxy_transaction;
+    expected.repeatable = true;
     pending.awaits_setup = true;
     return true;
   }
@@ -137,8 +138,10 @@
   if (!in_transaction) command.after = pending.required;
   SendOne(connection, std::move(command), Step::kStatement,
           commits_writes || (plain_transaction && !commit), commits_writes);
-  connections_.at(connection).expected.back().begin_in_doubt =
-      pending.begin_in_doubt;
+  ExpectedReply& expected = connections_.at(connection).expected.back();
+  expected.begin_in_doubt = pending.begin_in_doubt;
+  expected.repeatable = !pending.writes && !commit &&
+                        (!in_transaction || pending.in_proxy_transaction);
   if (!pending.in_proxy_transaction) return;
   ServerCommand end;
   end.statement.verb = Verb::kRollback;
@@ -194,7 +197,9 @@
     it->second.pending->begin_in_doubt = !certain;
     return SendStatement(it->first, it->second, id);
   }
-  NoteRefusal(pool, reply.error);
+  if (expected.certain || reply.error != ErrorCode::kReadOnly) {
+    NoteRefusal(pool, reply.error);
+  }
   if (it == sessions_.end() || !it->second.pending) {
     return CloseConnection(id, false);
   }
--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -249,6 +249,8 @@
   REQUIRE(it.Answered(1) == 1);
   const SendCommand second = it.StartRead(2, "two");
   it.driver.Repeat(second.connection, busy);
+  // The read's own answer shows that the error was a repeat.
+  const Reply late = it.driver.AnswerFirst();
   CHECK(it.Answered(2) == 0);
   CHECK(it.driver.connections_closed.contains(second.connection));
   it.driver.AdvanceTime(Milliseconds(12));
@@ -257,6 +259,7 @@
   const SendCommand retry = OnlyOutstanding(it.driver);
   CHECK(retry.connection != second.connection);
   const Reply own = it.driver.AnswerFirst();
+  CHECK(own.receipt != late.receipt);
   CHECK(it.Only(2).receipt == own.receipt);
 }
 
