Add types and settings of tenants, quotas and revocation

Nothing reads them yet: a configuration without tenants is decoded as before, and settings that are absent keep their defaults.

--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "corianderdock/types.h"
@@ -34,6 +35,43 @@
   Duration latency_objective{0};  ///< from arrival to answer, including waits
   Duration max_age{0};            ///< staleness bound; unused with `kPrimary`
   int priority = 0;               ///< 0 is the highest
+  /// Clients need no key; otherwise theirs must belong to a tenant, if there
+  /// are tenants.
+  bool open_access = false;
+};
+
+/// Digest of a client's key. Keys themselves are not kept.
+struct KeyDigest {
+  std::uint64_t low = 0;
+  std::uint64_t high = 0;
+
+  bool operator==(const KeyDigest&) const = default;
+};
+
+/// Hash of a digest for unordered containers.
+struct KeyDigestHash {
+  std::size_t operator()(const KeyDigest& digest) const noexcept {
+    return static_cast<std::size_t>(digest.low);
+  }
+};
+
+/// A customer whose clients are told apart from those of others.
+struct Tenant {
+  TenantId id;
+  int priority = 0;       ///< 0 is the highest
+  double rate_per_s = 0;  ///< operations over all instances; 0: no limit
+  double burst = 0;       ///< operations beyond the rate
+  bool operator==(const Tenant&) const = default;
+};
+
+/// The tenants of one configuration. Empty: clients have no keys.
+struct TenantDirectory {
+  std::map<TenantId, Tenant> tenants;
+  /// Holders of keys. Pointers are to `tenants`, whose elements don't move.
+  std::unordered_map<KeyDigest, const Tenant*, KeyDigestHash> holders;
+  /// Names of tenants that are unusable, and fingerprints of keys that several
+  /// tenants hold; both are left out.
+  std::vector<std::string> rejected;
 };
 
 /// Connection and replication settings of a service.
@@ -52,6 +90,8 @@
   Duration transaction_idle_timeout{0};
   /// Databases of routes that are unusable; they are left out of `routes`.
   std::vector<DatabaseName> rejected_routes;
+  /// Null if the configuration has no tenants: then no keys are checked.
+  std::shared_ptr<const TenantDirectory> tenants;
 };
 
 /// A configuration that can't be used. The last usable one stays in force.
@@ -82,6 +122,8 @@
   /// IP:PORT that shares this instance's connections to servers; empty if it
   /// does not share them.
   std::string share_address = {};
+  /// Processor cores that the instance may use.
+  double processor_share = 1;
 
   bool operator==(const InstanceEntry&) const = default;
 };
--- a/include/corianderdock/session/statement.h
+++ b/include/corianderdock/session/statement.h
@@ -65,6 +65,7 @@
   kUnsure,
   kBad,
   kNoDatabase,
+  kNotAuthorized,  ///< the client's key is unknown or withdrawn
   kOther,
 };
 
--- a/include/corianderdock/types.h
+++ b/include/corianderdock/types.h
@@ -21,6 +21,7 @@
 using KindId = std::string;      ///< statement kind within a service
 using RequestId = std::string;   ///< idempotency key of a write
 using TransactionId = std::string;
+using TenantId = std::string;  ///< a customer whose clients share a quota
 
 using Term = std::uint64_t;    ///< leadership term of a database group
 using CallId = std::uint64_t;  ///< client request in progress at this instance
--- a/src/session/outcome.cc
+++ b/src/session/outcome.cc
@@ -41,10 +41,10 @@
 }
 
 const char* NameOf(ErrorCode code) noexcept {
-  constexpr std::array<const char*, 14> kNames = {
-      "none",      "busy", "aborted",     "behind",     "read_only",
-      "misrouted", "full", "no_name",     "failed",     "timeout",
-      "unsure",    "bad",  "no_database", "unreachable"};
+  constexpr std::array<const char*, 15> kNames = {
+      "none",      "busy", "aborted",     "behind",         "read_only",
+      "misrouted", "full", "no_name",     "failed",         "timeout",
+      "unsure",    "bad",  "no_database", "not_authorized", "unreachable"};
   return kNames[static_cast<std::size_t>(code)];
 }
 
