--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -132,6 +132,16 @@
   PromotionResult result = PromotionResult::kUnknown;
 };
 
+/// Subject of a message between instances.
+enum class MessageTopic { kFreshness, kQuota };
+
+/// Another instance sent a message.
+struct MessageReceived {
+  InstanceId from;
+  MessageTopic topic = MessageTopic::kFreshness;
+  std::string body;  ///< one line of JSON
+};
+
 /// Time passed; due timers fire.
 struct TimerFired {};
 
@@ -146,7 +156,7 @@
                  PeerOpened, PeerCommand, PeerClosed, ConfigRead,
                  ConfigRejected, ServersRead, MembersRead, InstancesRead,
                  ClaimAnswered, OrderRecorded, TokenObtained, PromotionAnswered,
-                 TimerFired, StopRequested>;
+                 MessageReceived, TimerFired, StopRequested>;
 
 /// Answer the outstanding statement of a session, or accept the session.
 struct AnswerSession {
@@ -247,6 +257,14 @@
   std::uint64_t token = 0;
 };
 
+/// Send a message to another instance. It arrives at most once, or not at all;
+/// nothing reports which.
+struct SendMessage {
+  InstanceId to;
+  MessageTopic topic = MessageTopic::kFreshness;
+  std::string body;  ///< one line of JSON
+};
+
 enum class Severity {
   kInfo,
   kWarning,  ///< a change of state that puts requests at risk
@@ -262,11 +280,12 @@
 /// Shutdown is complete; the process may exit.
 struct StopFinished {};
 
-using Effect = std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
-                            OpenServerConnection, CloseServerConnection,
-                            SendCommand, ClaimPromotion, KeepClaim, ReadMembers,
-                            WriteMembers, RecordOrder, RenewToken,
-                            PromoteServer, LogDecision, StopFinished>;
+using Effect =
+    std::variant<AnswerSession, CloseSession, AnswerPeer, ClosePeer,
+                 OpenServerConnection, CloseServerConnection, SendCommand,
+                 ClaimPromotion, KeepClaim, ReadMembers, WriteMembers,
+                 RecordOrder, RenewToken, PromoteServer, SendMessage,
+                 LogDecision, StopFinished>;
 
 using Effects = std::vector<Effect>;
 
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -340,6 +340,7 @@
     TimePoint last_active;
   };
 
+  void On(const MessageReceived& event);
   void On(const SessionOpened& event);
   void On(const StatementReceived& event);
   void On(const SessionClosed& event);
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -30,6 +30,8 @@
 
 void Proxy::On(const TimerFired& /*event*/) {}
 
+void Proxy::On(const MessageReceived& /*event*/) {}
+
 void Proxy::FireTimers() {
   while (auto timer = timers_.TakeDue(now_)) {
     switch (timer->kind) {
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -416,6 +416,7 @@
   session::MemberRecords stored_members;  ///< as the store has them
   bool answers_member_reads = true;       ///< linearizable ones
   int statements = 0;
+  std::vector<session::SendMessage> messages;
   bool stop_finished = false;
   std::vector<session::LogDecision> log;
 
@@ -490,6 +491,7 @@
     if (std::getenv("TRACE") != nullptr) std::cout << it.text << "\n";
     log.push_back(it);
   }
+  void Record(const session::SendMessage& it) { messages.push_back(it); }
   void Record(const session::StopFinished& /*it*/) { stop_finished = true; }
 };
 
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -583,6 +583,7 @@
     }
   }
 
+  void Apply(std::size_t /*n*/, const SendMessage& /*effect*/) {}
   void Apply(std::size_t /*n*/, const StopFinished& /*effect*/) {}
 
   PromotionResult Promote(const PromoteServer& effect) {
