Serve tenants: keys of clients and connections that belong to one tenant

Cause: servers charge and isolate work by the tenant that START names, and a client is to be served only under a key that a tenant holds.

Change: digests of keys are checked at START and at each statement. With tenants, each server has two owners in one order that all instances use; the first runs everything and decides by connection_cache.h which tenants have connections. QUERY - TENANT sets the tenant of a shared connection. A statement takes a connection of its tenant on every path. Without tenants, statements, connections and commands are as before.

--- a/include/corianderdock/session/connection_owners.h
+++ b/include/corianderdock/session/connection_owners.h
@@ -16,6 +16,12 @@
   std::vector<InstanceId> owners;
   /// Connections that each instance that connects may hold.
   int connections = 1;
+  /// The same while connections that an owner had before it was restarted may
+  /// still count at the server.
+  int starting_connections = 1;
+  /// `owners` are in the order in which all instances use them: the first one
+  /// that works runs the statements of all.
+  bool one_active = false;
 
   bool operator==(const ConnectionPlan&) const = default;
 };
@@ -29,6 +35,19 @@
                                              int max_connections, int reserved,
                                              const InstanceList& instances);
 
+/// Returns the plan for a server whose connections belong to tenants. It has
+/// owners whatever `max_connections` is, since only one instance that sees all
+/// statements can choose which tenants have connections. The owners, with
+/// larger weights for larger processor shares, hold four fifths of the
+/// connections together. The rest is for connections of owners that were killed
+/// or start, and of instances that reach no owner. All instances that know the
+/// same `instances` compute the same plan. Without an instance that shares its
+/// connections, the plan is that of `PlanConnections`.
+/// \pre `max_connections` > 0. Thread-safe.
+[[nodiscard]] ConnectionPlan PlanTenantConnections(
+    const ServerEntry& server, int max_connections, int reserved,
+    const InstanceList& instances);
+
 /// Returns `owners` in the order in which `self` tries them, which spreads the
 /// instances over the owners. Thread-safe.
 [[nodiscard]] std::vector<InstanceId> OwnersInOrder(
--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -19,6 +19,8 @@
 struct SessionOpened {
   SessionId session = 0;
   DatabaseName database;
+  KeyDigest key = {};                 ///< of the client's key
+  std::uint32_t key_fingerprint = 0;  ///< shown in log lines instead of the key
 };
 
 /// A client sent a statement. A session has at most one outstanding statement.
@@ -184,6 +186,8 @@
   /// Of the instance whose connections to the server are shared; otherwise
   /// empty.
   std::string share_address;
+  /// To which the connection belongs. If empty, it is this instance's.
+  TenantId tenant = {};
 };
 
 /// Reply to the oldest command of a shared connection, or accept the
--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -69,8 +69,8 @@
   std::map<TenantId, Tenant> tenants;
   /// Holders of keys. Pointers are to `tenants`, whose elements don't move.
   std::unordered_map<KeyDigest, const Tenant*, KeyDigestHash> holders;
-  /// Names of tenants that are unusable, and fingerprints of keys that several
-  /// tenants hold; both are left out.
+  /// Tenants that are unusable, and fingerprints of keys that several tenants
+  /// hold, as log lines show them; both are left out.
   std::vector<std::string> rejected;
 };
 
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -48,6 +48,10 @@
   /// Connections to one server that an instance opens through another one that
   /// shares its own.
   int forwarded_connections = 4;
+  /// The same where the configuration has tenants: one owner then runs the
+  /// statements of all instances, and transactions keep a connection while
+  /// their clients think.
+  int tenant_forwarded_connections = 8;
   /// Longest wait of another instance's command for a connection, and the
   /// number that may wait for one server, before it is refused.
   Duration peer_wait = std::chrono::milliseconds(60);
@@ -73,6 +77,10 @@
   Duration max_owner_probe_backoff = std::chrono::milliseconds(200);
   /// Interval of probes of the direct path to a server reached by a relay.
   Duration direct_probe_interval = std::chrono::milliseconds(1000);
+  /// Interval of attempts to return to the active owner of a server, where
+  /// there is one. An owner that accepts connections but answers too late would
+  /// be left again after each.
+  Duration active_owner_probe_interval = std::chrono::milliseconds(3000);
   /// How long a server that neither answers nor is listed may return with the
   /// only copy of an acknowledged commit.
   Duration unlisted_server_retention = std::chrono::milliseconds(12'000);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -15,6 +15,7 @@
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/acknowledged_commits.h"
 #include "corianderdock/session/commit_evidence.h"
+#include "corianderdock/session/connection_cache.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
 #include "corianderdock/session/events.h"
@@ -110,6 +111,7 @@
   /// A shared connection of another instance to one server.
   struct Peer {
     ServerId server;
+    TenantId tenant;  ///< of the commands that follow; may be `kOwnCommands`
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared;
     std::deque<ServerCommand> commands;  ///< not answered, oldest first
@@ -160,6 +162,10 @@
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
     bool shared = false;          ///< `relay` shares its own connections
+    /// To which the connection belongs; of a shared one, as last set at the
+    /// owner. Empty: none.
+    TenantId tenant;
+    bool used = false;  ///< it has run a statement
     bool open = false;
     std::vector<std::pair<Step, ServerCommand>> commands_on_open;
     TimePoint last_used;  ///< when it was created or last became idle
@@ -186,6 +192,7 @@
     int owner_failures = 0;          ///< paths lost since the last reply
     std::deque<PeerId> waiting_peers;
     std::set<PeerId> peers;
+    ConnectionCache cache;        ///< decides which tenants have connections
     TimePoint last_refused_full;  ///< it refused a connection over its limit
     int opening_path_probes = 0;
     int path_probes = 0;  ///< started since a path probe last succeeded
@@ -324,6 +331,9 @@
 
   struct Session {
     DatabaseName database;
+    KeyDigest key;
+    std::uint32_t key_fingerprint = 0;
+    TenantId tenant;  ///< whose connections serve its statements; may be empty
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared;
     TransactionState state = TransactionState::kIdle;
@@ -372,6 +382,9 @@
                       const Statement& statement);
   void AcceptStatement(SessionId id, Session& session,
                        const StatementReceived& event);
+  [[nodiscard]] bool CheckKey(SessionId id, Session& session,
+                              const Statement& statement);
+  void RefuseKey(SessionId id, const Session& session);
   [[nodiscard]] std::shared_ptr<const Route> RouteOf(
       const Session& session) const;
   void Answer(SessionId id, Session& session, Reply reply);
@@ -391,7 +404,8 @@
   [[nodiscard]] std::optional<Position> RequiredPosition(
       const Session& session, const Service& service) const;
   [[nodiscard]] ServerPool* ChooseForRead(const Service& service,
-                                          const Session* session);
+                                          const Session* session,
+                                          const TenantId& tenant = {});
   [[nodiscard]] bool PrimaryUsable(const Service& service) const;
   void RefuseWithoutPrimary(Service& service);
   [[nodiscard]] bool HasCapacity(const ServerPool& pool) const;
@@ -436,10 +450,11 @@
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
   ConnectionId OpenConnection(ServerPool& pool);
   ConnectionId OpenOnPath(ServerPool& pool, const InstanceId& relay,
-                          bool shared, bool path_probe);
+                          bool shared, bool path_probe,
+                          const TenantId& tenant = {});
   void OnConnectFailed(ConnectionId id, ErrorCode error);
   [[nodiscard]] ConnectionId TakeIdle(
-      ServerPool& pool, const SessionValues& values,
+      ServerPool& pool, const TenantId& tenant, const SessionValues& values,
       const std::optional<PreparedStatement>& statement);
   void ReturnToPool(ConnectionId id);
   void CloseConnection(ConnectionId id, bool fail_statement);
@@ -538,6 +553,36 @@
   [[nodiscard]] bool PeersBound() const;
   void ReleasePeerConnection(Peer& peer);
 
+  // Connections of tenants (proxy_tenants.cc).
+  [[nodiscard]] bool HasTenants() const { return config_ && config_->tenants; }
+  [[nodiscard]] bool Serves(const Connection& connection,
+                            const TenantId& tenant) const;
+  [[nodiscard]] bool HasIdle(const ServerPool& pool,
+                             const TenantId& tenant) const;
+  [[nodiscard]] bool HasCapacity(const ServerPool& pool,
+                                 const TenantId& tenant) const;
+  [[nodiscard]] std::optional<SessionId> PopStartable(StatementQueue& queue,
+                                                      Service& service,
+                                                      const ServerPool* pool);
+  [[nodiscard]] std::map<TenantId, std::size_t> WaitingTenants(
+      const ServerPool& pool);
+  [[nodiscard]] CacheView ViewOf(const ServerPool& pool);
+  void OpenForTenant(ServerPool& pool, const TenantId& tenant);
+  void OpenForTenants(ServerPool& pool, const StatementQueue& queue);
+  [[nodiscard]] ServerPool* NearerOf(ServerPool* a, ServerPool* b) const;
+  /// Whether connections to a server may belong to tenants.
+  [[nodiscard]] bool HasConnectionsOfTenants(const ServerPool& pool) const {
+    return tenants_seen_ && !pool.shared;
+  }
+  void SetTenant(ConnectionId id, const TenantId& tenant);
+  void SetTenantForOwn(ConnectionId id, Step step);
+  [[nodiscard]] static bool MayRun(const Peer& peer, Verb verb);
+  void ServeTenantPeers(ServerPool& pool);
+  [[nodiscard]] bool IsOwner(const ServerPool& pool) const;
+  [[nodiscard]] bool StandsIn(const ServerPool& pool) const;
+  [[nodiscard]] bool AvoidsActiveOwner(const ServerPool& pool) const;
+  void ProbeOwnerPath(ServerPool& pool);
+
   // Relays (proxy_relays.cc).
   void ProbePaths(ServerPool& pool);
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
@@ -657,6 +702,8 @@
   detail::TimerHeap<Timer> timers_;
   Effects effects_;
   std::shared_ptr<const RoutingConfig> config_;
+  /// A configuration had tenants, so that connections may belong to some.
+  bool tenants_seen_ = false;
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<PeerId, Peer> peers_;
--- a/include/corianderdock/session/safety.h
+++ b/include/corianderdock/session/safety.h
@@ -53,6 +53,9 @@
   /// Whether a connection is set to the session's values before it runs a
   /// statement of the session.
   [[nodiscard]] virtual bool SynchronizeValues() const { return true; }
+
+  /// Whether a statement runs only over a connection of its tenant.
+  [[nodiscard]] virtual bool SeparateTenants() const { return true; }
 };
 
 /// The decisions used outside tests.
--- a/include/corianderdock/session/statement.h
+++ b/include/corianderdock/session/statement.h
@@ -29,13 +29,14 @@
   kHold,     ///< fences a replica against lower terms
   kResume,   ///< lifts the fence of a replica
   kDemote,   ///< stops a primary of a lower term from acknowledging commits
+  kTenant,   ///< sets the tenant of a shared connection; no server knows it
   kUnknown,  ///< not a valid statement
 };
 
 /// One statement. Fields that its verb does not use are empty.
 struct Statement {
   Verb verb = Verb::kRead;
-  std::string name;  ///< of a value or prepared statement
+  std::string name;  ///< of a value, prepared statement or tenant
   std::string text;  ///< verbatim arguments: item, data, value or shape
 };
 
--- a/include/corianderdock/session/statement_queue.h
+++ b/include/corianderdock/session/statement_queue.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -18,9 +19,10 @@
   SessionId session = 0;
   DatabaseName database;
   TimePoint arrived;
-  TimePoint due;      ///< a start after this counts as late
-  Duration cost{0};   ///< expected run time
-  double weight = 1;  ///< > 0; larger for more important databases
+  TimePoint due;         ///< a start after this counts as late
+  Duration cost{0};      ///< expected run time
+  double weight = 1;     ///< > 0; larger for more important databases
+  TenantId tenant = {};  ///< whose connection it needs; may be empty
 };
 
 /// Queue of one service's statements.
@@ -42,8 +44,13 @@
   /// Adds a statement in order of arrival within its database.
   void Push(WaitingStatement statement);
 
-  /// Removes the statement to start next and returns its session, if any.
-  [[nodiscard]] std::optional<SessionId> Pop(TimePoint now);
+  /// Whether a statement of the tenant can start.
+  using Startable = std::function<bool(const TenantId&)>;
+
+  /// Removes the statement to start next and returns its session, if any. With
+  /// `startable`, passes over those that can't start.
+  [[nodiscard]] std::optional<SessionId> Pop(TimePoint now,
+                                             const Startable& startable = {});
 
   /// Removes a session's statement. Returns whether one was queued.
   bool Remove(SessionId session);
@@ -58,18 +65,26 @@
 
   [[nodiscard]] std::size_t size() const noexcept { return size_; }
 
+  /// Statements by tenant; each has at least one.
+  [[nodiscard]] const std::map<TenantId, std::size_t>& tenants()
+      const noexcept {
+    return tenants_;
+  }
+
  private:
   struct DatabaseQueue {
     std::deque<WaitingStatement> items;  ///< in order of arrival
   };
 
   /// Index of the first statement that can still start by its due time, or of
-  /// the newest if none can. `queue` must not be empty.
-  [[nodiscard]] static std::size_t NextIndex(const DatabaseQueue& queue,
-                                             TimePoint now);
+  /// the newest if none can; null if none is startable.
+  [[nodiscard]] static std::optional<std::size_t> NextIndex(
+      const DatabaseQueue& queue, TimePoint now, const Startable& startable);
+  void Forget(const TenantId& tenant);
   void UpdateStartInterval(TimePoint now);
 
   std::map<DatabaseName, DatabaseQueue> queues_;
+  std::map<TenantId, std::size_t> tenants_;
   int start_count_ = 0;
   std::size_t size_ = 0;
   /// The last start, if it left other statements queued.
--- a/src/session/connection_owners.cc
+++ b/src/session/connection_owners.cc
@@ -1,6 +1,7 @@
 #include "corianderdock/session/connection_owners.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <tuple>
 
@@ -14,10 +15,26 @@
 /// owner that was killed count until the server notices.
 constexpr int kOwnerReserveDivisor = 5;
 
+/// Owners of a server where connections belong to tenants: one runs all
+/// statements, the other takes over when it fails.
+constexpr int kTenantOwners = 2;
+/// Smallest weight, so that a wrongly announced share has a rank.
+constexpr double kMinShare = 0.01;
+
 std::uint64_t Rank(const std::string& a, const std::string& b) {
   return detail::HashPair(a, b);
 }
 
+/// Rank of weighted rendezvous hashing; the lowest is the first. The number of
+/// servers for which an instance is the first is proportional to its share.
+double WeightedRank(const InstanceId& instance, const ServerId& server,
+                    double share) {
+  constexpr double kRange = 0x1p64;
+  const double fraction =
+      (static_cast<double>(Rank(instance, server)) + 1) / (kRange + 2);
+  return -std::log(fraction) / std::max(share, kMinShare);
+}
+
 }  // namespace
 
 ConnectionPlan PlanConnections(const ServerEntry& server, int max_connections,
@@ -46,6 +63,38 @@
   return plan;
 }
 
+ConnectionPlan PlanTenantConnections(const ServerEntry& server,
+                                     int max_connections, int reserved,
+                                     const InstanceList& instances) {
+  using Candidate = std::tuple<bool, double, InstanceId>;
+  std::vector<Candidate> candidates;
+  for (const auto& [id, entry] : instances) {
+    if (entry.share_address.empty()) continue;
+    candidates.emplace_back(entry.zone != server.zone,
+                            WeightedRank(id, server.id, entry.processor_share),
+                            id);
+  }
+  if (candidates.empty()) {
+    return PlanConnections(server, max_connections, reserved, instances);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  const int rest = max_connections / kOwnerReserveDivisor;
+  const int usable = std::max(1, max_connections - rest);
+  const int owners =
+      std::min({kTenantOwners, usable, static_cast<int>(candidates.size())});
+  ConnectionPlan plan;
+  plan.one_active = true;
+  // Half each, also of an owner that has no second one: others may follow it.
+  plan.connections = std::max(1, usable / kTenantOwners);
+  plan.starting_connections =
+      std::clamp(rest / kTenantOwners, 1, plan.connections);
+  for (const auto& [far, rank, id] : candidates) {
+    if (static_cast<int>(plan.owners.size()) == owners) break;
+    plan.owners.push_back(id);
+  }
+  return plan;
+}
+
 std::vector<InstanceId> OwnersInOrder(const InstanceId& self,
                                       const ServerId& server,
                                       const std::vector<InstanceId>& owners) {
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -143,9 +143,16 @@
                std::to_string(event.config->version) +
                " database=" + (it.empty() ? "-" : it));
   }
+  if (event.config->tenants) {
+    for (const std::string& it : event.config->tenants->rejected) {
+      LogRequest("config tenant rejected version=" +
+                 std::to_string(event.config->version) + " " + it);
+    }
+  }
   gauges_["config_version"] = static_cast<double>(event.config->version);
   gauges_["config_rejected_version"] = 0;
   config_ = event.config;
+  tenants_seen_ = tenants_seen_ || config_->tenants != nullptr;
   for (auto& [id, service] : services_) service.needs_samples = false;
   for (const auto& [name, limits] : config_->services) {
     ServiceOf(name).limits = limits;
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -22,17 +22,25 @@
 void Proxy::PlanPath(ServerPool& pool) {
   const auto service = services_.find(pool.entry.service);
   if (instances_.empty() || service == services_.end()) return;
+  const int max_connections = service->second.limits.max_connections;
   ConnectionPlan plan =
-      PlanConnections(pool.entry, service->second.limits.max_connections,
-                      options_.reserved_connections, instances_);
+      HasTenants()
+          ? PlanTenantConnections(pool.entry, max_connections,
+                                  options_.reserved_connections, instances_)
+          : PlanConnections(pool.entry, max_connections,
+                            options_.reserved_connections, instances_);
   if (plan == pool.plan) return;
   pool.plan = std::move(plan);
-  pool.owners = OwnersInOrder(self_.id, pool.entry.id, pool.plan.owners);
+  pool.owners = pool.plan.one_active
+                    ? pool.plan.owners
+                    : OwnersInOrder(self_.id, pool.entry.id, pool.plan.owners);
   if (ForwardsTo(pool)) {
+    const auto owner =
+        std::find(pool.owners.begin(), pool.owners.end(), pool.relay);
+    const bool any_kept = !pool.plan.one_active && owner != pool.owners.end();
     const bool path_kept =
-        pool.shared && std::find(pool.owners.begin(), pool.owners.end(),
-                                 pool.relay) != pool.owners.end();
-    if (path_kept || pool.failing) return;
+        pool.shared && (any_kept || owner == pool.owners.begin());
+    if (path_kept || pool.failing || StandsIn(pool)) return;
     return SwitchPath(pool, pool.owners.front(), true);
   }
   if (pool.shared) SwitchPath(pool, {}, false);
@@ -40,9 +48,9 @@
 
 /// Whether statements for a server go to another instance that connects to it.
 bool Proxy::ForwardsTo(const ServerPool& pool) const {
-  return !pool.owners.empty() &&
-         std::find(pool.owners.begin(), pool.owners.end(), self_.id) ==
-             pool.owners.end();
+  if (pool.owners.empty()) return false;
+  if (pool.plan.one_active) return pool.owners.front() != self_.id;
+  return !IsOwner(pool);
 }
 
 /// Switches to the next owner after a shared path failed. Returns false when
@@ -58,7 +66,14 @@
           ? 0
           : static_cast<std::size_t>(at - pool.owners.begin() + 1);
   Count("owners_changed");
-  SwitchPath(pool, pool.owners[next % pool.owners.size()], true);
+  const InstanceId& owner = pool.owners[next % pool.owners.size()];
+  // The owner that failed is tried again after the full interval.
+  if (pool.plan.one_active) pool.last_path_probe = now_;
+  if (owner == self_.id) {
+    SwitchPath(pool, {}, false);
+  } else {
+    SwitchPath(pool, owner, true);
+  }
   services_to_dispatch_.insert(pool.entry.service);
   return true;
 }
@@ -71,6 +86,13 @@
     return Emit(ClosePeer{event.peer, ErrorCode::kMisrouted});
   }
   ServerPool& pool = it->second;
+  // The instance that connects has found no owner before this one.
+  const bool stands_in = pool.shared && pool.plan.one_active && IsOwner(pool) &&
+                         !stop_requested_at_;
+  if (stands_in) {
+    Count("owners_standing_in");
+    SwitchPath(pool, {}, false);
+  }
   // A command is forwarded at most once.
   if (pool.shared || pool.failing || stop_requested_at_) {
     return Emit(ClosePeer{event.peer, ErrorCode::kTooMany});
@@ -147,7 +169,17 @@
 void Proxy::RunNextCommand(PeerId id, Peer& peer) {
   while (!peer.commands.empty() && !peer.running) {
     const Statement& statement = peer.commands.front().statement;
+    if (!MayRun(peer, statement.verb)) {
+      Count("peers_refused_tenant");
+      Warn("shared connection closed server=" + peer.server +
+           " reason=command without a tenant verb=" + NameOf(statement.verb));
+      return ClosePeerOf(id);
+    }
     switch (statement.verb) {
+      case Verb::kTenant:
+        peer.tenant = statement.name;
+        AnswerPeerLocally(id, peer);
+        continue;
       case Verb::kSet:
         AnswerPeerLocally(id, peer, StoreValue(peer, statement));
         continue;
@@ -208,8 +240,9 @@
 bool Proxy::StartPeerCommand(PeerId id, Peer& peer, ServerPool& pool) {
   const auto prepared = PreparedOf(peer, peer.commands.front());
   if (peer.bound_connection == 0) {
-    if (pool.shared || !HasCapacity(pool)) return false;
-    const ConnectionId connection = TakeIdle(pool, peer.values, prepared);
+    if (pool.shared || !HasCapacity(pool, peer.tenant)) return false;
+    const ConnectionId connection =
+        TakeIdle(pool, peer.tenant, peer.values, prepared);
     if (connection == 0) return false;
     peer.bound_connection = connection;
     connections_.at(connection).bound_peer = id;
@@ -270,6 +303,7 @@
 }
 
 void Proxy::ServeWaitingPeers(ServerPool& pool) {
+  if (tenants_seen_) return ServeTenantPeers(pool);
   while (!pool.waiting_peers.empty()) {
     const PeerId id = pool.waiting_peers.front();
     const auto it = peers_.find(id);
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -83,7 +83,7 @@
   const TimePoint due = DueOf(pending.arrived, *pending.route);
   queue.Push({id, pending.route->database, pending.arrived, due,
               service.mean_run_time[pending.route->database],
-              WeightOf(pending.route->priority)});
+              WeightOf(pending.route->priority), session.tenant});
   pending.queued = true;
   ScheduleAfter(std::max(due - now_, Duration(0)),
                 {TimerKind::kQueueTimeout, id, pending.statement_serial});
@@ -135,15 +135,18 @@
       QueryNextReplica(service);
       return false;
     }
+    OpenForTenants(it->second, queue);
     if (!HasCapacity(it->second)) {
-      OpenIfNeeded(it->second, queue.size());
+      if (!HasConnectionsOfTenants(it->second)) {
+        OpenIfNeeded(it->second, queue.size());
+      }
       return false;
     }
     pool = &it->second;
-  } else if (ChooseForRead(service, nullptr) == nullptr) {
+  } else if (!tenants_seen_ && ChooseForRead(service, nullptr) == nullptr) {
     return false;
   }
-  const auto id = queue.Pop(now_);
+  const auto id = PopStartable(queue, service, pool);
   if (!id) return false;
   const auto it = sessions_.find(*id);
   if (it == sessions_.end() || !it->second.pending) return true;
@@ -154,7 +157,7 @@
     return true;
   }
   if (!primary) {
-    pool = ChooseForRead(service, &session);
+    pool = ChooseForRead(service, &session, session.tenant);
     if (pool == nullptr) {
       session.pending->force_primary = true;
       Enqueue(*id, session);
@@ -169,10 +172,12 @@
 /// servers that its statement has tried, and servers behind its required
 /// position that recently refused a read as behind.
 Proxy::ServerPool* Proxy::ChooseForRead(const Service& service,
-                                        const Session* session) {
+                                        const Session* session,
+                                        const TenantId& tenant) {
   std::optional<Position> position;
   if (session != nullptr) position = RequiredPosition(*session, service);
   ServerPool* best = nullptr;
+  ServerPool* lacking = nullptr;  ///< has no idle connection of the tenant
   double best_cost = std::numeric_limits<double>::max();
   for (const ServerId& id : service.servers) {
     const auto it = pools_.find(id);
@@ -182,8 +187,12 @@
       continue;
     }
     if (pool.entry.draining || !pool.listed || pool.failing) continue;
-    if (!HasCapacity(pool)) {
-      if (pool.idle.empty()) OpenIfNeeded(pool, 1);
+    if (!HasCapacity(pool, tenant)) {
+      if (HasConnectionsOfTenants(pool)) {
+        if (!HasIdle(pool, tenant)) lacking = NearerOf(lacking, &pool);
+      } else if (pool.idle.empty()) {
+        OpenIfNeeded(pool, 1);
+      }
       continue;
     }
     double cost = pool.running + pool.latency_ms / kMsPerCostUnit;
@@ -199,6 +208,7 @@
     best = &pool;
     best_cost = cost;
   }
+  if (best == nullptr && lacking != nullptr) OpenForTenant(*lacking, tenant);
   return best;
 }
 
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -18,17 +18,22 @@
   if (pool.opening_path_probes > 0 || isolated_since_ || !InUse(pool)) return;
   const bool forwards = ForwardsTo(pool);
   // The direct path is tried again, or the shared one where it is the plan.
-  const bool relayed =
-      !pool.failing && (forwards ? !pool.shared : !pool.relay.empty());
+  const bool relayed = !pool.failing && (pool.plan.one_active && forwards
+                                             ? AvoidsActiveOwner(pool)
+                                         : forwards ? !pool.shared
+                                                    : !pool.relay.empty());
   if (!relayed && !pool.failing) return;
   const Duration growing =
       options_.path_probe_backoff *
       (1 << std::min(pool.path_probes, kMaxBackoffDoublings));
+  const bool one_active = pool.plan.one_active && forwards;
   const Duration pause =
-      relayed ? options_.direct_probe_interval
+      relayed ? (one_active ? options_.active_owner_probe_interval
+                            : options_.direct_probe_interval)
               : std::min(growing, forwards ? options_.max_owner_probe_backoff
                                            : options_.max_path_probe_backoff);
   if (now_ - pool.last_path_probe < pause) return;
+  if (one_active) return ProbeOwnerPath(pool);
   const auto n = static_cast<std::size_t>(pool.path_probes);
   // Once all owners were tried, a relay is, and then the owners again.
   const std::size_t turn = n % (pool.owners.size() + 1);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -121,18 +121,24 @@
 
 int Proxy::ConnectionShare(const ServerPool& pool) const {
   const auto it = services_.find(pool.entry.service);
-  if (pool.shared) return options_.forwarded_connections;
+  if (pool.shared) {
+    return HasTenants() ? options_.tenant_forwarded_connections
+                        : options_.forwarded_connections;
+  }
   const int limit =
       it == services_.end() ? 1 : it->second.limits.max_connections;
-  const int share = instances_.empty()
-                        ? std::max(1, (limit - options_.reserved_connections) /
-                                          options_.assumed_instances)
-                        : (ForwardsTo(pool) ? 1 : pool.plan.connections);
+  const bool forwards = ForwardsTo(pool) && !IsOwner(pool);
+  int share = instances_.empty()
+                  ? std::max(1, (limit - options_.reserved_connections) /
+                                    options_.assumed_instances)
+                  : (forwards ? 1 : pool.plan.connections);
   // If all instances restarted, their earlier connections still count at the
   // server. What it has left then serves more instances if each owner takes
   // one.
   const bool starting = now_ - started_at_ < options_.stale_connection_time;
-  if (starting && !pool.owners.empty()) return 1;
+  if (starting && !pool.owners.empty()) {
+    share = forwards ? 1 : pool.plan.starting_connections;
+  }
   return pool.connection_cap > 0 ? std::min(share, pool.connection_cap) : share;
 }
 
@@ -151,7 +157,8 @@
 }
 
 ConnectionId Proxy::OpenOnPath(ServerPool& pool, const InstanceId& relay,
-                               bool shared, bool path_probe) {
+                               bool shared, bool path_probe,
+                               const TenantId& tenant) {
   const ConnectionId id = next_connection_++;
   Connection& connection = connections_[id];
   connection.server = pool.entry.id;
@@ -160,6 +167,7 @@
   connection.relay = relay;
   connection.shared = shared;
   connection.path_probe = path_probe;
+  connection.tenant = tenant;
   pool.connections.insert(id);
   ++(path_probe ? pool.opening_path_probes : pool.opening);
   const auto relay_entry = instances_.find(relay);
@@ -170,7 +178,8 @@
   Emit(OpenServerConnection{
       id, pool.entry.id, pool.entry.service, pool.entry.address,
       known && !shared ? relay_entry->second.relay_address : std::string(),
-      known && shared ? relay_entry->second.share_address : std::string()});
+      known && shared ? relay_entry->second.share_address : std::string(),
+      tenant});
   ScheduleAfter(
       path_probe ? options_.path_probe_timeout : options_.connect_timeout,
       {TimerKind::kConnectTimeout, id, 0});
@@ -185,6 +194,10 @@
   if (event.error != ErrorCode::kNone) {
     return OnConnectFailed(event.connection, event.error);
   }
+  // Other instances came to rely on this one while it tried another owner.
+  if (connection.path_probe && StandsIn(pool)) {
+    return CloseConnection(event.connection, false);
+  }
   connection.open = true;
   --(connection.path_probe ? pool.opening_path_probes : pool.opening);
   if (connection.path_probe) {
@@ -243,17 +256,19 @@
   return it != services_.end() && it->second.primary == pool.entry.id;
 }
 
-/// Takes the idle connection that needs the fewest setup commands; 0 if none is
-/// idle.
+/// Takes the idle connection that serves the tenant and needs the fewest setup
+/// commands; 0 if there is none.
 ConnectionId Proxy::TakeIdle(
-    ServerPool& pool, const SessionValues& values,
+    ServerPool& pool, const TenantId& tenant, const SessionValues& values,
     const std::optional<PreparedStatement>& statement) {
   std::size_t best = 0;
   std::size_t best_distance = SIZE_MAX;
   for (std::size_t n = pool.idle.size(); n-- > 0;) {
     const Connection& connection = connections_.at(pool.idle[n]);
+    if (!Serves(connection, tenant)) continue;
     std::size_t distance =
         connection.state.SynchronizeCommandCount(values, statement);
+    if (connection.shared && connection.tenant != tenant) ++distance;
     // An equal error on it would be no promise.
     if (connection.refused_at && connection.refused_at == pool.log_position) {
       distance += kRefusedDistance;
@@ -266,6 +281,8 @@
   if (best_distance == SIZE_MAX) return 0;
   const ConnectionId id = pool.idle[best];
   pool.idle.erase(pool.idle.begin() + static_cast<std::ptrdiff_t>(best));
+  connections_.at(id).used = true;
+  if (tenants_seen_ && !pool.shared) pool.cache.Count(tenant, now_);
   return id;
 }
 
@@ -374,6 +391,7 @@
 
 void Proxy::SendOne(ConnectionId id, ServerCommand command, Step step,
                     bool proves_leadership, bool commits_writes) {
+  SetTenantForOwn(id, step);
   Connection& connection = connections_.at(id);
   ExpectedReply expected;
   expected.step = step;
@@ -446,8 +464,11 @@
     RefuseLatePeers(pool);
     if (!InUse(pool) || now_ < pool.connect_after || pool.opening > 0) continue;
     const bool prewarm = pool.connections.empty() && ConnectionShare(pool) > 1;
+    // Where one owner is active, path probes include the direct path.
+    const bool probed =
+        pool.plan.one_active && ForwardsTo(pool) && !isolated_since_;
     const bool retry =
-        pool.failing && now_ - pool.last_probe >= kReconnectInterval;
+        pool.failing && !probed && now_ - pool.last_probe >= kReconnectInterval;
     if (!prewarm && !retry) continue;
     pool.last_probe = now_;
     OpenConnection(pool);
@@ -524,6 +545,9 @@
 /// Closes idle connections beyond half of the share. When an instance restarts,
 /// its old connections linger at the server and count in addition to the new.
 void Proxy::TrimIdle(ServerPool& pool) {
+  // Connections of tenants are expensive to open again, and the plan leaves
+  // room for those of instances that restart.
+  if (pool.plan.one_active && IsOwner(pool) && !pool.shared) return;
   const auto kept =
       static_cast<std::size_t>(std::max(ConnectionShare(pool) / 2, 1));
   while (!pool.idle.empty() && pool.connections.size() > kept) {
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "corianderdock/session/client_keys.h"
 #include "corianderdock/session/proxy.h"
 
 namespace corianderdock::session {
@@ -29,8 +30,16 @@
     Emit(CloseSession{event.session, ErrorCode::kNoDatabase, event.database});
     return;
   }
+  Session opened;
+  opened.database = event.database;
+  opened.key = event.key;
+  opened.key_fingerprint = event.key_fingerprint;
+  const auto tenant =
+      TenantOf(*config_, config_->routes.at(event.database).get(), event.key);
+  if (!tenant) return RefuseKey(event.session, opened);
+  opened.tenant = *tenant;
   Session& session = sessions_[event.session];
-  session.database = event.database;
+  session = std::move(opened);
   session.last_active = now_;
   Count("sessions_opened");
   Answer(event.session, session, {});
@@ -61,6 +70,7 @@
   Session& session = it->second;
   session.last_active = now_;
   const Statement& statement = event.statement;
+  if (!CheckKey(event.session, session, statement)) return;
   const bool ends_transaction =
       statement.verb == Verb::kCommit || statement.verb == Verb::kRollback;
   if (session.state == TransactionState::kFailed && !ends_transaction) {
@@ -96,6 +106,43 @@
   }
 }
 
+/// Checks the session's key under the configuration in force. Returns false if
+/// the statement was answered or the session closed. A transaction doesn't
+/// continue over the connection of a tenant that no longer holds the key.
+bool Proxy::CheckKey(SessionId id, Session& session,
+                     const Statement& statement) {
+  const auto in_force = config_->routes.find(session.database);
+  const Route* route = in_force != config_->routes.end()
+                           ? in_force->second.get()
+                           : session.route.get();
+  auto tenant = TenantOf(*config_, route, session.key);
+  if (!tenant) {
+    EndTransaction(session);
+    RefuseKey(id, session);
+    sessions_.erase(id);
+    return false;
+  }
+  if (*tenant == session.tenant) return true;
+  session.tenant = *std::move(tenant);
+  if (session.state != TransactionState::kOpen) return true;
+  EndTransaction(session);
+  session.state = TransactionState::kFailed;
+  const bool ends_transaction =
+      statement.verb == Verb::kCommit || statement.verb == Verb::kRollback;
+  if (ends_transaction) return true;
+  AnswerError(id, session, ErrorCode::kAborted, "the key has another tenant");
+  return false;
+}
+
+void Proxy::RefuseKey(SessionId id, const Session& session) {
+  Count("sessions_unauthorized");
+  LogRequest("session refused database=" + session.database +
+             " reason=key not valid key=" +
+             FormatFingerprint(session.key_fingerprint) +
+             " config_version=" + std::to_string(config_->version));
+  Emit(CloseSession{id, ErrorCode::kNotAuthorized, "the key is not valid"});
+}
+
 std::shared_ptr<const Route> Proxy::RouteOf(const Session& session) const {
   if (session.route) return session.route;
   const auto it = config_->routes.find(session.database);
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -35,7 +35,7 @@
       primary ? std::nullopt
               : RequiredPosition(session, ServiceOf(pending.route->service));
   const ConnectionId connection =
-      TakeIdle(pool, session.values, pending.prepared);
+      TakeIdle(pool, session.tenant, session.values, pending.prepared);
   if (connection == 0) return false;
   connections_.at(connection).bound_session = id;
   session.bound_connection = connection;
@@ -76,6 +76,7 @@
 /// where one of them failed. An owner of connections waits for them itself.
 bool Proxy::SetUp(Session& session, ConnectionId connection) {
   Connection& server_connection = connections_.at(connection);
+  SetTenant(connection, session.tenant);
   auto commands = SetupCommands(session, server_connection);
   const bool done = commands.empty() || server_connection.shared;
   Send(connection, std::move(commands), Step::kSetup);
--- a/src/session/reply_match.cc
+++ b/src/session/reply_match.cc
@@ -127,10 +127,11 @@
 }
 
 const char* NameOf(Verb verb) noexcept {
-  constexpr std::array<const char*, 17> kNames = {
-      "begin",  "begin_read",   "commit",        "rollback", "read",   "write",
-      "set",    "prepare_read", "prepare_write", "exec",     "forget", "reset",
-      "status", "hold",         "resume",        "demote",   "unknown"};
+  constexpr std::array<const char*, 18> kNames = {
+      "begin",  "begin_read", "commit",       "rollback",      "read",
+      "write",  "set",        "prepare_read", "prepare_write", "exec",
+      "forget", "reset",      "status",       "hold",          "resume",
+      "demote", "tenant",     "unknown"};
   return kNames[static_cast<std::size_t>(verb)];
 }
 
--- a/src/session/statement_queue.cc
+++ b/src/session/statement_queue.cc
@@ -37,41 +37,53 @@
   const auto at = std::upper_bound(
       queue.items.begin(), queue.items.end(), statement.arrived,
       [](TimePoint t, const WaitingStatement& it) { return t < it.arrived; });
+  ++tenants_[statement.tenant];
   queue.items.insert(at, std::move(statement));
   ++size_;
 }
 
-std::size_t StatementQueue::NextIndex(const DatabaseQueue& queue,
-                                      TimePoint now) {
-  const auto it = std::find_if(
-      queue.items.begin(), queue.items.end(),
-      [now](const WaitingStatement& item) { return item.due >= now; });
-  if (it == queue.items.end()) return queue.items.size() - 1;
-  return static_cast<std::size_t>(it - queue.items.begin());
+std::optional<std::size_t> StatementQueue::NextIndex(
+    const DatabaseQueue& queue, TimePoint now, const Startable& startable) {
+  std::optional<std::size_t> newest;
+  for (std::size_t n = 0; n < queue.items.size(); ++n) {
+    const WaitingStatement& item = queue.items[n];
+    if (startable && !startable(item.tenant)) continue;
+    if (item.due >= now) return n;
+    newest = n;
+  }
+  return newest;
 }
 
-std::optional<SessionId> StatementQueue::Pop(TimePoint now) {
+void StatementQueue::Forget(const TenantId& tenant) {
+  --size_;
+  const auto it = tenants_.find(tenant);
+  if (--it->second == 0) tenants_.erase(it);
+}
+
+std::optional<SessionId> StatementQueue::Pop(TimePoint now,
+                                             const Startable& startable) {
   const bool earliest_due_first = ++start_count_ % kEarliestDueEvery == 0;
   DatabaseQueue* best = nullptr;
   std::size_t best_at = 0;
   Rank best_rank;
   for (auto& [database, queue] : queues_) {
     if (queue.items.empty()) continue;
-    const std::size_t at = NextIndex(queue, now);
-    const WaitingStatement& item = queue.items[at];
+    const auto at = NextIndex(queue, now, startable);
+    if (!at) continue;
+    const WaitingStatement& item = queue.items[*at];
     const double order = earliest_due_first ? ToMs(item.due - now)
                                             : ToMs(item.cost) / item.weight;
     const Rank rank{item.due < now, order};
     if (best != nullptr && !(rank < best_rank)) continue;
     best = &queue;
-    best_at = at;
+    best_at = *at;
     best_rank = rank;
   }
   if (best == nullptr) return std::nullopt;
   const auto it = best->items.begin() + static_cast<std::ptrdiff_t>(best_at);
   const SessionId session = it->session;
+  Forget(it->tenant);
   best->items.erase(it);
-  --size_;
   UpdateStartInterval(now);
   return session;
 }
@@ -109,8 +121,8 @@
         queue.items.begin(), queue.items.end(),
         [session](const auto& item) { return item.session == session; });
     if (it == queue.items.end()) continue;
+    Forget(it->tenant);
     queue.items.erase(it);
-    --size_;
     if (size_ == 0) last_contended_start_.reset();
     return true;
   }
@@ -123,6 +135,7 @@
     for (const auto& it : queue.items) sessions.push_back(it.session);
   }
   queues_.clear();
+  tenants_.clear();
   size_ = 0;
   last_contended_start_.reset();
   return sessions;
--- a/tests/reply_match_test.cc
+++ b/tests/reply_match_test.cc
@@ -64,6 +64,7 @@
     {Verb::kHold, Content::kStatus, kIdle, kOpen},
     {Verb::kResume, Content::kStatus, kIdle, kOpen},
     {Verb::kDemote, Content::kStatus, kIdle, kOpen},
+    {Verb::kTenant, Content::kBare, kIdle, kOpen},
 };
 
 Reply MakeReply(Content content, TransactionState state) {
--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -75,6 +75,10 @@
   [[nodiscard]] bool SynchronizeValues() const override { return false; }
 };
 
+struct ShareConnections : session::Safety {
+  [[nodiscard]] bool SeparateTenants() const override { return false; }
+};
+
 /// Two claimants fence the same replicas. The first abandons its claim after
 /// the second has received all log positions; then the old primary commits once
 /// more. Returns whether the server that the second promotes can lack that
@@ -174,6 +178,12 @@
   CHECK(ViolatesRule(IgnoreLateOrders{}, "LOST", options));
 }
 
+TEST_CASE("statements run under another tenant if connections are shared") {
+  WorldOptions options;
+  options.tenants = 5;
+  CHECK(ViolatesRule(ShareConnections{}, "UNASKED(tenant)", options));
+}
+
 TEST_CASE("instances that restart without the member records lose commits") {
   WorldOptions options;
   options.restarts = true;
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -406,6 +406,7 @@
   /// Only of connections through a relay.
   std::map<ConnectionId, std::string> relay_addresses;
   std::map<ConnectionId, std::string> share_addresses;  ///< only if shared
+  std::map<ConnectionId, TenantId> tenants;             ///< of connections
   std::map<ServerId, std::string> addresses;   ///< of servers, if not the id
   std::map<ServerId, std::uint64_t> log_ends;  ///< for `AnswerAs`
   std::uint64_t claims_answered = 0;
@@ -428,6 +429,7 @@
   void Record(const session::CloseSession& it) { closed.push_back(it); }
   void Record(const session::OpenServerConnection& it) {
     opening.emplace_back(it.connection, it.server);
+    tenants[it.connection] = it.tenant;
     if (!it.relay_address.empty()) {
       relay_addresses[it.connection] = it.relay_address;
     }
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -65,6 +65,9 @@
   double cut_reply_rate = 0;
   /// Clients use names, values and shapes that other texts contain.
   bool varied_texts = false;
+  /// Tenants that clients belong to; their keys are withdrawn and given back
+  /// in turn. 0: clients have no keys.
+  int tenants = 0;
   session::ProxyOptions proxy;
 };
 
