Let a ROLLBACK decide whether a repeated refusal of a write is its own

Two equal refusals of a write at an unchanged log position on one connection ended it as UNSURE and closed the connection, also at servers that never repeat a reply.

Such a write, or a statement of a transaction, is now held in doubt (RefusalDoubt) behind a ROLLBACK. A reply to that which can't be a repeat shows that the refusal was the statement's own; a new receipt or error is the statement's answer instead. If the reply to the ROLLBACK may be a repeat, another one is sent after a pause, until the log has grown. Otherwise it is UNSURE as before. At servers known to repeat replies nothing changes.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -24,6 +24,7 @@
 #include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
+#include "corianderdock/session/refusal_doubt.h"
 #include "corianderdock/session/reply_match.h"
 #include "corianderdock/session/statement_queue.h"
 
@@ -80,6 +81,7 @@
     kQueueTimeout,
     kTransactionIdle,
     kConnectTimeout,
+    kRefusalDoubt,
     kCheck,
   };
 
@@ -138,6 +140,16 @@
     std::optional<Position> known_position;
   };
 
+  /// A command that awaits the reply to a ROLLBACK behind it.
+  struct DoubtedCommand {
+    RefusalDoubt doubt;
+    ExpectedReply expected;
+    Reply refusal;
+    /// Until the next ROLLBACK, if the reply to one may be a repeat as well.
+    Duration pause;
+    std::size_t ends_sent = 1;
+  };
+
   struct MatchedReply {
     ReplyOrigin origin = ReplyOrigin::kOwn;
     /// When the command was sent that the same reply first belonged to.
@@ -156,6 +168,10 @@
     /// Log position with the last error; equal errors at it may be repeats.
     std::optional<Position> refused_at;
     bool setup_in_doubt = false;  ///< its last setup may have failed
+    /// Commands without result since the last new receipt whose own replies may
+    /// not have come, as those that were taken for them may be repeats.
+    std::size_t unsettled = 0;
+    std::optional<DoubtedCommand> doubted;
     bool retired = false;         ///< closed once it has no outstanding command
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
@@ -490,6 +506,15 @@
                                      const ExpectedReply& expected,
                                      const Reply& reply, bool certain);
   void CloseInDoubt(ConnectionId id, const Reply& reply);
+  [[nodiscard]] static bool CanAwaitEnd(const ServerPool& pool,
+                                        const Connection& connection,
+                                        const ExpectedReply& expected,
+                                        const Reply& reply);
+  void HoldInDoubt(ConnectionId id, const ExpectedReply& expected,
+                   const Reply& reply);
+  void OnReplyInDoubt(ConnectionId id, const Reply& reply);
+  void EndDoubt(ConnectionId id, bool refused, const Reply& reply);
+  void OnRefusalDoubt(ConnectionId id);
   void AwaitEnd(ConnectionId id);
   void RepeatQuery(ServerPool& pool, const ExpectedReply& expected);
   [[nodiscard]] static Reply WithoutEvidence(const ExpectedReply& expected,
--- a/include/corianderdock/session/reply_match.h
+++ b/include/corianderdock/session/reply_match.h
@@ -37,6 +37,9 @@
   TimePoint sent;  ///< of the command that the same reply first belonged to
 };
 
+/// Whether the reply to a command that succeeds has a receipt.
+[[nodiscard]] bool HasReceipt(Verb verb) noexcept;
+
 /// Whether a reply has the form of the one to a command.
 [[nodiscard]] bool HasReplyForm(const CommandForm& form, const Reply& reply);
 
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -65,6 +65,9 @@
         On(ServerConnected{timer->id, ErrorCode::kOther, {}});
         break;
       }
+      case TimerKind::kRefusalDoubt:
+        OnRefusalDoubt(timer->id);
+        break;
       case TimerKind::kCheck:
         CheckServers();
         CheckMembers();
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -14,6 +14,7 @@
   if (it == connections_.end()) return;
   Connection& connection = it->second;
   ServerPool& pool = pools_.at(connection.server);
+  if (connection.doubted) return OnReplyInDoubt(event.connection, event.reply);
   if (connection.expected.empty()) {
     if (connection.shared) return OnOwnerDraining(event.connection);
     return OnExtraReply(event.connection, event.reply);
@@ -32,12 +33,21 @@
   const Reply& reply = event.reply;
   const bool failed = reply.error != ErrorCode::kNone;
   NoteHeard(pool);
+  if (matched.origin == ReplyOrigin::kPossibleRepeat &&
+      CanAwaitEnd(pool, connection, expected, reply)) {
+    return HoldInDoubt(event.connection, expected, reply);
+  }
   if (matched.origin == ReplyOrigin::kForeign ||
       !Suffices(pool, connection, expected, reply, certain)) {
     if (expected.step == Step::kWitness) --pool.queries;
     return CloseInDoubt(event.connection, reply);
   }
-  if (certain && !reply.receipt.empty()) connection.setup_in_doubt = false;
+  if (certain && !reply.receipt.empty()) {
+    connection.setup_in_doubt = false;
+    connection.unsettled = 0;
+  } else if (!certain && RefusalDoubt::IsEnd(reply)) {
+    ++connection.unsettled;
+  }
   if (failed) connection.refused_at = reply.position;
   if (failed && !certain && expected.repeatable) AwaitEnd(event.connection);
   connection.retired = connection.retired || connection.replies.full();
@@ -158,6 +168,108 @@
               reply.error, "reply in doubt");
 }
 
+/// Whether a ROLLBACK can show that a refusal which may be a repeat is the
+/// command's own. A read goes elsewhere instead, as running it again is
+/// harmless.
+bool Proxy::CanAwaitEnd(const ServerPool& pool, const Connection& connection,
+                        const ExpectedReply& expected, const Reply& reply) {
+  const bool statement =
+      expected.step == Step::kStatement || expected.step == Step::kPeer;
+  return reply.error != ErrorCode::kNone && statement && !expected.repeatable &&
+         RefusalDoubt::CanDecide(expected.form) && !expected.begin_in_doubt &&
+         !connection.setup_in_doubt && !connection.shared &&
+         connection.expected.empty() && !pool.repeats_replies;
+}
+
+/// Sends a ROLLBACK behind a command whose refusal may be a repeat. Its session
+/// or instance gets no answer until the doubt ends.
+void Proxy::HoldInDoubt(ConnectionId id, const ExpectedReply& expected,
+                        const Reply& reply) {
+  Connection& connection = connections_.at(id);
+  Count("refusals_in_doubt");
+  connection.refused_at = reply.position;
+  connection.doubted =
+      DoubtedCommand{RefusalDoubt(expected.form, connection.unsettled),
+                     expected, reply, options_.busy_backoff};
+  AwaitEnd(id);
+}
+
+/// Handles a reply on a connection with a command in doubt.
+void Proxy::OnReplyInDoubt(ConnectionId id, const Reply& reply) {
+  Connection& connection = connections_.at(id);
+  ServerPool& pool = pools_.at(connection.server);
+  DoubtedCommand& doubted = *connection.doubted;
+  NoteHeard(pool);
+  const SeenReply seen = connection.replies.FindOrAdd(reply, now_);
+  const RefusalDoubt::State state = doubted.doubt.Add(reply, seen);
+  const bool awaited =
+      RefusalDoubt::IsEnd(reply) && !connection.expected.empty();
+  if (awaited) {
+    connection.expected.pop_front();
+  } else {
+    NoteUncertain(pool, doubted.expected, ReplyOrigin::kRepeat, reply);
+  }
+  switch (state) {
+    case RefusalDoubt::State::kUnknown:
+      return CloseInDoubt(id, doubted.refusal);
+    case RefusalDoubt::State::kOpen:
+      if (!awaited) return;
+      ScheduleAfter(doubted.pause, {TimerKind::kRefusalDoubt, id, 0});
+      doubted.pause *= 2;
+      return;
+    case RefusalDoubt::State::kRefused:
+    case RefusalDoubt::State::kAnswered:
+      break;
+  }
+  connection.retired = connection.retired || connection.replies.full();
+  pool.log_position = LaterPosition(pool.log_position, reply.position);
+  if (reply.position) CheckAcknowledged(pool, *reply.position);
+  NotePosition(pool, doubted.expected.sent, reply.position);
+  services_to_dispatch_.insert(connection.service);
+  EndDoubt(id, state == RefusalDoubt::State::kRefused, reply);
+}
+
+/// Answers a command that was in doubt: with its refusal if that was its own,
+/// and otherwise with `reply`, which is.
+void Proxy::EndDoubt(ConnectionId id, bool refused, const Reply& reply) {
+  Connection& connection = connections_.at(id);
+  DoubtedCommand doubted = std::move(*connection.doubted);
+  connection.doubted.reset();
+  ExpectedReply& expected = doubted.expected;
+  Count(refused ? "refusals_confirmed" : "refusals_repeated");
+  // The ROLLBACK has ended the transaction.
+  const bool ended_early =
+      expected.form.in_transaction && expected.form.verb != Verb::kCommit;
+  if (refused) {
+    connection.unsettled = doubted.ends_sent - 1;
+  } else {
+    connection.retired = true;
+    if (ended_early) return CloseInDoubt(id, doubted.refusal);
+  }
+  Reply own = refused ? std::move(doubted.refusal) : reply;
+  if (expected.step == Step::kPeer) {
+    // The other instance sends a ROLLBACK, which releases the connection.
+    const bool open = refused && own.state == TransactionState::kOpen;
+    if (open) own.state = TransactionState::kFailed;
+    OnPeerReply(id, std::move(own));
+  } else {
+    if (refused) own.state = TransactionState::kIdle;
+    expected.certain = true;
+    OnStatementReply(id, expected, std::move(own));
+  }
+  ReturnToPool(id);
+}
+
+/// Sends another ROLLBACK, whose reply differs from those before once the log
+/// has grown.
+void Proxy::OnRefusalDoubt(ConnectionId id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end() || !it->second.doubted) return;
+  if (!it->second.expected.empty()) return;
+  ++it->second.doubted->ends_sent;
+  AwaitEnd(id);
+}
+
 /// Keeps a connection from other statements until a ROLLBACK is answered. If an
 /// error was a repeat, the statement's own reply comes before and is found out.
 void Proxy::AwaitEnd(ConnectionId id) {
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -275,7 +275,8 @@
   if (it == connections_.end()) return;
   const Connection& connection = it->second;
   if (!connection.open || connection.bound_session != 0 ||
-      connection.bound_peer != 0 || !connection.expected.empty()) {
+      connection.bound_peer != 0 || connection.doubted ||
+      !connection.expected.empty()) {
     return;
   }
   ServerPool& pool = pools_.at(connection.server);
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -246,7 +246,10 @@
   }
   const bool commit = pending.statement.verb == Verb::kCommit;
   const bool autocommit = session.state == TransactionState::kIdle;
-  const bool ended = commit && reply.state == TransactionState::kIdle;
+  // A ROLLBACK that showed that a refusal is the statement's own ends its
+  // transaction.
+  const bool ended = reply.state == TransactionState::kIdle &&
+                     (commit || !server_connection.in_transaction);
   if (pending.in_proxy_transaction) {
     // The ROLLBACK is in flight; its reply returns the connection to the pool.
     session.bound_connection = 0;
--- a/src/session/reply_match.cc
+++ b/src/session/reply_match.cc
@@ -12,11 +12,6 @@
 
 namespace {
 
-bool HasReceipt(Verb verb) {
-  return verb == Verb::kRead || verb == Verb::kWrite ||
-         verb == Verb::kExecute || verb == Verb::kCommit;
-}
-
 bool HasStatus(Verb verb) {
   return verb == Verb::kStatus || verb == Verb::kHold || verb == Verb::kDemote;
 }
@@ -79,6 +74,11 @@
 
 }  // namespace
 
+bool HasReceipt(Verb verb) noexcept {
+  return verb == Verb::kRead || verb == Verb::kWrite ||
+         verb == Verb::kExecute || verb == Verb::kCommit;
+}
+
 bool HasReplyForm(const CommandForm& form, const Reply& reply) {
   if (reply.error != ErrorCode::kNone) {
     if (form.verb == Verb::kRollback) return false;
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -395,6 +395,7 @@
   }
 
   void Apply(std::size_t n, const OpenServerConnection& effect) {
+    ++result_.connections_opened;
     Schedule(kNetworkDelay * 2, [this, n, effect] {
       Server& server = servers_[effect.server];
       if (!Reachable(n, server)) {
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -77,6 +77,7 @@
   int promotions = 0;
   int replica_reads = 0;
   int repeats = 0;                 ///< server replies sent a second time
+  int connections_opened = 0;      ///< to servers
   int losses_reported = 0;         ///< acknowledged commits that instances miss
   Duration longest_commit_gap{0};  ///< longest time without a commit
 };
