--- a/include/corianderdock/net/line_socket.h
+++ b/include/corianderdock/net/line_socket.h
@@ -52,6 +52,9 @@
   /// Begins to read. \pre The socket is connected.
   void Start(OnLine on_line, OnClosed on_closed, OnInvalid on_invalid = {});
 
+  /// Replaces the limits, for what is read or written from now on.
+  void SetLimits(const LineLimits& limits) { limits_ = limits; }
+
   /// Appends bytes; the next `Flush` sends them.
   void Write(std::string_view bytes) { unsent_.append(bytes); }
 
