Serve keyed statements only under a recent configuration

With revoke_milliseconds and tenants, an instance that is cut off from the store would go on accepting revoked keys. It now needs evidence that its configuration was the newest less than the bound ago, dated by the send time of a linearizable read, when a statement arrives and before it is sent.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -74,6 +74,13 @@
   std::shared_ptr<const RoutingConfig> config;
 };
 
+/// A configuration is known to have been the newest at a time, or later. That
+/// configuration was reported before by `ConfigRead`.
+struct ConfigConfirmed {
+  std::uint64_t version = 0;
+  TimePoint as_of;
+};
+
 /// The store returned a configuration that can't be used.
 struct ConfigRejected {
   ConfigRejection rejection;
@@ -154,9 +161,9 @@
     std::variant<SessionOpened, StatementReceived, SessionClosed,
                  ServerConnected, ServerReplied, ServerConnectionLost,
                  PeerOpened, PeerCommand, PeerClosed, ConfigRead,
-                 ConfigRejected, ServersRead, MembersRead, InstancesRead,
-                 ClaimAnswered, OrderRecorded, TokenObtained, PromotionAnswered,
-                 MessageReceived, TimerFired, StopRequested>;
+                 ConfigConfirmed, ConfigRejected, ServersRead, MembersRead,
+                 InstancesRead, ClaimAnswered, OrderRecorded, TokenObtained,
+                 PromotionAnswered, MessageReceived, TimerFired, StopRequested>;
 
 /// Answer the outstanding statement of a session, or accept the session.
 struct AnswerSession {
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -115,6 +115,13 @@
   /// Time for which a server must have been the primary before such a
   /// switchover.
   Duration min_primary_tenure = std::chrono::milliseconds(15'000);
+  /// Time from the confirmation of a configuration that revokes a key until no
+  /// statement runs under that key any more; 0: not bounded. With a bound,
+  /// statements on routes that need a key run only while there is evidence that
+  /// the configuration is younger than the bound less the margin.
+  Duration revoke_bound{0};
+  /// Covers clocks of instances that drift apart, and the way to the server.
+  Duration revoke_margin = std::chrono::milliseconds(200);
   /// Longest wait of a statement for a failover under way before it is refused.
   Duration failover_wait = std::chrono::milliseconds(400);
   /// Time for which all servers of other zones must have been failing before
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -15,6 +15,7 @@
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/acknowledged_commits.h"
 #include "corianderdock/session/commit_evidence.h"
+#include "corianderdock/session/config_freshness.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
 #include "corianderdock/session/events.h"
@@ -110,6 +111,7 @@
   /// A shared connection of another instance to one server.
   struct Peer {
     ServerId server;
+    TenantId tenant;  ///< of the commands that follow
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared;
     std::deque<ServerCommand> commands;  ///< not answered, oldest first
@@ -351,6 +353,7 @@
   void On(const PeerCommand& event);
   void On(const PeerClosed& event);
   void On(const ConfigRead& event);
+  void On(const ConfigConfirmed& event);
   void On(const ConfigRejected& event);
   void On(const ServersRead& event);
   void On(const MembersRead& event);
@@ -404,7 +407,7 @@
   bool StartAttempt(SessionId id, Session& session, ServerPool& pool);
   void SendStatement(SessionId id, Session& session, ConnectionId connection);
   bool SetUp(Session& session, ConnectionId connection);
-  void SendPending(Session& session, ConnectionId connection);
+  void SendPending(SessionId id, Session& session, ConnectionId connection);
   [[nodiscard]] static AttemptEnd EndWithoutReply(
       const PendingStatement& pending);
   void OnBeginReply(ConnectionId id, const ExpectedReply& expected,
@@ -527,7 +530,7 @@
   [[nodiscard]] std::optional<PreparedStatement> PreparedOf(
       const Peer& peer, const ServerCommand& command) const;
   bool StartPeerCommand(PeerId id, Peer& peer, ServerPool& pool);
-  void SendPeerCommand(Peer& peer);
+  void SendPeerCommand(PeerId id, Peer& peer);
   void OnPeerReply(ConnectionId id, Reply reply);
   void ServeWaitingPeers(ServerPool& pool);
   void RefuseLatePeers(ServerPool& pool);
@@ -538,6 +541,16 @@
   [[nodiscard]] bool PeersBound() const;
   void ReleasePeerConnection(Peer& peer);
 
+  // Evidence that the configuration is recent (proxy_evidence.cc).
+  [[nodiscard]] bool EvidenceNeeded() const;
+  [[nodiscard]] bool ConfigIsRecent() const;
+  [[nodiscard]] bool MayServe(const Route& route) const;
+  [[nodiscard]] bool LacksEvidence(const Session& session, Verb verb) const;
+  [[nodiscard]] bool ServesSomeRoute() const;
+  void RefuseWithoutEvidence(SessionId id, Session& session,
+                             const StatementId& statement);
+  void RefusePeerWithoutEvidence(PeerId id, Peer& peer);
+
   // Relays (proxy_relays.cc).
   void ProbePaths(ServerPool& pool);
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
@@ -657,6 +670,7 @@
   detail::TimerHeap<Timer> timers_;
   Effects effects_;
   std::shared_ptr<const RoutingConfig> config_;
+  ConfigFreshness config_freshness_;
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<PeerId, Peer> peers_;
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -205,6 +205,7 @@
   void Issue(StoreRequest request);
   void OnConfig(const StoreResult& result, const PendingCall& pending);
   void OnConfigFailure(const StoreResult& result, const PendingCall& pending);
+  void ConfirmRead(const StoreResult& result, TimePoint issued_at);
   void OnServers(const StoreResult& result);
   void OnInstances(const StoreResult& result);
   void OnLease(const StoreResult& result, const PendingCall& pending);
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -81,7 +81,8 @@
 bool Proxy::Ready() const {
   const bool isolated =
       isolated_since_ && now_ - *isolated_since_ >= options_.isolated_after;
-  return config_ && servers_known_ && !stop_requested_at_ && !isolated;
+  return config_ && servers_known_ && !stop_requested_at_ && !isolated &&
+         ServesSomeRoute();
 }
 
 void Proxy::Count(std::string_view name) {
@@ -146,6 +147,7 @@
   gauges_["config_version"] = static_cast<double>(event.config->version);
   gauges_["config_rejected_version"] = 0;
   config_ = event.config;
+  config_freshness_.NoteVersion(config_->version);
   for (auto& [id, service] : services_) service.needs_samples = false;
   for (const auto& [name, limits] : config_->services) {
     ServiceOf(name).limits = limits;
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -219,12 +219,14 @@
                    .state.Synchronize(peer.values, prepared);
   peer.awaits_setup = !setup.empty();
   Send(peer.bound_connection, std::move(setup), Step::kSetup);
-  if (!peer.awaits_setup) SendPeerCommand(peer);
+  if (!peer.awaits_setup) SendPeerCommand(id, peer);
   return true;
 }
 
 /// Sends the oldest command of a peer over its connection, which is set up.
-void Proxy::SendPeerCommand(Peer& peer) {
+void Proxy::SendPeerCommand(PeerId id, Peer& peer) {
+  const bool keyed = !peer.tenant.empty() && EvidenceNeeded();
+  if (keyed && !ConfigIsRecent()) return RefusePeerWithoutEvidence(id, peer);
   ServerCommand command = peer.commands.front();
   const Verb verb = command.statement.verb;
   const auto prepared = PreparedOf(peer, command);
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -268,12 +268,12 @@
   const auto peer = peers_.find(connection.bound_peer);
   if (peer != peers_.end() && peer->second.awaits_setup) {
     peer->second.awaits_setup = false;
-    return SendPeerCommand(peer->second);
+    return SendPeerCommand(peer->first, peer->second);
   }
   const auto it = sessions_.find(connection.bound_session);
   if (it == sessions_.end() || !it->second.pending) return;
   if (!std::exchange(it->second.pending->awaits_setup, false)) return;
-  SendPending(it->second, id);
+  SendPending(it->first, it->second, id);
 }
 
 }  // namespace corianderdock::session
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -67,6 +67,9 @@
     return AnswerError(event.session, session, ErrorCode::kBad,
                        "the transaction failed; end it first");
   }
+  if (LacksEvidence(session, statement.verb)) {
+    return RefuseWithoutEvidence(event.session, session, event.id);
+  }
   switch (statement.verb) {
     case Verb::kBegin:
     case Verb::kBeginRead:
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -67,7 +67,7 @@
     return true;
   }
   pending.awaits_setup = !set_up;
-  if (set_up) SendPending(session, connection);
+  if (set_up) SendPending(id, session, connection);
   return true;
 }
 
@@ -119,12 +119,16 @@
     }
   }
   pending.awaits_setup = !SetUp(session, connection);
-  if (!pending.awaits_setup) SendPending(session, connection);
+  if (!pending.awaits_setup) SendPending(id, session, connection);
 }
 
 /// Sends the outstanding statement over its connection, which is set up.
-void Proxy::SendPending(Session& session, ConnectionId connection) {
+void Proxy::SendPending(SessionId id, Session& session,
+                        ConnectionId connection) {
   const PendingStatement& pending = *session.pending;
+  if (!MayServe(*pending.route)) {
+    return RefuseWithoutEvidence(id, session, StatementId(pending.id));
+  }
   const Connection& server_connection = connections_.at(connection);
   const bool in_transaction = server_connection.in_transaction;
   const bool commit = pending.statement.verb == Verb::kCommit;
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -401,6 +401,20 @@
            Spread(Pause(first, options_.max_retry_pause, ++config_failures_)));
 }
 
+/// Reports that a linearizable read showed the newest configuration. A watch
+/// shows nothing of the kind, as it can stop delivering changes unnoticed. A
+/// document that can't be used never comes into force and revokes nothing, so
+/// it confirms the one before.
+void StoreFollower::ConfirmRead(const StoreResult& result,
+                                TimePoint issued_at) {
+  const std::uint64_t shown = result.config      ? result.config->version
+                              : result.rejection ? result.rejection->version
+                                                 : 0;
+  const bool older = shown != 0 && shown < read_version_;
+  if (read_version_ == 0 || older) return;
+  outputs_.emplace_back(Event(ConfigConfirmed{read_version_, issued_at}));
+}
+
 void StoreFollower::OnConfig(const StoreResult& result,
                              const PendingCall& pending) {
   if (result.status != StoreStatus::kOk) {
@@ -423,6 +437,7 @@
   if (result.rejection) {
     outputs_.emplace_back(Event(ConfigRejected{*result.rejection}));
   }
+  if (read) ConfirmRead(result, pending.issued_at);
   const StoreRevision revision(result.revision, era_);
   // A read is linearizable, so the watch starts from its revision. A watch may
   // be answered by a node that lags.
