Read the configuration once per zone, and let small instances follow

Evidence for each of 26 instances by its own reads would cost a priced read per second and instance.

--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -92,6 +92,8 @@
   std::vector<DatabaseName> rejected_routes;
   /// Null if the configuration has no tenants: then no keys are checked.
   std::shared_ptr<const TenantDirectory> tenants;
+  /// The document, for other instances; null if they don't ask this one.
+  std::shared_ptr<const std::string> document = {};
 };
 
 /// A configuration that can't be used. The last usable one stays in force.
--- a/include/corianderdock/session/store_follower.h
+++ b/include/corianderdock/session/store_follower.h
@@ -114,6 +114,8 @@
   /// Used while the store has no configuration, as each read is charged for in
   /// full.
   Duration missing_config_retry_pause = std::chrono::milliseconds(400);
+  /// Of linearizable reads, from the start of one to that of the next.
+  Duration config_interval = std::chrono::milliseconds(1000);
   Duration server_interval = std::chrono::milliseconds(1000);
   Duration instance_interval = std::chrono::milliseconds(2000);
   Duration lease_ttl = std::chrono::milliseconds(10'000);
@@ -132,6 +134,22 @@
   Duration list_settle_time = std::chrono::milliseconds(3'000);
 };
 
+/// What an instance reads from the store by itself. The rest it learns from
+/// other instances.
+struct StoreDuties {
+  enum class Config {
+    kWatch,  ///< watch for changes
+    kRead,   ///< linearizable reads at `config_interval`
+    kNone,   ///< only when asked to, and until it was read once
+  };
+  Config config = Config::kWatch;
+  bool lists = true;  ///< of servers and of instances
+  /// How long a watch waits, if shorter than the option.
+  std::optional<Duration> watch_wait = {};
+
+  bool operator==(const StoreDuties&) const = default;
+};
+
 /// Decides which calls to make to the store and turns their results into
 /// events. Cached state stays in use while the store is unavailable. Performs
 /// no I/O. Not thread-safe; times must not decrease.
@@ -153,6 +171,12 @@
   /// Handles the result of a call; results of unknown calls are ignored.
   [[nodiscard]] Outputs OnResult(TimePoint now, const StoreResult& result);
 
+  /// Changes what is read. What becomes a duty is read at once.
+  [[nodiscard]] Outputs SetDuties(TimePoint now, const StoreDuties& duties);
+
+  /// Reads the configuration once, unless it is being read.
+  [[nodiscard]] Outputs ReadConfigNow(TimePoint now);
+
   /// Requests a fencing token; ends in `ClaimAnswered`.
   [[nodiscard]] Outputs Claim(TimePoint now, const ClaimPromotion& claim);
 
@@ -202,6 +226,9 @@
   void StartClaim(const ServiceId& service,
                   const StoreRevision& member_revision, int attempt);
   void Schedule(StoreRequest request, Duration delay);
+  void StartDuty(StoreRequest request);
+  void ContinueConfig(const PendingCall& pending, bool at_once);
+  [[nodiscard]] bool IsPending(StoreRequest request) const;
   void Issue(StoreRequest request);
   void OnConfig(const StoreResult& result, const PendingCall& pending);
   void OnConfigFailure(const StoreResult& result, const PendingCall& pending);
@@ -230,6 +257,7 @@
 
   InstanceId self_;
   StoreFollowerOptions options_;
+  StoreDuties duties_;
   TimePoint now_;
   Outputs outputs_;
   std::uint64_t next_number_ = 1;
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -99,6 +99,67 @@
   scheduled_[request] = now_ + delay;
 }
 
+bool StoreFollower::IsPending(StoreRequest request) const {
+  return std::any_of(
+      pending_calls_.begin(), pending_calls_.end(),
+      [&](const auto& it) { return it.second.request == request; });
+}
+
+void StoreFollower::StartDuty(StoreRequest request) {
+  if (!IsPending(request)) Schedule(request, Duration(0));
+}
+
+StoreFollower::Outputs StoreFollower::SetDuties(TimePoint now,
+                                                const StoreDuties& duties) {
+  now_ = now;
+  const StoreDuties previous = std::exchange(duties_, duties);
+  if (duties.config != previous.config) {
+    scheduled_.erase(StoreRequest::kWatchConfig);
+    if (read_version_ != 0) scheduled_.erase(StoreRequest::kReadConfig);
+    const bool reads = duties.config != StoreDuties::Config::kNone;
+    if (reads) StartDuty(StoreRequest::kReadConfig);
+  }
+  if (!duties.lists) {
+    scheduled_.erase(StoreRequest::kListServers);
+    scheduled_.erase(StoreRequest::kListInstances);
+  } else if (!previous.lists) {
+    // What happened to the list meanwhile is unknown, as after an outage.
+    store_reachable_since_ = now_;
+    first_listed_at_.reset();
+    StartDuty(StoreRequest::kListServers);
+    StartDuty(StoreRequest::kListInstances);
+  }
+  return OnTimer(now);
+}
+
+StoreFollower::Outputs StoreFollower::ReadConfigNow(TimePoint now) {
+  now_ = now;
+  StartDuty(StoreRequest::kReadConfig);
+  return OnTimer(now);
+}
+
+/// Continues after the configuration was read or a watch ended. `at_once`: a
+/// watch may follow without a pause.
+void StoreFollower::ContinueConfig(const PendingCall& pending, bool at_once) {
+  switch (duties_.config) {
+    case StoreDuties::Config::kNone:
+      return;
+    case StoreDuties::Config::kRead: {
+      if (pending.request != StoreRequest::kReadConfig) return;
+      const Duration elapsed = now_ - pending.issued_at;
+      config_failures_ = 0;
+      return Schedule(
+          StoreRequest::kReadConfig,
+          std::max(options_.config_interval - elapsed, Duration(0)));
+    }
+    case StoreDuties::Config::kWatch:
+      if (IsPending(StoreRequest::kWatchConfig)) return;
+      if (at_once) return Issue(StoreRequest::kWatchConfig);
+      return Schedule(StoreRequest::kWatchConfig,
+                      RetryPause(++config_failures_));
+  }
+}
+
 void StoreFollower::ScheduleIfNone(StoreRequest request, Duration delay) {
   scheduled_.try_emplace(request, now_ + delay);
 }
@@ -119,8 +180,9 @@
   switch (request) {
     case StoreRequest::kWatchConfig:
       call.revision = watched_revision_.number;
-      call.wait = options_.watch_wait;
-      call.timeout = options_.watch_wait + options_.watch_slack;
+      call.wait = std::min(options_.watch_wait,
+                           duties_.watch_wait.value_or(options_.watch_wait));
+      call.timeout = call.wait + options_.watch_slack;
       break;
     case StoreRequest::kGrantLease:
       call.ttl = options_.lease_ttl;
@@ -396,6 +458,9 @@
         " watched_revision=" + std::to_string(watched_revision_.number) +
         " era=" + FormatEra(watched_revision_.era)});
   }
+  const bool left_to_others =
+      duties_.config == StoreDuties::Config::kNone && read_version_ != 0;
+  if (left_to_others) return;
   // A failed watch may have missed changes, so read the configuration again.
   Schedule(StoreRequest::kReadConfig,
            Spread(Pause(first, options_.max_retry_pause, ++config_failures_)));
@@ -423,7 +488,9 @@
   const bool read = pending.request == StoreRequest::kReadConfig;
   const bool newer = result.config && result.config->version > read_version_;
   if (newer) read_version_ = result.config->version;
-  const bool lasted = now_ - pending.issued_at >= options_.watch_wait / 2;
+  const Duration wait = std::min(
+      options_.watch_wait, duties_.watch_wait.value_or(options_.watch_wait));
+  const bool lasted = now_ - pending.issued_at >= wait / 2;
   // A read doesn't count, as the watch that follows may fail at once.
   if (!read && !result.rejection && (newer || lasted)) {
     config_failures_ = 0;
@@ -442,8 +509,7 @@
   // A read is linearizable, so the watch starts from its revision. A watch may
   // be answered by a node that lags.
   if (read || revision > watched_revision_) watched_revision_ = revision;
-  if (read || newer || lasted) return Issue(StoreRequest::kWatchConfig);
-  Schedule(StoreRequest::kWatchConfig, RetryPause(++config_failures_));
+  ContinueConfig(pending, read || newer || lasted);
 }
 
 void StoreFollower::OnServers(const StoreResult& result) {
@@ -484,6 +550,7 @@
     return Schedule(StoreRequest::kListServers, retry_pause());
   }
   list_failures_ = 0;
+  if (!duties_.lists) return;
   Schedule(StoreRequest::kListServers, options_.server_interval);
 }
 
@@ -493,6 +560,7 @@
     instances_.try_emplace(self_);
     outputs_.emplace_back(Event(InstancesRead{instances_}));
   }
+  if (!duties_.lists) return;
   Schedule(StoreRequest::kListInstances, options_.instance_interval);
 }
 
