Hold a write in doubt also where its BEGIN may have failed; servers in order

They now run a connection's commands in order, as servers do; no command followed a commit at once before.

--- a/include/corianderdock/session/refusal_doubt.h
+++ b/include/corianderdock/session/refusal_doubt.h
@@ -25,10 +25,14 @@
   };
 
   /// `unsettled` is the number of commands without result before this one whose
-  /// own replies may not have come yet.
+  /// own replies may not have come yet. With `errors_decide`, none of them can
+  /// be an error.
   /// \pre `CanDecide(command)`
-  RefusalDoubt(const CommandForm& command, std::size_t unsettled)
-      : command_(command), new_ends_needed_(unsettled + 1) {}
+  RefusalDoubt(const CommandForm& command, std::size_t unsettled,
+               bool errors_decide)
+      : command_(command),
+        errors_decide_(errors_decide),
+        new_ends_needed_(unsettled + 1) {}
 
   /// Whether the command's own reply differs from that of a ROLLBACK.
   [[nodiscard]] static bool CanDecide(const CommandForm& command) {
@@ -44,6 +48,7 @@
 
  private:
   CommandForm command_;
+  bool errors_decide_;
   /// Replies of the form of that to a ROLLBACK, none seen before, until one of
   /// them must be that to a ROLLBACK.
   std::size_t new_ends_needed_;
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -175,8 +175,10 @@
                         const ExpectedReply& expected, const Reply& reply) {
   const bool statement =
       expected.step == Step::kStatement || expected.step == Step::kPeer;
+  const bool of_begin =
+      expected.begin_in_doubt && reply.state == TransactionState::kIdle;
   return reply.error != ErrorCode::kNone && statement && !expected.repeatable &&
-         RefusalDoubt::CanDecide(expected.form) && !expected.begin_in_doubt &&
+         RefusalDoubt::CanDecide(expected.form) && !of_begin &&
          !connection.setup_in_doubt && !connection.shared &&
          connection.expected.empty() && !pool.repeats_replies;
 }
@@ -189,7 +191,8 @@
   Count("refusals_in_doubt");
   connection.refused_at = reply.position;
   connection.doubted =
-      DoubtedCommand{RefusalDoubt(expected.form, connection.unsettled),
+      DoubtedCommand{RefusalDoubt(expected.form, connection.unsettled,
+                                  !expected.begin_in_doubt),
                      expected, reply, options_.busy_backoff};
   AwaitEnd(id);
 }
--- a/src/session/refusal_doubt.cc
+++ b/src/session/refusal_doubt.cc
@@ -8,11 +8,11 @@
 
 RefusalDoubt::State RefusalDoubt::Add(const Reply& reply,
                                       const SeenReply& seen) {
-  if (OriginOf(command_, reply, seen, true) == ReplyOrigin::kOwn) {
-    return State::kAnswered;
-  }
+  const bool failed = reply.error != ErrorCode::kNone;
+  const bool own = OriginOf(command_, reply, seen, true) == ReplyOrigin::kOwn;
+  if (own && (!failed || errors_decide_)) return State::kAnswered;
   // The command may have failed with this error instead.
-  if (reply.error != ErrorCode::kNone) return State::kUnknown;
+  if (failed) return State::kUnknown;
   switch (OriginOf({Verb::kRollback, false}, reply, seen, true)) {
     case ReplyOrigin::kOwn:
       return --new_ends_needed_ == 0 ? State::kRefused : State::kOpen;
--- a/tests/reply_match_test.cc
+++ b/tests/reply_match_test.cc
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "corianderdock/session/refusal_doubt.h"
+
 namespace corianderdock::test {
 
 namespace {
@@ -441,4 +443,29 @@
   CHECK(names.size() == 4);
 }
 
+// Guards against a refusal that counts as the write's own, as the late reply to
+// a command before it was taken for that to the ROLLBACK.
+TEST_CASE("a refusal in doubt is decided by replies that can't be earlier") {
+  using State = session::RefusalDoubt::State;
+  session::RefusalDoubt doubt({Verb::kWrite, false}, 1, true);
+  Reply end;
+  end.position = Position{1, 10};
+  CHECK(doubt.Add(end, {true, false, {}}) == State::kOpen);
+  CHECK(doubt.Add(end, {}) == State::kOpen);
+  Reply known;
+  known.receipt = "r1";
+  CHECK(doubt.Add(known, {true, true, {}}) == State::kOpen);
+  Reply error;
+  error.error = ErrorCode::kBusy;
+  CHECK(doubt.Add(error, {false, true, {}}) == State::kUnknown);
+  CHECK(doubt.Add(error, {}) == State::kAnswered);
+  known.receipt = "r2";
+  CHECK(doubt.Add(known, {}) == State::kAnswered);
+  known.state = kOpen;
+  CHECK(doubt.Add(known, {}) == State::kUnknown);
+  CHECK(doubt.Add(end, {}) == State::kRefused);
+  session::RefusalDoubt begun({Verb::kWrite, true}, 0, false);
+  CHECK(begun.Add(error, {}) == State::kUnknown);
+}
+
 }  // namespace corianderdock::test
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -697,6 +697,13 @@
           [this, n, id, effect, number] { RunAt(n, id, effect, number); });
       return;
     }
+    // A connection runs and answers its commands in order.
+    const auto committing = committing_.find({n, effect.connection});
+    if (committing != committing_.end()) {
+      committing->second.emplace_back(
+          [this, n, id, effect, number] { RunAt(n, id, effect, number); });
+      return;
+    }
     if (number != ++commands_run_[{n, effect.connection}]) {
       ReportViolation("commands out of order on a connection");
     }
@@ -831,6 +838,7 @@
     Trace("logged " + write_id + " at " + id + " index " +
           std::to_string(index));
     reply.position = position;
+    committing_[{n, effect.connection}];
     auto acked = std::make_shared<bool>(false);
     for (const auto& it : servers_) {
       const ServerId other = it.first;
@@ -876,6 +884,8 @@
                 .append(id));
       RecordCommit();
       Deliver(n, id, effect, reply);
+      const auto behind = committing_.extract({n, effect.connection});
+      for (const auto& run : behind.mapped()) run();
     });
   }
 
@@ -1744,6 +1754,10 @@
   /// Commands of each connection that were sent, and that reached their turn.
   std::map<std::pair<std::size_t, ConnectionId>, std::uint64_t> commands_sent_;
   std::map<std::pair<std::size_t, ConnectionId>, std::uint64_t> commands_run_;
+  /// Commands behind a commit that isn't answered yet, by its connection.
+  std::map<std::pair<std::size_t, ConnectionId>,
+           std::vector<std::function<void()>>>
+      committing_;
   std::set<std::pair<std::size_t, ConnectionId>> silent_connections_;
   std::set<ServerId> replication_stopped_;
   std::map<std::uint64_t, Client> clients_;
