--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -213,8 +213,10 @@
     NoteUncertain(pool, doubted.expected, ReplyOrigin::kRepeat, reply);
   }
   switch (state) {
-    case RefusalDoubt::State::kUnknown:
-      return CloseInDoubt(id, doubted.refusal);
+    case RefusalDoubt::State::kUnknown: {
+      const Reply refusal = std::move(doubted.refusal);
+      return CloseInDoubt(id, refusal);
+    }
     case RefusalDoubt::State::kOpen:
       if (!awaited) return;
       ScheduleAfter(doubted.pause, {TimerKind::kRefusalDoubt, id, 0});
