--- a/include/corianderdock/session/instance_exchange.h
+++ b/include/corianderdock/session/instance_exchange.h
@@ -89,6 +89,7 @@
  private:
   struct Peer {
     PeerClock clock;
+    int misses = 0;          ///< consecutive questions without a timely answer
     bool suspected = false;  ///< it did not help when it was last asked
     TimePoint probe_at;      ///< when a suspected one is asked again
   };
@@ -112,6 +113,7 @@
   void AskForEvidence();
   void AskNext();
   void Suspect(const InstanceId& id);
+  void NoteMiss(const InstanceId& id);
   void ReadIfOld();
   void RequestRead();
   void Adopt(const std::shared_ptr<const RoutingConfig>& config);
@@ -158,7 +160,7 @@
   std::vector<InstanceId> leaders_;  ///< empty unless this instance is small
   bool leads_ = false;               ///< small instances may follow this one
   InstanceId leader_;
-  bool leader_asked_ = false;  ///< and has not answered
+  int leader_misses_ = 0;  ///< questions since its last answer
   std::string told_stamp_;
   ListedState told_;
   std::optional<TimePoint>
--- a/src/session/instance_exchange.cc
+++ b/src/session/instance_exchange.cc
@@ -18,9 +18,14 @@
 /// Instances of its own zone, and of others, that an instance asks in turn.
 constexpr std::size_t kZoneCandidates = 3;
 constexpr std::size_t kOtherZones = 2;
+/// Larger instances whose clocks a small one knows.
+constexpr std::size_t kKnownLeaders = 2;
 /// Each this many rounds all candidates are asked, so that their clocks are
 /// known when they are needed.
 constexpr int kClockRounds = 4;
+/// Consecutive questions without an answer after which an instance counts as
+/// lost.
+constexpr int kMaxMisses = 2;
 /// Answers are used for this long; later ones would be too old.
 constexpr Duration kQuestionLifetime = std::chrono::seconds(5);
 /// Interval at which unchanged lists are reported, as when reading them.
@@ -281,6 +286,7 @@
                                   const FreshnessAnswer& answer) {
   const bool helps = NoteAnswer(question, answer);
   const bool awaited = round_due_ && round_.front() == from;
+  peers_[from].misses = 0;
   if (helps) {
     peers_[from].suspected = false;
     if (awaited) round_due_.reset();
@@ -293,6 +299,11 @@
   AskNext();
 }
 
+/// One answer may be late because of load.
+void InstanceExchange::NoteMiss(const InstanceId& id) {
+  if (++peers_[id].misses >= kMaxMisses) Suspect(id);
+}
+
 void InstanceExchange::Suspect(const InstanceId& id) {
   Peer& peer = peers_[id];
   if (!std::exchange(peer.suspected, true)) {
@@ -342,13 +353,18 @@
 /// Asks the followed instance, or the next one if that did not answer.
 void InstanceExchange::AskLeader() {
   const auto at = std::find(leaders_.begin(), leaders_.end(), leader_);
-  if (at == leaders_.end() || leader_asked_) {
+  if (at == leaders_.end() || leader_misses_ >= kMaxMisses) {
     const auto next = at == leaders_.end() ? at : std::next(at);
     leader_ = next == leaders_.end() ? leaders_.front() : *next;
     told_stamp_.clear();
+    leader_misses_ = 0;
   }
-  leader_asked_ = true;
+  ++leader_misses_;
   Ask(leader_, told_stamp_);
+  if (ticks_ % kClockRounds != 0) return;
+  for (std::size_t n = 0; n < std::min(leaders_.size(), kKnownLeaders); ++n) {
+    if (leaders_[n] != leader_) Ask(leaders_[n]);
+  }
 }
 
 void InstanceExchange::OnLists(const InstanceId& from, const Question& question,
@@ -356,7 +372,7 @@
   const bool told = from == leader_ && !answer.lists_stamp.empty() &&
                     (answer.lists || answer.lists_stamp == told_stamp_);
   if (!told || leaders_.empty()) return;
-  leader_asked_ = false;
+  leader_misses_ = 0;
   const bool proves =
       answer.contact_age &&
       peers_[from].clock.Covers(answer.clock, *answer.contact_age);
@@ -418,7 +434,7 @@
   const auto silent_at = told_as_of_.value_or(now) + options_.max_silence;
   if (following_ && (leaders_.empty() || now >= silent_at)) StopFollowing();
   if (round_due_ && now >= *round_due_) {
-    Suspect(round_.front());
+    NoteMiss(round_.front());
     round_.erase(round_.begin());
     AskNext();
   }
--- a/tests/platform_process_test.cc
+++ b/tests/platform_process_test.cc
@@ -253,7 +253,7 @@
 class Fixture {
  public:
   Fixture()
-      : ports_(FindFreePorts(6)),
+      : ports_(FindFreePorts(7)),
         store_(io_, ports_[2], Loopback(ports_[4])),
         server_(io_, ports_[4]),
         thread_([this] { io_.run(); }) {
@@ -264,8 +264,9 @@
         << Loopback(ports_[1]) << R"(","store_address":")"
         << Loopback(ports_[2]) << R"(","cloud_address":")"
         << Loopback(ports_[3]) << R"(","relay_address":")"
-        << Loopback(ports_[5])
-        << R"(","grace_seconds":4,"drain_milliseconds":7000,"promotion_tokens_checked":true})";
+        << Loopback(ports_[5]) << R"(","share_address":")"
+        << Loopback(ports_[6]) << R"(","processor_share":0.5)"
+        << R"(,"grace_seconds":4,"drain_milliseconds":7000,"promotion_tokens_checked":true})";
     std::string program = PROXY_PROGRAM;
     std::string flag = "--settings";
     std::string file = path;
@@ -331,6 +332,7 @@
   }
 
   [[nodiscard]] int client_port() const { return ports_[0]; }
+  [[nodiscard]] int share_port() const { return ports_[6]; }
   [[nodiscard]] const FakeServer& server() const { return server_; }
 
  private:
@@ -386,6 +388,29 @@
                                  "QUERY q3 READ item", "QUERY q4 COMMIT"});
 }
 
+TEST_CASE("another instance is told the configuration") {
+  Fixture fixture;
+  TestClient instance(fixture.share_port());
+  instance.Send("EXCHANGE 1 b\r\n");
+  instance.Send(R"({"topic":"freshness","body":{"ask":7,"version":1}})"
+                "\r\n");
+  const std::string answer = instance.ReadLine().value_or("");
+  CHECK(answer.starts_with(R"({"topic":"freshness","body":{)"));
+  for (const char* part : {R"("answer":7)", R"("version":3)", R"("age_us":)",
+                           R"("document":"{\"version\":3,)"}) {
+    CAPTURE(answer, part);
+    CHECK(answer.find(part) != std::string::npos);
+  }
+  // Shared connections use the same port.
+  TestClient peer(fixture.share_port());
+  peer.Send("START books b i-1\r\n");
+  CHECK(peer.ReadLine().value_or("").starts_with("READY I"));
+  // What is no message ends the link.
+  instance.Send("QUERY q READ item\r\n");
+  CHECK_FALSE(instance.ReadLine());
+  CheckServed(fixture);
+}
+
 TEST_CASE("bad input is refused and reaches no server") {
   Fixture fixture;
   const std::string start = "START db me\r\n";
