Open no connection over a server's limit after a common restart

- Nothing is opened before the list of instances is read; after 300 ms without it, one connection.
An owner that doesn't know the list refuses others.
- With adaptive routing, owners are two instances of the server's zone by weighted rendezvous hashing, used in one order, with instances of other zones that stand in.
The search for an owner that is up goes on for a time instead of three lost connections, and a forwarding instance tries the server itself rarely.
Refused connections are retried at spread intervals, and a connection failure of a server not heard of yet is no failure of it.
- adaptive_routing is a setting; absent, it is on with tenants or instances whose processor shares differ by three times.

--- a/include/corianderdock/session/connection_owners.h
+++ b/include/corianderdock/session/connection_owners.h
@@ -16,6 +16,14 @@
   std::vector<InstanceId> owners;
   /// Connections that each instance that connects may hold.
   int connections = 1;
+  /// The same of an owner until connections of its earlier process no longer
+  /// count, and of an instance that stands in for the owners.
+  int starting_connections = 1;
+  /// Instances that stand in, in this order, while no owner can be reached.
+  std::vector<InstanceId> reserves = {};
+  /// All instances use the owners in the order of `owners`; otherwise each in
+  /// one of its own.
+  bool ordered = false;
 
   bool operator==(const ConnectionPlan&) const = default;
 };
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include "corianderdock/session/failover.h"
+#include "corianderdock/session/owner_search.h"
 #include "corianderdock/types.h"
 
 namespace corianderdock::session {
@@ -30,9 +32,21 @@
   Duration proof_validity = std::chrono::milliseconds(550);
   /// Age of the proof of a service in use at which positions are queried.
   Duration proof_refresh_age = std::chrono::milliseconds(250);
-  /// Number of instances assumed to share a server's connections until the
-  /// list of instances has been read.
-  int assumed_instances = 5;
+  /// Whether servers are chosen by expected time, their concurrency limits
+  /// follow their answers, and owners are chosen by weight. Null: where the
+  /// configuration has tenants, or instances are of very different size.
+  std::optional<bool> adaptive_routing;
+  /// Time from when a server is known until it gets a connection although the
+  /// list of instances hasn't been read. One is allowed then: how many
+  /// instances share the server is unknown.
+  Duration instances_wait = std::chrono::milliseconds(300);
+  /// Search for owners that are up; with adaptive routing.
+  OwnerSearchOptions owner_search;
+  /// Initial and longest interval at which an instance that forwards retries a
+  /// failing server itself; with adaptive routing. Many instances do, and the
+  /// server may be full.
+  Duration forwarder_retry = std::chrono::milliseconds(600);
+  Duration max_forwarder_retry = std::chrono::milliseconds(2400);
   /// Connections to each server that are kept out of the instances' shares, for
   /// instances that just started or died.
   int reserved_connections = 2;
@@ -63,7 +77,8 @@
   Duration attempt_timeout = std::chrono::milliseconds(400);
   /// Time-out for opening a connection.
   Duration connect_timeout = std::chrono::milliseconds(1000);
-  /// Time-out for opening a path probe, direct or through a relay.
+  /// Time-out for opening a path probe, direct or through a relay, and with
+  /// adaptive routing a connection to an owner.
   Duration path_probe_timeout = std::chrono::milliseconds(300);
   /// Initial and longest pause between probes of relays to a failing server.
   Duration path_probe_backoff = std::chrono::milliseconds(100);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -24,6 +24,7 @@
 #include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
+#include "corianderdock/session/owner_search.h"
 #include "corianderdock/session/reply_match.h"
 #include "corianderdock/session/statement_queue.h"
 
@@ -184,6 +185,9 @@
     ConnectionPlan plan;
     std::vector<InstanceId> owners;  ///< in the order in which to try them
     int owner_failures = 0;          ///< paths lost since the last reply
+    OwnerSearch owner_search;
+    int full_refusals = 0;      ///< connections refused as over the limit
+    int forwarder_retries = 0;  ///< of a failing server, past its owners
     std::deque<PeerId> waiting_peers;
     std::set<PeerId> peers;
     TimePoint last_refused_full;  ///< it refused a connection over its limit
@@ -478,6 +482,10 @@
   void QueryReceived(Service& service);
   void NoteCovered(const Service& service, Position position, TimePoint sent);
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
+  [[nodiscard]] bool MayBeFull(const ServerPool& pool) const;
+  void PauseConnecting(ServerPool& pool);
+  [[nodiscard]] Duration ReconnectInterval(const ServerPool& pool) const;
+  [[nodiscard]] Duration ConnectionHint(const Service& service) const;
   void CheckServers();
 
   // Replies of servers (proxy_replies.cc).
@@ -516,7 +524,12 @@
   void PlanPaths();
   void PlanPath(ServerPool& pool);
   [[nodiscard]] bool ForwardsTo(const ServerPool& pool) const;
-  bool TryNextOwner(ServerPool& pool);
+  bool TryNextOwner(ServerPool& pool, OwnerLoss loss = OwnerLoss::kUnreachable);
+  [[nodiscard]] bool SearchOwner(ServerPool& pool, OwnerLoss loss);
+  [[nodiscard]] bool StandsIn(const ServerPool& pool) const;
+  [[nodiscard]] bool PathLost(const ServerPool& pool,
+                              const Connection& connection) const;
+  void UpdateAdaptive();
   void RunNextCommand(PeerId id, Peer& peer);
   void AnswerPeerLocally(PeerId id, Peer& peer,
                          ErrorCode error = ErrorCode::kNone);
@@ -540,6 +553,7 @@
 
   // Relays (proxy_relays.cc).
   void ProbePaths(ServerPool& pool);
+  [[nodiscard]] bool ProbeEarlierOwner(ServerPool& pool);
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
   void SwitchPath(ServerPool& pool, const InstanceId& relay, bool shared);
 
@@ -673,6 +687,7 @@
   int warnings_ = 0;
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
+  bool adaptive_ = false;             ///< adaptive routing is on
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
   TimePoint servers_read_at_;
   TimePoint started_at_;  ///< first event
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -171,8 +171,12 @@
   Log("instance list changed instances=" +
       std::to_string(event.instances.size()) +
       " previous=" + std::to_string(instances_.size()));
+  const bool first = instances_.empty();
   instances_ = event.instances;
   PlanPaths();
+  if (!first) return;
+  // Statements may have waited for the list.
+  for (const auto& [id, service] : services_) services_to_dispatch_.insert(id);
 }
 
 std::string Proxy::DumpState() const {
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -162,6 +162,8 @@
     return SendOne(pool.control_connection, std::move(command), step,
                    step == Step::kProbe);
   }
+  // Until the instances are known, their commands could fill the server.
+  if (instances_.empty() && ConnectionShare(pool) == 0) return;
   pool.control_connection = OpenConnection(pool);
   connections_.at(pool.control_connection)
       .commands_on_open.emplace_back(step, std::move(command));
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "corianderdock/session/proxy.h"
+#include "corianderdock/session/weighted_owners.h"
 
 namespace corianderdock::session {
 
@@ -13,7 +14,17 @@
 
 }  // namespace
 
+void Proxy::UpdateAdaptive() {
+  const bool tenants = config_ && config_->tenants;
+  const bool on = options_.adaptive_routing.value_or(
+      tenants || InstancesDiffer(instances_));
+  if (on == adaptive_) return;
+  adaptive_ = on;
+  Log("adaptive routing changed on=" + std::to_string(static_cast<int>(on)));
+}
+
 void Proxy::PlanPaths() {
+  UpdateAdaptive();
   for (auto& [id, pool] : pools_) PlanPath(pool);
 }
 
@@ -22,12 +33,15 @@
 void Proxy::PlanPath(ServerPool& pool) {
   const auto service = services_.find(pool.entry.service);
   if (instances_.empty() || service == services_.end()) return;
-  ConnectionPlan plan =
-      PlanConnections(pool.entry, service->second.limits.max_connections,
-                      options_.reserved_connections, instances_);
+  const bool weighted = adaptive_ && !(config_ && config_->tenants);
+  ConnectionPlan plan = (weighted ? PlanWeightedOwners : PlanConnections)(
+      pool.entry, service->second.limits.max_connections,
+      options_.reserved_connections, instances_);
   if (plan == pool.plan) return;
   pool.plan = std::move(plan);
-  pool.owners = OwnersInOrder(self_.id, pool.entry.id, pool.plan.owners);
+  pool.owners = pool.plan.ordered
+                    ? OwnersBefore(self_.id, pool.plan)
+                    : OwnersInOrder(self_.id, pool.entry.id, pool.plan.owners);
   if (ForwardsTo(pool)) {
     const bool path_kept =
         pool.shared && std::find(pool.owners.begin(), pool.owners.end(),
@@ -45,13 +59,42 @@
              pool.owners.end();
 }
 
+/// Whether this instance stands in while no owner of a server can be reached.
+bool Proxy::StandsIn(const ServerPool& pool) const {
+  const auto& reserves = pool.plan.reserves;
+  return std::find(reserves.begin(), reserves.end(), self_.id) !=
+         reserves.end();
+}
+
+/// Whether the loss of a shared connection is one of the path in use. Several
+/// connections to one owner are lost together, which is one loss of the path.
+bool Proxy::PathLost(const ServerPool& pool,
+                     const Connection& connection) const {
+  if (!adaptive_) return true;
+  return pool.shared && connection.relay == pool.relay;
+}
+
+/// Whether to look for another owner after a path through one was lost.
+bool Proxy::SearchOwner(ServerPool& pool, OwnerLoss loss) {
+  const int owners = static_cast<int>(pool.owners.size());
+  const int lost = ++pool.owner_failures;
+  if (!adaptive_) return lost < std::min(kMaxOwnerFailures, owners);
+  const bool starting = now_ - started_at_ < options_.stale_connection_time;
+  const SearcherKind searcher = starting         ? SearcherKind::kStarts
+                                : StandsIn(pool) ? SearcherKind::kStandsIn
+                                                 : SearcherKind::kForwards;
+  const OwnerStep step = pool.owner_search.OnLost(
+      now_, loss, owners, searcher, options_.owner_search,
+      SpreadOf(self_.id, pool.entry.id, lost));
+  pool.connect_after = std::max(pool.connect_after, now_ + step.pause);
+  return !step.give_up;
+}
+
 /// Switches to the next owner after a shared path failed. Returns false when
 /// several have failed in succession, so that the server may have.
-bool Proxy::TryNextOwner(ServerPool& pool) {
+bool Proxy::TryNextOwner(ServerPool& pool, OwnerLoss loss) {
   if (!ForwardsTo(pool) || pool.failing) return false;
-  const int limit =
-      std::min(kMaxOwnerFailures, static_cast<int>(pool.owners.size()));
-  if (++pool.owner_failures >= limit) return false;
+  if (!SearchOwner(pool, loss)) return false;
   const auto at = std::find(pool.owners.begin(), pool.owners.end(), pool.relay);
   const std::size_t next =
       at == pool.owners.end()
@@ -71,6 +114,10 @@
     return Emit(ClosePeer{event.peer, ErrorCode::kMisrouted});
   }
   ServerPool& pool = it->second;
+  // It may open none yet; another owner may.
+  if (!pool.shared && ConnectionShare(pool) == 0) {
+    return Emit(ClosePeer{event.peer, ErrorCode::kMisrouted});
+  }
   // A command is forwarded at most once.
   if (pool.shared || pool.failing || stop_requested_at_) {
     return Emit(ClosePeer{event.peer, ErrorCode::kTooMany});
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -24,6 +24,8 @@
 /// Multiple of the latency objective at which a queued statement is refused, as
 /// a longer wait is of little use.
 constexpr double kMaxQueueShare = 1.5;
+/// Time in which a primary that can't be reached is usually found again.
+constexpr Duration kNoPrimaryTime = std::chrono::milliseconds(200);
 /// Age up to which the last known log position of a server is meaningful.
 constexpr Duration kPositionFreshness = std::chrono::milliseconds(100);
 
@@ -224,7 +226,13 @@
     Count("refused_no_primary");
     LogRequest("statement refused id=" + session.pending->id +
                " database=" + session.database + " reason=no primary");
-    AnswerError(id, session, ErrorCode::kBusy, "no primary");
+    const auto ms = std::chrono::duration_cast<Milliseconds>(
+                        std::max(ConnectionHint(service), kNoPrimaryTime))
+                        .count();
+    AnswerError(id, session, ErrorCode::kBusy,
+                adaptive_
+                    ? "no primary; come back in " + std::to_string(ms) + " ms"
+                    : "no primary");
   }
 }
 
@@ -258,6 +266,7 @@
 void Proxy::RefuseQueued(SessionId id, Session& session, Duration retry_after) {
   const PendingStatement& pending = *session.pending;
   const Service& service = ServiceOf(pending.route->service);
+  retry_after = std::max(retry_after, ConnectionHint(service));
   const auto ms = std::chrono::duration_cast<Milliseconds>(retry_after).count();
   Count("refused_queue");
   NoteQueueRefusal(ServiceOf(pending.route->service));
--- a/src/session/proxy_relays.cc
+++ b/src/session/proxy_relays.cc
@@ -12,11 +12,27 @@
 
 }  // namespace
 
+/// Where all instances use the owners in one order, probes those before the one
+/// in use, one each time. Returns whether the path is through a later one.
+bool Proxy::ProbeEarlierOwner(ServerPool& pool) {
+  if (!pool.plan.ordered || !pool.shared || pool.failing) return false;
+  const auto at = std::find(pool.owners.begin(), pool.owners.end(), pool.relay);
+  const auto earlier = static_cast<std::size_t>(at - pool.owners.begin());
+  if (earlier == 0 || at == pool.owners.end()) return false;
+  if (now_ - pool.last_path_probe < options_.direct_probe_interval) return true;
+  const auto turn = static_cast<std::size_t>(pool.path_probes) % earlier;
+  pool.last_path_probe = now_;
+  ++pool.path_probes;
+  OpenOnPath(pool, pool.owners[turn], true, true);
+  return true;
+}
+
 /// Probes other instances as relays to a failing server, and the direct path to
 /// a server that is reached by a relay.
 void Proxy::ProbePaths(ServerPool& pool) {
   if (pool.opening_path_probes > 0 || isolated_since_ || !InUse(pool)) return;
   const bool forwards = ForwardsTo(pool);
+  if (forwards && ProbeEarlierOwner(pool)) return;
   // The direct path is tried again, or the shared one where it is the plan.
   const bool relayed =
       !pool.failing && (forwards ? !pool.shared : !pool.relay.empty());
@@ -65,6 +81,7 @@
   pool.relay = relay;
   pool.shared = shared;
   pool.path_probes = 0;
+  if (pool.plan.ordered) pool.last_path_probe = now_;
   const auto idle = pool.idle;
   for (const ConnectionId id : idle) {
     const Connection& connection = connections_.at(id);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -13,6 +13,10 @@
 constexpr Duration kReconnectInterval = std::chrono::milliseconds(200);
 /// Interval of probes of a server that left the list but still answers.
 constexpr Duration kUnlistedProbeInterval = std::chrono::milliseconds(500);
+/// Doublings of the interval at which an instance that forwards reconnects.
+constexpr int kMaxRetryDoublings = 3;
+/// Time in which an instance that starts usually finds a connection.
+constexpr Duration kConnectTime = std::chrono::milliseconds(200);
 /// How long a connection cap learned from a full server applies.
 constexpr Duration kConnectionCapDuration = std::chrono::milliseconds(500);
 
@@ -120,22 +124,57 @@
 }
 
 int Proxy::ConnectionShare(const ServerPool& pool) const {
-  const auto it = services_.find(pool.entry.service);
   if (pool.shared) return options_.forwarded_connections;
-  const int limit =
-      it == services_.end() ? 1 : it->second.limits.max_connections;
-  const int share = instances_.empty()
-                        ? std::max(1, (limit - options_.reserved_connections) /
-                                          options_.assumed_instances)
-                        : (ForwardsTo(pool) ? 1 : pool.plan.connections);
+  // How many instances share the server is unknown until they are listed.
+  if (instances_.empty()) {
+    return now_ - pool.known_since < options_.instances_wait ? 0 : 1;
+  }
+  const bool stands_in = ForwardsTo(pool) && StandsIn(pool);
+  const int share = stands_in          ? pool.plan.starting_connections
+                    : ForwardsTo(pool) ? 1
+                                       : pool.plan.connections;
   // If all instances restarted, their earlier connections still count at the
   // server. What it has left then serves more instances if each owner takes
-  // one.
+  // few.
   const bool starting = now_ - started_at_ < options_.stale_connection_time;
-  if (starting && !pool.owners.empty()) return 1;
+  if (starting && !pool.owners.empty()) {
+    return std::min(share, pool.plan.starting_connections);
+  }
   return pool.connection_cap > 0 ? std::min(share, pool.connection_cap) : share;
 }
 
+/// Interval of reconnects to a failing server. Instances that forward are many,
+/// and a server that is up may be full.
+Duration Proxy::ReconnectInterval(const ServerPool& pool) const {
+  if (!adaptive_ || !ForwardsTo(pool) || StandsIn(pool)) {
+    return kReconnectInterval;
+  }
+  const int doublings = std::min(pool.forwarder_retries, kMaxRetryDoublings);
+  const Duration interval =
+      std::min(options_.forwarder_retry * (1 << doublings),
+               options_.max_forwarder_retry);
+  const double spread =
+      SpreadOf(self_.id, pool.entry.id, pool.forwarder_retries);
+  return std::chrono::duration_cast<Duration>(interval * (0.5 + spread));
+}
+
+/// Time until a refused client finds a connection to a server of the service;
+/// zero if there is one.
+Duration Proxy::ConnectionHint(const Service& service) const {
+  if (!adaptive_ && !instances_.empty()) return Duration(0);
+  Duration hint{0};
+  for (const ServerId& id : service.servers) {
+    const ServerPool& pool = pools_.at(id);
+    const bool open = static_cast<int>(pool.connections.size()) >
+                      pool.opening + pool.opening_path_probes;
+    if (open && !pool.failing) return Duration(0);
+    const Duration wait =
+        kConnectTime + std::max(pool.connect_after - now_, Duration(0));
+    hint = hint == Duration(0) ? wait : std::min(hint, wait);
+  }
+  return hint;
+}
+
 void Proxy::OpenIfNeeded(ServerPool& pool, std::size_t wanted) {
   if (now_ < pool.connect_after || !InUse(pool)) return;
   const auto max_opening = std::min<std::size_t>(wanted, kMaxOpening);
@@ -171,8 +210,9 @@
       id, pool.entry.id, pool.entry.service, pool.entry.address,
       known && !shared ? relay_entry->second.relay_address : std::string(),
       known && shared ? relay_entry->second.share_address : std::string()});
+  const bool short_wait = path_probe || (adaptive_ && shared);
   ScheduleAfter(
-      path_probe ? options_.path_probe_timeout : options_.connect_timeout,
+      short_wait ? options_.path_probe_timeout : options_.connect_timeout,
       {TimerKind::kConnectTimeout, id, 0});
   return id;
 }
@@ -186,6 +226,7 @@
     return OnConnectFailed(event.connection, event.error);
   }
   connection.open = true;
+  pool.full_refusals = 0;
   --(connection.path_probe ? pool.opening_path_probes : pool.opening);
   if (connection.path_probe) {
     SwitchPath(pool, connection.relay, connection.shared);
@@ -210,24 +251,51 @@
   const bool path_probe = connection.path_probe;
   const bool shared = connection.shared;
   const bool direct = connection.relay.empty();
+  const bool path_lost = PathLost(pool, connection);
+  const auto& reserves = pool.plan.reserves;
+  const bool of_owner = std::find(reserves.begin(), reserves.end(),
+                                  connection.relay) == reserves.end();
   CloseConnection(id, false);
   if (direct && error == ErrorCode::kTooMany) pool.last_refused_full = now_;
   if (path_probe) return;
   if (shared) {
-    if (!TryNextOwner(pool)) NoteFailing(pool);
+    // An instance that stands in refuses until it has missed the owners itself.
+    const bool refused = error == ErrorCode::kTooMany && of_owner;
+    const OwnerLoss loss =
+        refused ? OwnerLoss::kRefused : OwnerLoss::kUnreachable;
+    if (path_lost && !TryNextOwner(pool, loss)) NoteFailing(pool);
     return;
   }
   pool.connect_after = now_ + options_.connect_backoff;
   if (error == ErrorCode::kTooMany) {
+    if (adaptive_) PauseConnecting(pool);
     pool.connection_cap =
         std::max<int>(1, static_cast<int>(pool.connections.size()));
     pool.connection_cap_until = now_ + kConnectionCapDuration;
   }
   if (error != ErrorCode::kOther) return;
   ++pool.connect_failures;
+  if (MayBeFull(pool)) return PauseConnecting(pool);
   NoteFailing(pool);
 }
 
+/// Whether a server whose connections fail may be over its limit: some servers
+/// then reset a connection instead of refusing it. After a loss of power they
+/// count the connections of the processes before.
+bool Proxy::MayBeFull(const ServerPool& pool) const {
+  return adaptive_ && pool.last_heard == TimePoint() &&
+         now_ - started_at_ < options_.stale_connection_time &&
+         now_ - pool.known_since < options_.owner_search.start_search_time;
+}
+
+/// Pauses after a connection that was refused as over the server's limit.
+void Proxy::PauseConnecting(ServerPool& pool) {
+  const int refusals = ++pool.full_refusals;
+  pool.connect_after = now_ + RefusedConnectionPause(
+                                  options_.connect_backoff, refusals,
+                                  SpreadOf(self_.id, pool.entry.id, refusals));
+}
+
 /// Whether a draining server must get no new statements, even as the primary.
 bool Proxy::DrainLimitReached(const ServerPool& pool) const {
   return pool.entry.draining &&
@@ -352,9 +420,10 @@
   Count("connections_lost");
   Log("connection lost server=" + it->second.server);
   const bool shared = it->second.shared;
+  const bool path_lost = PathLost(pool, it->second);
   CloseConnection(event.connection, true);
   // The instance that shares its connections may have failed, not the server.
-  if (shared && TryNextOwner(pool)) return;
+  if (shared && (!path_lost || TryNextOwner(pool))) return;
   NoteFailing(pool);
 }
 
@@ -403,6 +472,8 @@
   pool.last_heard = now_;
   pool.connect_failures = 0;
   pool.owner_failures = 0;
+  pool.owner_search.OnHeard();
+  pool.forwarder_retries = 0;
   if (!pool.failing) return;
   pool.failing = false;
   pool.covered_by.reset();
@@ -417,6 +488,8 @@
   pool.shared = false;
   ClosePeersOf(pool);
   pool.failing_since = now_;
+  // Other owners are tried before the server itself, by many instances.
+  if (adaptive_ && ForwardsTo(pool) && !StandsIn(pool)) pool.last_probe = now_;
   Warn("server fails id=" + pool.entry.id);
 }
 
@@ -447,9 +520,10 @@
     if (!InUse(pool) || now_ < pool.connect_after || pool.opening > 0) continue;
     const bool prewarm = pool.connections.empty() && ConnectionShare(pool) > 1;
     const bool retry =
-        pool.failing && now_ - pool.last_probe >= kReconnectInterval;
+        pool.failing && now_ - pool.last_probe >= ReconnectInterval(pool);
     if (!prewarm && !retry) continue;
     pool.last_probe = now_;
+    if (retry) ++pool.forwarder_retries;
     OpenConnection(pool);
   }
   CheckIsolation();
