Choose servers by expected time and limit them by their pace

A cold or slow server answers late without refusing, so limits that fall by refusals sent it as much as the others, and many instances that know little of a server sent to the one that was best last.

- server_pace.h: the limit starts at one after a start, a recovery or a promotion, grows while answers keep up with their usual time and falls when they don't. cold_left_ms of an entry is a hint until the first answer.
- read_cost.h: the expected time of a read by recent answers, own load, lacking position, failures, zone and the primary's writes; servers are chosen by its inverse fourth power.
- Both only with adaptive routing.
A change of cold_left_ms is no change of an entry.
Gauge server_limit{server=}, log line "server limit changed".

--- a/include/corianderdock/session/model.h
+++ b/include/corianderdock/session/model.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -111,8 +112,17 @@
   bool claims_primary = false;
   /// Start time of its process; 0 when not reported.
   std::uint64_t process_start = 0;
-
-  bool operator==(const ServerEntry&) const = default;
+  /// How much longer it expects to be slow after its start: a hint, which
+  /// changes all the time and is not compared.
+  Duration cold_left{0};
+
+  bool operator==(const ServerEntry& other) const {
+    const auto fields = [](const ServerEntry& it) {
+      return std::tie(it.id, it.service, it.address, it.zone, it.slots,
+                      it.draining, it.claims_primary, it.process_start);
+    };
+    return fields(*this) == fields(other);
+  }
 };
 
 /// A proxy instance as it registered itself.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -25,7 +25,9 @@
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
 #include "corianderdock/session/owner_search.h"
+#include "corianderdock/session/read_cost.h"
 #include "corianderdock/session/reply_match.h"
+#include "corianderdock/session/server_pace.h"
 #include "corianderdock/session/statement_queue.h"
 
 namespace corianderdock::session {
@@ -175,6 +177,9 @@
     int running = 0;                 ///< outstanding commands that use a slot
     /// Outstanding commands that this instance allows; adapts to refusals.
     double concurrency_limit = 0;
+    ServerPace pace;
+    ServerOutcomes outcomes;
+    int reported_limit = 0;  ///< concurrency limit as the gauge shows it
     /// Limit learned when the server refused a connection; 0 when none applies.
     int connection_cap = 0;
     TimePoint connection_cap_until;
@@ -404,6 +409,24 @@
   [[nodiscard]] bool Admit(SessionId id, Session& session,
                            const StatementQueue& queue);
 
+  // Pace and cost of servers (proxy_pace.cc).
+  void RestartPace(ServerPool& pool);
+  void NoteAnswer(ServerPool& pool, const ExpectedReply& expected,
+                  ErrorCode error);
+  [[nodiscard]] double PaceOfOthers(const ServerPool& pool) const;
+  [[nodiscard]] bool HasSlot(const ServerPool& pool) const;
+  void ReportLimit(ServerPool& pool);
+  [[nodiscard]] Duration PeerWait(const ServerPool& pool) const;
+  [[nodiscard]] ServerPool* ChooseByTime(const Service& service,
+                                         const Session* session);
+  [[nodiscard]] bool MayRead(const ServerPool& pool, const Session* session,
+                             const std::optional<Position>& position) const;
+  [[nodiscard]] double ReadMs(const Service& service, const ServerPool& pool,
+                              const Session& session,
+                              const std::optional<Position>& position) const;
+  [[nodiscard]] bool LacksPosition(
+      const ServerPool& pool, const std::optional<Position>& position) const;
+
   // Statements (proxy_statements.cc).
   bool StartAttempt(SessionId id, Session& session, ServerPool& pool);
   void SendStatement(SessionId id, Session& session, ConnectionId connection);
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -83,9 +83,12 @@
     out += "# TYPE " + full + " counter\n";
     out += full + " " + std::to_string(value) + "\n";
   }
+  std::string family;  // a gauge with labels has several lines
   for (const auto& [name, value] : gauges) {
     const std::string full = kPrefix + name;
-    out += "# TYPE " + full + " gauge\n";
+    const std::string unlabelled = full.substr(0, full.find('{'));
+    if (unlabelled != family) out += "# TYPE " + unlabelled + " gauge\n";
+    family = unlabelled;
     out += full + " " + std::to_string(value) + "\n";
   }
   for (const auto& [name, series] : latencies_) {
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -96,6 +96,7 @@
   }
   service.failover.OnPrimaryConfirmed(pool.entry.id);
   if (service.primary == pool.entry.id) return;
+  RestartPace(pool);
   Warn("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
        " previous=" + service.primary +
        " position=" + FormatPosition(position) +
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -65,6 +65,7 @@
     pool.known_since = now_;
     pool.listed_since = now_;
     pool.concurrency_limit = entry.slots;
+    RestartPace(pool);
     service.servers.insert(id);
     PlanPath(pool);
   }
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -341,7 +341,7 @@
     const auto it = peers_.find(id);
     if (it != peers_.end()) {
       Peer& peer = it->second;
-      if (now_ - peer.waiting_since < options_.peer_wait) return;
+      if (now_ - peer.waiting_since < PeerWait(pool)) return;
       Reply busy;
       busy.error = ErrorCode::kBusy;
       busy.position = pool.log_position;
--- a/src/session/proxy_queue.cc
+++ b/src/session/proxy_queue.cc
@@ -115,8 +115,7 @@
 }
 
 bool Proxy::HasCapacity(const ServerPool& pool) const {
-  return !pool.idle.empty() && pool.running < pool.concurrency_limit &&
-         now_ >= pool.busy_until;
+  return !pool.idle.empty() && HasSlot(pool) && now_ >= pool.busy_until;
 }
 
 bool Proxy::PrimaryUsable(const Service& service) const {
@@ -172,6 +171,7 @@
 /// position that recently refused a read as behind.
 Proxy::ServerPool* Proxy::ChooseForRead(const Service& service,
                                         const Session* session) {
+  if (adaptive_) return ChooseByTime(service, session);
   std::optional<Position> position;
   if (session != nullptr) position = RequiredPosition(*session, service);
   ServerPool* best = nullptr;
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -30,6 +30,7 @@
   connection.expected.pop_front();
   if (expected.uses_slot) --pool.running;
   const Reply& reply = event.reply;
+  if (expected.uses_slot && certain) NoteAnswer(pool, expected, reply.error);
   const bool failed = reply.error != ErrorCode::kNone;
   NoteHeard(pool);
   if (matched.origin == ReplyOrigin::kForeign ||
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -77,6 +77,7 @@
     pool.listed = true;
     pool.superseded = false;
     if (replaced) pool.received.reset();
+    if (added || replaced) RestartPace(pool);
     if (added) {
       pool.concurrency_limit = entry.slots;
       pool.known_since = now_;
@@ -400,6 +401,7 @@
   session.bound_connection = 0;
   if (session.pending && session.pending->sent) {
     session.pending->tried_servers.insert(server);
+    pools_.at(server).outcomes.OnFailure(now_, now_ - session.pending->sent_at);
     FailAttempt(id, session, EndWithoutReply(*session.pending),
                 ErrorCode::kOther, "connection lost");
     return;
@@ -477,6 +479,7 @@
   if (!pool.failing) return;
   pool.failing = false;
   pool.covered_by.reset();
+  RestartPace(pool);
   Warn("server recovered id=" + pool.entry.id);
   services_to_dispatch_.insert(pool.entry.service);
 }
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -398,8 +398,9 @@
     return;
   }
   if (pending.held_reply) return;
-  pending.tried_servers.insert(
-      connections_.at(session.bound_connection).server);
+  const ServerId server = connections_.at(session.bound_connection).server;
+  pending.tried_servers.insert(server);
+  pools_.at(server).outcomes.OnFailure(now_, options_.attempt_timeout);
   const ConnectionId connection = std::exchange(session.bound_connection, 0);
   CloseConnection(connection, false);
   Count("attempts_timed_out");
--- a/src/session/weighted_owners.cc
+++ b/src/session/weighted_owners.cc
@@ -14,6 +14,8 @@
 /// Ratio of the largest to the smallest processor share from which instances
 /// count as unequal.
 constexpr double kUnequalRatio = 3;
+/// 0.3 is three times 0.1, which doubles don't show.
+constexpr double kRounding = 1e-9;
 /// Part of a server's connections that owners leave free: connections of an
 /// owner that was killed count until the server notices.
 constexpr int kOwnerReserveDivisor = 5;
@@ -67,7 +69,7 @@
   const auto [min, max] =
       std::minmax_element(instances.begin(), instances.end(), less);
   return min != instances.end() &&
-         max->second.processor_share >=
+         max->second.processor_share * (1 + kRounding) >=
              kUnequalRatio * min->second.processor_share;
 }
 
