--- a/include/corianderdock/session/connection_owners.h
+++ b/include/corianderdock/session/connection_owners.h
@@ -16,11 +16,16 @@
   std::vector<InstanceId> owners;
   /// Connections that each instance that connects may hold.
   int connections = 1;
-  /// The same while connections that an owner had before it was restarted may
-  /// still count at the server.
+  /// The same of an owner until connections of its earlier process no longer
+  /// count, and of an instance that stands in for the owners.
   int starting_connections = 1;
-  /// `owners` are in the order in which all instances use them: the first one
-  /// that works runs the statements of all.
+  /// Instances that stand in, in this order, while no owner can be reached.
+  std::vector<InstanceId> reserves = {};
+  /// All instances use the owners in the order of `owners`; otherwise each in
+  /// one of its own. Every owner connects to the server.
+  bool ordered = false;
+  /// The same, but only the first owner that works connects to the server and
+  /// runs the statements of all.
   bool one_active = false;
 
   bool operator==(const ConnectionPlan&) const = default;
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -15,8 +15,8 @@
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/acknowledged_commits.h"
 #include "corianderdock/session/commit_evidence.h"
-#include "corianderdock/session/connection_cache.h"
 #include "corianderdock/session/config_freshness.h"
+#include "corianderdock/session/connection_cache.h"
 #include "corianderdock/session/connection_owners.h"
 #include "corianderdock/session/connection_state.h"
 #include "corianderdock/session/events.h"
@@ -26,8 +26,11 @@
 #include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
+#include "corianderdock/session/owner_search.h"
+#include "corianderdock/session/read_cost.h"
 #include "corianderdock/session/refusal_doubt.h"
 #include "corianderdock/session/reply_match.h"
+#include "corianderdock/session/server_pace.h"
 #include "corianderdock/session/statement_queue.h"
 
 namespace corianderdock::session {
@@ -197,6 +200,9 @@
     int running = 0;                 ///< outstanding commands that use a slot
     /// Outstanding commands that this instance allows; adapts to refusals.
     double concurrency_limit = 0;
+    ServerPace pace;
+    ServerOutcomes outcomes;
+    int reported_limit = 0;  ///< concurrency limit as the gauge shows it
     /// Limit learned when the server refused a connection; 0 when none applies.
     int connection_cap = 0;
     TimePoint connection_cap_until;
@@ -207,6 +213,9 @@
     ConnectionPlan plan;
     std::vector<InstanceId> owners;  ///< in the order in which to try them
     int owner_failures = 0;          ///< paths lost since the last reply
+    OwnerSearch owner_search;
+    int full_refusals = 0;      ///< connections refused as over the limit
+    int forwarder_retries = 0;  ///< of a failing server, past its owners
     std::deque<PeerId> waiting_peers;
     std::set<PeerId> peers;
     ConnectionCache cache;        ///< decides which tenants have connections
@@ -432,6 +441,25 @@
   [[nodiscard]] bool Admit(SessionId id, Session& session,
                            const StatementQueue& queue);
 
+  // Pace and cost of servers (proxy_pace.cc).
+  void RestartPace(ServerPool& pool);
+  void NoteAnswer(ServerPool& pool, const ExpectedReply& expected,
+                  ErrorCode error);
+  [[nodiscard]] double PaceOfOthers(const ServerPool& pool) const;
+  [[nodiscard]] bool HasSlot(const ServerPool& pool) const;
+  void ReportLimit(ServerPool& pool);
+  [[nodiscard]] Duration PeerWait(const ServerPool& pool) const;
+  [[nodiscard]] ServerPool* ChooseByTime(const Service& service,
+                                         const Session* session,
+                                         const TenantId& tenant);
+  [[nodiscard]] bool MayRead(const ServerPool& pool, const Session* session,
+                             const std::optional<Position>& position) const;
+  [[nodiscard]] double ReadMs(const Service& service, const ServerPool& pool,
+                              const Session& session,
+                              const std::optional<Position>& position) const;
+  [[nodiscard]] bool LacksPosition(
+      const ServerPool& pool, const std::optional<Position>& position) const;
+
   // Statements (proxy_statements.cc).
   bool StartAttempt(SessionId id, Session& session, ServerPool& pool);
   void SendStatement(SessionId id, Session& session, ConnectionId connection);
@@ -511,6 +539,10 @@
   void QueryReceived(Service& service);
   void NoteCovered(const Service& service, Position position, TimePoint sent);
   [[nodiscard]] int ConnectionShare(const ServerPool& pool) const;
+  [[nodiscard]] bool MayBeFull(const ServerPool& pool) const;
+  void PauseConnecting(ServerPool& pool);
+  [[nodiscard]] Duration ReconnectInterval(const ServerPool& pool) const;
+  [[nodiscard]] Duration ConnectionHint(const Service& service) const;
   void CheckServers();
 
   // Replies of servers (proxy_replies.cc).
@@ -558,7 +590,16 @@
   void PlanPaths();
   void PlanPath(ServerPool& pool);
   [[nodiscard]] bool ForwardsTo(const ServerPool& pool) const;
-  bool TryNextOwner(ServerPool& pool);
+  bool TryNextOwner(ServerPool& pool, OwnerLoss loss = OwnerLoss::kUnreachable);
+  [[nodiscard]] bool SearchOwner(ServerPool& pool, OwnerLoss loss);
+  [[nodiscard]] bool IsReserve(const ServerPool& pool) const;
+  /// Whether owners are searched at the pace of `OwnerSearch`.
+  [[nodiscard]] bool SearchesOwners(const ServerPool& pool) const {
+    return adaptive_ && !pool.plan.one_active;
+  }
+  [[nodiscard]] bool PathLost(const ServerPool& pool,
+                              const Connection& connection) const;
+  void UpdateAdaptive();
   void RunNextCommand(PeerId id, Peer& peer);
   void AnswerPeerLocally(PeerId id, Peer& peer,
                          ErrorCode error = ErrorCode::kNone);
@@ -621,6 +662,7 @@
 
   // Relays (proxy_relays.cc).
   void ProbePaths(ServerPool& pool);
+  [[nodiscard]] bool ProbeEarlierOwner(ServerPool& pool);
   [[nodiscard]] InstanceId NextRelay(const ServerPool& pool) const;
   void SwitchPath(ServerPool& pool, const InstanceId& relay, bool shared);
 
@@ -757,6 +799,7 @@
   int warnings_ = 0;
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
+  bool adaptive_ = false;             ///< adaptive routing is on
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
   TimePoint servers_read_at_;
   TimePoint started_at_;  ///< first event
--- a/src/session/connection_owners.cc
+++ b/src/session/connection_owners.cc
@@ -1,11 +1,11 @@
 #include "corianderdock/session/connection_owners.h"
 
 #include <algorithm>
-#include <cmath>
 #include <string>
 #include <tuple>
 
 #include "corianderdock/detail/hash.h"
+#include "corianderdock/detail/weighted_rendezvous.h"
 
 namespace corianderdock::session {
 
@@ -18,23 +18,11 @@
 /// Owners of a server where connections belong to tenants: one runs all
 /// statements, the other takes over when it fails.
 constexpr int kTenantOwners = 2;
-/// Smallest weight, so that a wrongly announced share has a rank.
-constexpr double kMinShare = 0.01;
 
 std::uint64_t Rank(const std::string& a, const std::string& b) {
   return detail::HashPair(a, b);
 }
 
-/// Rank of weighted rendezvous hashing; the lowest is the first. The number of
-/// servers for which an instance is the first is proportional to its share.
-double WeightedRank(const InstanceId& instance, const ServerId& server,
-                    double share) {
-  constexpr double kRange = 0x1p64;
-  const double fraction =
-      (static_cast<double>(Rank(instance, server)) + 1) / (kRange + 2);
-  return -std::log(fraction) / std::max(share, kMinShare);
-}
-
 }  // namespace
 
 ConnectionPlan PlanConnections(const ServerEntry& server, int max_connections,
@@ -71,7 +59,8 @@
   for (const auto& [id, entry] : instances) {
     if (entry.share_address.empty()) continue;
     candidates.emplace_back(entry.zone != server.zone,
-                            WeightedRank(id, server.id, entry.processor_share),
+                            -detail::WeightedRank(id, server.id,
+                                                  entry.processor_share),
                             id);
   }
   if (candidates.empty()) {
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -96,6 +96,7 @@
   }
   service.failover.OnPrimaryConfirmed(pool.entry.id);
   if (service.primary == pool.entry.id) return;
+  RestartPace(pool);
   Warn("primary found service=" + pool.entry.service + " id=" + pool.entry.id +
        " previous=" + service.primary +
        " position=" + FormatPosition(position) +
@@ -162,6 +163,8 @@
     return SendOne(pool.control_connection, std::move(command), step,
                    step == Step::kProbe);
   }
+  // Until the instances are known, their commands could fill the server.
+  if (instances_.empty() && ConnectionShare(pool) == 0) return;
   pool.control_connection = OpenConnection(pool);
   connections_.at(pool.control_connection)
       .commands_on_open.emplace_back(step, std::move(command));
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "corianderdock/session/proxy.h"
+#include "corianderdock/session/weighted_owners.h"
 
 namespace corianderdock::session {
 
@@ -13,7 +14,17 @@
 
 }  // namespace
 
+void Proxy::UpdateAdaptive() {
+  const bool tenants = config_ && config_->tenants;
+  const bool on = options_.adaptive_routing.value_or(
+      tenants || InstancesDiffer(instances_));
+  if (on == adaptive_) return;
+  adaptive_ = on;
+  Log("adaptive routing changed on=" + std::to_string(static_cast<int>(on)));
+}
+
 void Proxy::PlanPaths() {
+  UpdateAdaptive();
   for (auto& [id, pool] : pools_) PlanPath(pool);
 }
 
@@ -22,17 +33,17 @@
 void Proxy::PlanPath(ServerPool& pool) {
   const auto service = services_.find(pool.entry.service);
   if (instances_.empty() || service == services_.end()) return;
-  const int max_connections = service->second.limits.max_connections;
+  const auto make_plan = HasTenants() ? PlanTenantConnections
+                         : adaptive_  ? PlanWeightedOwners
+                                      : PlanConnections;
   ConnectionPlan plan =
-      HasTenants()
-          ? PlanTenantConnections(pool.entry, max_connections,
-                                  options_.reserved_connections, instances_)
-          : PlanConnections(pool.entry, max_connections,
-                            options_.reserved_connections, instances_);
+      make_plan(pool.entry, service->second.limits.max_connections,
+                options_.reserved_connections, instances_);
   if (plan == pool.plan) return;
   pool.plan = std::move(plan);
-  pool.owners = pool.plan.one_active
-                    ? pool.plan.owners
+  pool.owners = pool.plan.one_active ? pool.plan.owners
+                : pool.plan.ordered
+                    ? OwnersBefore(self_.id, pool.plan)
                     : OwnersInOrder(self_.id, pool.entry.id, pool.plan.owners);
   if (ForwardsTo(pool)) {
     const auto owner =
@@ -53,13 +64,42 @@
   return !IsOwner(pool);
 }
 
+/// Whether this instance stands in while no owner of a server can be reached.
+bool Proxy::IsReserve(const ServerPool& pool) const {
+  const auto& reserves = pool.plan.reserves;
+  return std::find(reserves.begin(), reserves.end(), self_.id) !=
+         reserves.end();
+}
+
+/// Whether the loss of a shared connection is one of the path in use. Several
+/// connections to one owner are lost together, which is one loss of the path.
+bool Proxy::PathLost(const ServerPool& pool,
+                     const Connection& connection) const {
+  if (!SearchesOwners(pool)) return true;
+  return pool.shared && connection.relay == pool.relay;
+}
+
+/// Whether to look for another owner after a path through one was lost.
+bool Proxy::SearchOwner(ServerPool& pool, OwnerLoss loss) {
+  const int owners = static_cast<int>(pool.owners.size());
+  const int lost = ++pool.owner_failures;
+  if (!SearchesOwners(pool)) return lost < std::min(kMaxOwnerFailures, owners);
+  const bool starting = now_ - started_at_ < options_.stale_connection_time;
+  const SearcherKind searcher = starting          ? SearcherKind::kStarts
+                                : IsReserve(pool) ? SearcherKind::kStandsIn
+                                                  : SearcherKind::kForwards;
+  const OwnerStep step = pool.owner_search.OnLost(
+      now_, loss, owners, searcher, options_.owner_search,
+      SpreadOf(self_.id, pool.entry.id, lost));
+  pool.connect_after = std::max(pool.connect_after, now_ + step.pause);
+  return !step.give_up;
+}
+
 /// Switches to the next owner after a shared path failed. Returns false when
 /// several have failed in succession, so that the server may have.
-bool Proxy::TryNextOwner(ServerPool& pool) {
+bool Proxy::TryNextOwner(ServerPool& pool, OwnerLoss loss) {
   if (!ForwardsTo(pool) || pool.failing) return false;
-  const int limit =
-      std::min(kMaxOwnerFailures, static_cast<int>(pool.owners.size()));
-  if (++pool.owner_failures >= limit) return false;
+  if (!SearchOwner(pool, loss)) return false;
   const auto at = std::find(pool.owners.begin(), pool.owners.end(), pool.relay);
   const std::size_t next =
       at == pool.owners.end()
@@ -93,6 +133,10 @@
     Count("owners_standing_in");
     SwitchPath(pool, {}, false);
   }
+  // It may open none yet; another owner may.
+  if (!pool.shared && ConnectionShare(pool) == 0) {
+    return Emit(ClosePeer{event.peer, ErrorCode::kMisrouted});
+  }
   // A command is forwarded at most once.
   if (pool.shared || pool.failing || stop_requested_at_) {
     return Emit(ClosePeer{event.peer, ErrorCode::kTooMany});
@@ -330,7 +374,7 @@
     const auto it = peers_.find(id);
     if (it != peers_.end()) {
       Peer& peer = it->second;
-      if (now_ - peer.waiting_since < options_.peer_wait) return;
+      if (now_ - peer.waiting_since < PeerWait(pool)) return;
       Reply busy;
       busy.error = ErrorCode::kBusy;
       busy.position = pool.log_position;
