Calculate a broker's part with the least length of its list

The division of the caps between own stocks and brokers depends on the number of instances. A broker that counted more than the others would have added its larger part to their larger own stocks. It now uses the least length of its list within the retention time, which no instance that mints is below.

--- a/include/corianderdock/session/quota_bound.h
+++ b/include/corianderdock/session/quota_bound.h
@@ -63,7 +63,9 @@
   double broker = 0;  ///< handed over to it, as the tenant's first broker
 };
 
-/// Returns the caps for a tenant with a rate, with `members` instances.
+/// Returns the caps for a tenant with a rate, with `members` instances. Where
+/// instances count differently, `own` holds for the higher number and `broker`
+/// for the lower one.
 /// docs/design/quotas.md derives them. Thread-safe.
 [[nodiscard]] QuotaCaps CapsOf(const Tenant& tenant,
                                const QuotaOptions& options,
--- a/include/corianderdock/session/quota_members.h
+++ b/include/corianderdock/session/quota_members.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "corianderdock/session/model.h"
@@ -36,6 +38,10 @@
   /// Number of instances counted, at least 1.
   [[nodiscard]] std::size_t Count(TimePoint now) const;
 
+  /// Least length of the list within `member_retention`. No instance that mints
+  /// counts fewer.
+  [[nodiscard]] std::size_t LeastCount(TimePoint now) const;
+
   /// End of the time for which this instance may mint; in the past if not now.
   [[nodiscard]] TimePoint MintsUntil() const { return mints_until_; }
 
@@ -73,6 +79,8 @@
   std::uint64_t generation_ = 0;
   /// Members that are no longer listed, and when they were first missing.
   std::map<InstanceId, TimePoint> missing_since_;
+  /// Lengths of the list, and until when each was the last one read.
+  std::deque<std::pair<TimePoint, std::size_t>> lengths_;
   std::optional<TimePoint> listed_since_;  ///< this instance, without a gap
   std::optional<TimePoint> last_listed_;   ///< this instance
   bool counted_ = false;  ///< by all others, while it stays listed
--- a/src/session/quota_broker.cc
+++ b/src/session/quota_broker.cc
@@ -146,7 +146,7 @@
                           const QuotaMembers& members) const {
   if (!members.MayHold(now)) return 0;
   const double cap =
-      CapsOf(tenant, options_, members.Count(now)).broker * stock.part;
+      CapsOf(tenant, options_, members.LeastCount(now)).broker * stock.part;
   return std::max(cap - stock.granted, 0.0);
 }
 
--- a/src/session/quota_members.cc
+++ b/src/session/quota_members.cc
@@ -50,6 +50,11 @@
     digest_ = detail::HashPair("instances", text);
   }
   if (listed == listed_) return;
+  if (generation_ > 0) lengths_.emplace_back(now, listed_.size());
+  while (!lengths_.empty() &&
+         now - lengths_.front().first >= options_.member_retention) {
+    lengths_.pop_front();
+  }
   listed_ = std::move(listed);
   ++generation_;
   ChooseBrokers(instances);
@@ -104,6 +109,16 @@
   return last_listed_ && now - *last_listed_ < options_.evidence_validity;
 }
 
+std::size_t QuotaMembers::LeastCount(TimePoint now) const {
+  std::size_t least = std::max<std::size_t>(listed_.size(), 1);
+  for (const auto& [until, length] : lengths_) {
+    if (now - until < options_.member_retention) {
+      least = std::min(least, std::max<std::size_t>(length, 1));
+    }
+  }
+  return least;
+}
+
 std::vector<InstanceId> QuotaMembers::BrokersOf(const TenantId& tenant) const {
   std::vector<std::pair<std::uint64_t, InstanceId>> ranks;
   for (const InstanceId& it : brokers_) {
