Refuse operations of tenants that are over their quota

Otherwise it is refused with BUSY before a server gets it, and the text says when to come back. On only with a quota window in the settings and a tenant with a rate in the configuration. InstancesRead says whether the store has the instance's own entry, as the list always has one.

--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -100,6 +100,8 @@
 /// The store returned the list of live instances.
 struct InstancesRead {
   InstanceList instances;
+  /// The store has this instance's entry; the list always has one.
+  bool self_listed = true;
 };
 
 /// The store granted or refused a claim to promote a server of a service, or
--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "corianderdock/session/failover.h"
+#include "corianderdock/session/quota_bound.h"
 #include "corianderdock/types.h"
 
 namespace corianderdock::session {
@@ -20,6 +21,7 @@
 struct ProxyOptions {
   const Safety* safety = &DefaultSafety();  ///< outlives the proxy
   FailoverOptions failover;
+  QuotaOptions quota;  ///< without a window, tenants have no limits
   /// A replaced primary loses its leadership the moment the promotion takes
   /// effect. Otherwise it goes on accepting work until it is told, so that
   /// leadership must be proven by replicas.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -24,11 +24,15 @@
 #include "corianderdock/session/member_record.h"
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
+#include "corianderdock/session/quota_gate.h"
 #include "corianderdock/session/reply_match.h"
 #include "corianderdock/session/statement_queue.h"
 
 namespace corianderdock::session {
 
+/// Sets what the tests of this branch can't feed as events.
+struct ProxyTestSeam;
+
 /// Multiplexes client sessions over pooled server connections.
 ///
 /// A session occupies a server connection while a statement runs, or from the
@@ -73,6 +77,8 @@
   [[nodiscard]] std::string DumpState() const;
 
  private:
+  friend struct ProxyTestSeam;
+
   enum class TimerKind {
     kStatementDeadline,
     kAttemptTimeout,
@@ -80,6 +86,7 @@
     kQueueTimeout,
     kTransactionIdle,
     kConnectTimeout,
+    kQuota,
     kCheck,
   };
 
@@ -297,6 +304,7 @@
     std::shared_ptr<const Route> route;
     bool writes = false;
     bool queued = false;
+    bool has_token = false;     ///< it counts against its tenant's quota
     bool sent = false;          ///< an attempt is in flight
     bool awaits_setup = false;  ///< only commands before it were sent
     /// Log position that the server must have reached.
@@ -324,6 +332,7 @@
 
   struct Session {
     DatabaseName database;
+    TenantId tenant;  ///< whose connections serve its statements; may be empty
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared;
     TransactionState state = TransactionState::kIdle;
@@ -634,6 +643,13 @@
   [[nodiscard]] std::string DescribeLeftOut(
       const Service& service, const Failover::Situation& situation) const;
 
+  // Quotas of tenants (proxy_quota.cc).
+  void ConfigureQuota();
+  bool TakeToken(SessionId id, Session& session);
+  void ReturnToken(Session& session);
+  void RefuseOverQuota(SessionId id, Session& session);
+  void FinishQuota();
+
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   /// Logs a change of state, without a rate limit.
@@ -658,6 +674,8 @@
   Effects effects_;
   std::shared_ptr<const RoutingConfig> config_;
   std::unordered_map<SessionId, Session> sessions_;
+  std::optional<QuotaGate> quota_;  ///< absent without limits of tenants
+  bool self_listed_ = false;        ///< in the list last read
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<PeerId, Peer> peers_;
   std::map<ServerId, ServerPool> pools_;
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -30,8 +30,6 @@
 
 void Proxy::On(const TimerFired& /*event*/) {}
 
-void Proxy::On(const MessageReceived& /*event*/) {}
-
 void Proxy::FireTimers() {
   while (auto timer = timers_.TakeDue(now_)) {
     switch (timer->kind) {
@@ -65,7 +63,13 @@
         On(ServerConnected{timer->id, ErrorCode::kOther, {}});
         break;
       }
+      case TimerKind::kQuota:
+        if (quota_) quota_->Tick(now_);
+        FinishQuota();
+        break;
       case TimerKind::kCheck:
+        if (quota_) quota_->Tick(now_);
+        FinishQuota();
         CheckServers();
         CheckMembers();
         CheckServices();
@@ -146,6 +150,7 @@
   gauges_["config_version"] = static_cast<double>(event.config->version);
   gauges_["config_rejected_version"] = 0;
   config_ = event.config;
+  ConfigureQuota();
   for (auto& [id, service] : services_) service.needs_samples = false;
   for (const auto& [name, limits] : config_->services) {
     ServiceOf(name).limits = limits;
@@ -167,6 +172,8 @@
 }
 
 void Proxy::On(const InstancesRead& event) {
+  self_listed_ = event.self_listed;
+  if (quota_) quota_->OnInstances(now_, event.instances, self_listed_);
   if (event.instances == instances_) return;
   Log("instance list changed instances=" +
       std::to_string(event.instances.size()) +
@@ -205,6 +212,7 @@
     out["path_shared"] = pool.shared;
     out["peers"] = static_cast<Json::UInt64>(pool.peers.size());
   }
+  if (quota_) root["quota"] = quota_->Dump(now_);
   Json::StreamWriterBuilder writer;
   writer["indentation"] = "";
   return Json::writeString(writer, root);
--- a/src/session/proxy_sessions.cc
+++ b/src/session/proxy_sessions.cc
@@ -219,7 +219,7 @@
     return SendStatement(id, session, session.bound_connection);
   }
   session.pending->opens_transaction = in_transaction;
-  Enqueue(id, session);
+  if (TakeToken(id, session)) Enqueue(id, session);
 }
 
 void Proxy::Answer(SessionId id, Session& session, Reply reply) {
@@ -240,6 +240,7 @@
   Reply reply;
   reply.error = code;
   reply.detail = std::move(detail);
+  if (code == ErrorCode::kBusy) ReturnToken(session);
   if (session.state == TransactionState::kOpen && code != ErrorCode::kBad) {
     EndTransaction(session);
     session.state = TransactionState::kFailed;
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -475,8 +475,8 @@
 void StoreFollower::OnInstances(const StoreResult& result) {
   if (result.status == StoreStatus::kOk) {
     instances_ = result.instances;
-    instances_.try_emplace(self_);
-    outputs_.emplace_back(Event(InstancesRead{instances_}));
+    const bool added = instances_.try_emplace(self_).second;
+    outputs_.emplace_back(Event(InstancesRead{instances_, !added}));
   }
   Schedule(StoreRequest::kListInstances, options_.instance_interval);
 }
