--- a/include/corianderdock/session/options.h
+++ b/include/corianderdock/session/options.h
@@ -8,6 +8,7 @@
 
 #include "corianderdock/session/failover.h"
 #include "corianderdock/session/owner_search.h"
+#include "corianderdock/session/quota_bound.h"
 #include "corianderdock/types.h"
 
 namespace corianderdock::session {
@@ -22,6 +23,7 @@
 struct ProxyOptions {
   const Safety* safety = &DefaultSafety();  ///< outlives the proxy
   FailoverOptions failover;
+  QuotaOptions quota;  ///< without a window, tenants have no limits
   /// A replaced primary loses its leadership the moment the promotion takes
   /// effect. Otherwise it goes on accepting work until it is told, so that
   /// leadership must be proven by replicas.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -27,6 +27,7 @@
 #include "corianderdock/session/options.h"
 #include "corianderdock/session/outcome.h"
 #include "corianderdock/session/owner_search.h"
+#include "corianderdock/session/quota_gate.h"
 #include "corianderdock/session/read_cost.h"
 #include "corianderdock/session/refusal_doubt.h"
 #include "corianderdock/session/reply_match.h"
@@ -35,6 +36,9 @@
 
 namespace corianderdock::session {
 
+/// Sets what the tests of this branch can't feed as events.
+struct ProxyTestSeam;
+
 /// Multiplexes client sessions over pooled server connections.
 ///
 /// A session occupies a server connection while a statement runs, or from the
@@ -79,6 +83,8 @@
   [[nodiscard]] std::string DumpState() const;
 
  private:
+  friend struct ProxyTestSeam;
+
   enum class TimerKind {
     kStatementDeadline,
     kAttemptTimeout,
@@ -87,6 +93,7 @@
     kTransactionIdle,
     kConnectTimeout,
     kRefusalDoubt,
+    kQuota,
     kCheck,
   };
 
@@ -330,6 +337,7 @@
     std::shared_ptr<const Route> route;
     bool writes = false;
     bool queued = false;
+    bool has_token = false;     ///< it counts against its tenant's quota
     bool sent = false;          ///< an attempt is in flight
     bool awaits_setup = false;  ///< only commands before it were sent
     /// Log position that the server must have reached.
@@ -757,6 +765,13 @@
   [[nodiscard]] std::string DescribeLeftOut(
       const Service& service, const Failover::Situation& situation) const;
 
+  // Quotas of tenants (proxy_quota.cc).
+  void ConfigureQuota();
+  bool TakeToken(SessionId id, Session& session);
+  void ReturnToken(Session& session);
+  void RefuseOverQuota(SessionId id, Session& session);
+  void FinishQuota();
+
   void FireTimers();
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   /// Logs a change of state, without a rate limit.
@@ -784,6 +799,8 @@
   bool tenants_seen_ = false;
   ConfigFreshness config_freshness_;
   std::unordered_map<SessionId, Session> sessions_;
+  std::optional<QuotaGate> quota_;  ///< absent without limits of tenants
+  bool self_listed_ = false;        ///< in the list last read
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<PeerId, Peer> peers_;
   std::map<ServerId, ServerPool> pools_;
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -30,8 +30,6 @@
 
 void Proxy::On(const TimerFired& /*event*/) {}
 
-void Proxy::On(const MessageReceived& /*event*/) {}
-
 void Proxy::FireTimers() {
   while (auto timer = timers_.TakeDue(now_)) {
     switch (timer->kind) {
@@ -68,7 +66,13 @@
       case TimerKind::kRefusalDoubt:
         OnRefusalDoubt(timer->id);
         break;
+      case TimerKind::kQuota:
+        if (quota_) quota_->Tick(now_);
+        FinishQuota();
+        break;
       case TimerKind::kCheck:
+        if (quota_) quota_->Tick(now_);
+        FinishQuota();
         CheckServers();
         CheckMembers();
         CheckServices();
@@ -158,6 +162,7 @@
   config_ = event.config;
   tenants_seen_ = tenants_seen_ || config_->tenants != nullptr;
   config_freshness_.NoteVersion(config_->version);
+  ConfigureQuota();
   for (auto& [id, service] : services_) service.needs_samples = false;
   for (const auto& [name, limits] : config_->services) {
     ServiceOf(name).limits = limits;
@@ -179,6 +184,8 @@
 }
 
 void Proxy::On(const InstancesRead& event) {
+  self_listed_ = event.self_listed;
+  if (quota_) quota_->OnInstances(now_, event.instances, self_listed_);
   if (event.instances == instances_) return;
   Log("instance list changed instances=" +
       std::to_string(event.instances.size()) +
@@ -221,6 +228,7 @@
     out["path_shared"] = pool.shared;
     out["peers"] = static_cast<Json::UInt64>(pool.peers.size());
   }
+  if (quota_) root["quota"] = quota_->Dump(now_);
   Json::StreamWriterBuilder writer;
   writer["indentation"] = "";
   return Json::writeString(writer, root);
