--- a/include/corianderdock/session/events.h
+++ b/include/corianderdock/session/events.h
@@ -92,6 +92,8 @@
   bool complete = false;  ///< every live server is listed
   /// Servers whose entries were written again since they were first read.
   std::set<ServerId> renewed = {};
+  /// When another instance read the list; null: this one read it just now.
+  std::optional<TimePoint> as_of = {};
 };
 
 /// The store returned records of members.
--- a/include/corianderdock/session/instance_exchange.h
+++ b/include/corianderdock/session/instance_exchange.h
@@ -126,7 +126,7 @@
   void AskLeader();
   void OnLists(const InstanceId& from, const Question& question,
                const FreshnessAnswer& answer);
-  void ReportLists(bool changed);
+  void ReportLists(TimePoint as_of, bool changed);
   void StopFollowing();
 
   void Ask(const InstanceId& to, std::optional<std::string> lists = {});
@@ -165,7 +165,7 @@
   ListedState told_;
   std::optional<TimePoint>
       told_as_of_;  ///< the leader's contact with the store
-  TimePoint reported_at_;
+  TimePoint reported_as_of_;
   bool following_ = false;
 };
 
--- a/src/session/instance_exchange.cc
+++ b/src/session/instance_exchange.cc
@@ -28,8 +28,9 @@
 constexpr int kMaxMisses = 2;
 /// Answers are used for this long; later ones would be too old.
 constexpr Duration kQuestionLifetime = std::chrono::seconds(5);
-/// Interval at which unchanged lists are reported, as when reading them.
-constexpr Duration kReportInterval = std::chrono::milliseconds(900);
+/// By how much a list is newer at least that was read anew; answers about the
+/// same one differ by the time that they took.
+constexpr Duration kNextList = std::chrono::milliseconds(500);
 
 /// Weighted rendezvous hashing: the least cost comes first.
 double RankCost(const InstanceId& id, double weight, const std::string& key) {
@@ -395,15 +396,15 @@
     outputs_.emplace_back(
         LogDecision{"following an instance instance=" + from});
   }
-  ReportLists(changed || starts);
+  ReportLists(as_of, changed || starts);
 }
 
-/// Reports lists at the usual interval, as their age matters as well.
-void InstanceExchange::ReportLists(bool changed) {
-  if (!changed && now_ - reported_at_ < kReportInterval) return;
-  reported_at_ = now_;
+/// Reports lists whenever they were read, as their age matters as well.
+void InstanceExchange::ReportLists(TimePoint as_of, bool changed) {
+  if (!changed && as_of - reported_as_of_ < kNextList) return;
+  reported_as_of_ = as_of;
   outputs_.emplace_back(
-      Event(ServersRead{told_.servers, told_.complete, told_.renewed}));
+      Event(ServersRead{told_.servers, told_.complete, told_.renewed, as_of}));
   if (!changed) return;
   outputs_.emplace_back(Event(InstancesRead{told_.instances}));
   SetInstances(told_.instances);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -96,7 +96,7 @@
     services_to_dispatch_.insert(entry.service);
   }
   NoteSuperseded();
-  servers_read_at_ = now_;
+  servers_read_at_ = event.as_of.value_or(now_);
   servers_known_ = servers_known_ || !event.servers.empty();
   server_list_complete_ = event.complete;
 }
