Exempt an instance's own commands and ROLLBACK from the owner's key evidence

An owner without recent evidence refused probes, fences and status queries of other instances, which need no key, and a ROLLBACK, which runs nothing.

--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -2,6 +2,7 @@
 #include <utility>
 #include <vector>
 
+#include "corianderdock/session/client_keys.h"
 #include "corianderdock/session/proxy.h"
 #include "corianderdock/session/weighted_owners.h"
 
@@ -302,7 +303,10 @@
 
 /// Sends the oldest command of a peer over its connection, which is set up.
 void Proxy::SendPeerCommand(PeerId id, Peer& peer) {
-  const bool keyed = !peer.tenant.empty() && EvidenceNeeded();
+  // An instance's own commands need no key, and ROLLBACK runs nothing.
+  const bool keyed = !peer.tenant.empty() && peer.tenant != kOwnCommands &&
+                     peer.commands.front().statement.verb != Verb::kRollback &&
+                     EvidenceNeeded();
   if (keyed && !ConfigIsRecent()) return RefusePeerWithoutEvidence(id, peer);
   ServerCommand command = peer.commands.front();
   const Verb verb = command.statement.verb;
