Order the members of Connection without padding

clang-tidy reported excessive padding after the tenant was added. session_tenants and session_peers passed after it; nothing else was run again.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -149,7 +149,10 @@
   struct Connection {
     ServerId server;
     ServiceId service;
-    InstanceId relay;         ///< empty for a direct connection
+    InstanceId relay;  ///< empty for a direct connection
+    /// To which the connection belongs; of a shared one, as last set at the
+    /// owner. Empty: none.
+    TenantId tenant;
     bool path_probe = false;  ///< tests a path other than the pool's
     ConnectionState state;
     std::deque<ExpectedReply> expected;
@@ -162,10 +165,7 @@
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
     bool shared = false;          ///< `relay` shares its own connections
-    /// To which the connection belongs; of a shared one, as last set at the
-    /// owner. Empty: none.
-    TenantId tenant;
-    bool used = false;  ///< it has run a statement
+    bool used = false;            ///< it has run a statement
     bool open = false;
     std::vector<std::pair<Step, ServerCommand>> commands_on_open;
     TimePoint last_used;  ///< when it was created or last became idle
