--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -249,6 +249,13 @@
   REQUIRE(entry);
   CHECK(entry->claims_primary);
   CHECK(entry->process_start == 17);
+  CHECK(entry->cold_left == Duration(0));
+  std::string cold = good;
+  cold.replace(cold.find("\"seq\""), 0, "\"cold_left_ms\":1500,");
+  const auto cold_entry = platform::DecodeServer("i-1", cold);
+  REQUIRE(cold_entry);
+  CHECK(cold_entry->cold_left == Milliseconds(1500));
+  CHECK(*cold_entry == *entry);
   for (const auto& [from, to] :
        std::vector<std::pair<std::string, std::string>>{
            {"\"ready\"", "\"resting\""},
