Limit what the proxy holds for its connections

Nothing limited the memory and descriptors of all connections together. Over its share a connection is not read; over the budget the largest ones are closed, those without a change for longest first. Silent connections make way for new ones, and accepting goes on after a full descriptor table. New time limits: START, a reader that doesn't read, HTTP header and body. Bodies and lines grow with what arrives, not with what the peer announces.

--- a/include/corianderdock/net/http_server.h
+++ b/include/corianderdock/net/http_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "corianderdock/net/connection_budget.h"
 #include "corianderdock/types.h"
 
 namespace corianderdock::net {
@@ -40,21 +41,27 @@
                                        std::function<void()>& on_disconnect)>;
 
 struct HttpLimits {
+  /// What the connections count as in a budget.
+  PeerKind kind = PeerKind::kHttp;
   std::size_t max_body_bytes = 1 << 20;
+  std::size_t max_header_bytes = 8 << 10;
+  /// Limits on receiving a header, from the end of the response before, and on
+  /// receiving a body and sending a response.
   Duration idle_timeout = std::chrono::seconds(60);
   Duration body_timeout = std::chrono::seconds(10);
 };
 
 /// Accepts connections and distributes them round-robin over the given
-/// contexts, each of which runs in one thread. `Stop` may be called from any
-/// thread.
+/// contexts, each of which runs in one thread. With a budget, connections and
+/// their bytes count in it. `Stop` may be called from any thread.
 class HttpServer {
  public:
   /// Binds `endpoint` and starts to accept; throws
   /// `boost::system::system_error` when it cannot be bound.
   HttpServer(std::vector<boost::asio::io_context*> contexts,
              const boost::asio::ip::tcp::endpoint& endpoint, HttpLimits limits,
-             HttpHandler handler);
+             HttpHandler handler,
+             std::shared_ptr<ConnectionBudget> budget = nullptr);
   ~HttpServer();
 
   /// Stops accepting; open connections are still served.
--- a/include/corianderdock/net/line_socket.h
+++ b/include/corianderdock/net/line_socket.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "corianderdock/net/connection_budget.h"
 #include "corianderdock/types.h"
 
 namespace corianderdock::net {
@@ -20,6 +21,10 @@
   std::size_t max_unsent_bytes = 4 << 20;  ///< bytes the socket did not accept
   /// Longest time from the first byte of a line to its end.
   Duration line_timeout = std::chrono::seconds(10);
+  /// Longest time from `Start` to the end of the first line; 0: not limited.
+  Duration start_timeout{0};
+  /// Longest time in which the peer must accept what is unsent; 0: not limited.
+  Duration reader_timeout{0};
   /// Time after which unacknowledged data or unanswered keep-alive probes end
   /// the connection.
   Duration peer_timeout = std::chrono::seconds(3);
@@ -46,8 +51,11 @@
   /// connection is closed afterwards and `OnClosed` called.
   using OnInvalid = std::function<void(std::string)>;
 
+  /// With an `account`, the connection counts in a budget, is closed when that
+  /// is exceeded, and isn't read while it holds too much.
   [[nodiscard]] static std::shared_ptr<LineSocket> Make(
-      boost::asio::ip::tcp::socket socket, const LineLimits& limits);
+      boost::asio::ip::tcp::socket socket, const LineLimits& limits,
+      std::shared_ptr<BudgetAccount> account = nullptr);
 
   /// Begins to read. \pre The socket is connected.
   void Start(OnLine on_line, OnClosed on_closed, OnInvalid on_invalid = {});
@@ -65,17 +73,28 @@
   /// closes.
   void Close();
 
+  /// Sets the bytes of lines that were passed on and are still in process.
+  void SetWork(std::size_t bytes);
+
   [[nodiscard]] bool closed() const noexcept { return closed_; }
 
  private:
-  LineSocket(boost::asio::ip::tcp::socket socket, const LineLimits& limits);
+  LineSocket(boost::asio::ip::tcp::socket socket, const LineLimits& limits,
+             std::shared_ptr<BudgetAccount> account);
+  void CloseOverBudget();
+  void UpdateAccount();
+  [[nodiscard]] bool MayRead() const;
+  void KeepPart(std::string_view bytes);
+  void StartReaderTimer();
+  void Note(Limit limit);
   void WaitReadable();
   void ReadSome();
   bool Consume(std::string_view bytes);
   bool Refuse(const std::string& reason);
   void WaitWritable();
-  void StartPartialLineTimer();
+  void StartLineTimer(Duration timeout, Limit limit, const std::string& reason);
   void Fail(const std::string& reason);
+  void Release();
 
   boost::asio::ip::tcp::socket socket_;
   LineLimits limits_;
@@ -83,7 +102,12 @@
   OnClosed on_closed_;
   OnInvalid on_invalid_;
   std::string partial_line_;  ///< beginning of an incomplete line
-  std::unique_ptr<boost::asio::steady_timer> partial_line_timer_;
+  std::unique_ptr<boost::asio::steady_timer> line_timer_;
+  std::unique_ptr<boost::asio::steady_timer> reader_timer_;
+  std::shared_ptr<BudgetAccount> account_;
+  std::size_t sent_bytes_ = 0;  ///< in total
+  bool started_ = false;        ///< the first line has arrived
+  bool waiting_readable_ = false;
   std::string unsent_;
   bool waiting_writable_ = false;
   bool closed_ = false;
--- a/include/corianderdock/net/relay.h
+++ b/include/corianderdock/net/relay.h
@@ -4,10 +4,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
+#include "corianderdock/net/connection_budget.h"
+
 namespace corianderdock::net {
 
 /// Maximum length of the first line of a relayed connection.
@@ -30,9 +34,10 @@
   using IsAllowed = std::function<bool(std::string_view address)>;
 
   /// Binds `endpoint`; throws `boost::system::system_error` when it cannot be
-  /// bound.
+  /// bound. With a budget, relayed connections count in it.
   Relay(boost::asio::io_context& io,
-        const boost::asio::ip::tcp::endpoint& endpoint, IsAllowed is_allowed);
+        const boost::asio::ip::tcp::endpoint& endpoint, IsAllowed is_allowed,
+        std::shared_ptr<ConnectionBudget> budget = nullptr);
 
   /// The port to which the relay is bound.
   [[nodiscard]] unsigned short port() const {
@@ -42,8 +47,12 @@
  private:
   void Accept();
 
+  void RetryAccept();
+
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
   IsAllowed is_allowed_;
+  std::shared_ptr<ConnectionBudget> budget_;
 };
 
 }  // namespace corianderdock::net
--- a/src/adapters/relay.cc
+++ b/src/adapters/relay.cc
@@ -1,12 +1,13 @@
 #include "corianderdock/net/relay.h"
 
-#include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include "corianderdock/net/http_server.h"
 #include "corianderdock/net/tcp_options.h"
@@ -21,6 +22,12 @@
 
 constexpr std::string_view kRelayCommand = "RELAY ";
 constexpr std::size_t kBufferBytes = 16 << 10;
+/// The first line, and what the instance sent with it.
+constexpr std::size_t kMaxInitialBytes = kMaxRelayLineBytes + kBufferBytes;
+/// A relayed connection has one socket on either side.
+constexpr std::size_t kDescriptors = 2;
+/// Until a connection can be accepted again, as others close.
+constexpr Duration kAcceptRetryPause = std::chrono::milliseconds(50);
 /// From accepting a connection until its server is connected.
 constexpr Duration kSetupTimeout = std::chrono::milliseconds(1000);
 /// Time without a response after which either peer is considered lost.
@@ -30,21 +37,29 @@
 class RelayedConnection
     : public std::enable_shared_from_this<RelayedConnection> {
  public:
-  explicit RelayedConnection(tcp::socket client)
+  RelayedConnection(tcp::socket client, std::shared_ptr<BudgetAccount> account)
       : client_(std::move(client)),
         server_(client_.get_executor()),
-        setup_timer_(client_.get_executor()) {}
+        setup_timer_(client_.get_executor()),
+        account_(std::move(account)) {}
 
   void Start(const Relay::IsAllowed& is_allowed) {
+    if (account_) {
+      account_->budget().OnClose(
+          *account_,
+          [weak = weak_from_this(), executor = client_.get_executor()] {
+            asio::post(executor, [weak] {
+              if (const auto self = weak.lock()) self->Close();
+            });
+          });
+    }
     SetTcpOptions(client_, kPeerTimeout);
     setup_timer_.expires_after(kSetupTimeout);
     setup_timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) self->Close();
     });
     asio::async_read_until(
-        client_,
-        asio::dynamic_buffer(initial_bytes_, kMaxRelayLineBytes + kBufferBytes),
-        '\n',
+        client_, asio::dynamic_buffer(initial_bytes_, kMaxInitialBytes), '\n',
         [self = shared_from_this(), &is_allowed](error_code ec, std::size_t n) {
           if (ec) return self->Close();
           self->OnFirstLine(n, is_allowed);
@@ -76,6 +91,12 @@
 
   void OnConnected() {
     setup_timer_.cancel();
+    to_server_.resize(kBufferBytes);
+    to_client_.resize(kBufferBytes);
+    if (account_) {
+      account_->SetStarted(true);
+      account_->SetIdle(2 * kBufferBytes + initial_bytes_.size());
+    }
     SetTcpOptions(server_, kPeerTimeout);
     asio::async_write(server_, asio::buffer(initial_bytes_),
                       [self = shared_from_this()](error_code ec, std::size_t) {
@@ -86,8 +107,7 @@
     Forward(server_, client_, to_client_);
   }
 
-  void Forward(tcp::socket& from, tcp::socket& to,
-               std::array<char, kBufferBytes>& buf) {
+  void Forward(tcp::socket& from, tcp::socket& to, std::vector<char>& buf) {
     from.async_read_some(asio::buffer(buf), [self = shared_from_this(), &from,
                                              &to, &buf](error_code ec,
                                                         std::size_t n) {
@@ -105,14 +125,16 @@
     client_.close(ignored);
     server_.close(ignored);
     setup_timer_.cancel();
+    account_.reset();
   }
 
   tcp::socket client_;
   tcp::socket server_;
   asio::steady_timer setup_timer_;
-  std::string initial_bytes_;  ///< first line, and bytes read with it
-  std::array<char, kBufferBytes> to_server_{};
-  std::array<char, kBufferBytes> to_client_{};
+  std::string initial_bytes_;    ///< first line, and bytes read with it
+  std::vector<char> to_server_;  ///< empty until connected
+  std::vector<char> to_client_;
+  std::shared_ptr<BudgetAccount> account_;
 };
 
 }  // namespace
@@ -122,19 +144,36 @@
 }
 
 Relay::Relay(asio::io_context& io, const tcp::endpoint& endpoint,
-             IsAllowed is_allowed)
-    : acceptor_(io, endpoint), is_allowed_(std::move(is_allowed)) {
+             IsAllowed is_allowed, std::shared_ptr<ConnectionBudget> budget)
+    : acceptor_(io, endpoint),
+      retry_timer_(io),
+      is_allowed_(std::move(is_allowed)),
+      budget_(std::move(budget)) {
   Accept();
 }
 
 void Relay::Accept() {
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     if (ec == asio::error::operation_aborted) return;
-    if (!ec)
-      std::make_shared<RelayedConnection>(std::move(socket))
+    if (ec) return RetryAccept();
+    std::shared_ptr<BudgetAccount> account;
+    if (budget_) account = budget_->Open(PeerKind::kInstance, kDescriptors);
+    if (account || !budget_) {
+      std::make_shared<RelayedConnection>(std::move(socket), std::move(account))
           ->Start(is_allowed_);
+    }
     Accept();
   });
 }
 
+/// Most likely there is no free descriptor: accepts again when connections may
+/// have closed.
+void Relay::RetryAccept() {
+  if (budget_) budget_->Note(Limit::kDescriptorTable);
+  retry_timer_.expires_after(kAcceptRetryPause);
+  retry_timer_.async_wait([this](error_code ec) {
+    if (!ec) Accept();
+  });
+}
+
 }  // namespace corianderdock::net
