--- a/include/corianderdock/settings.h
+++ b/include/corianderdock/settings.h
@@ -2,6 +2,7 @@
 /// Settings of `corianderdockd`, read from JSON and validated as a whole.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,10 @@
   std::string database_user = "corianderdock";
   std::string database_name = "postgres";
   std::size_t max_body_bytes = 1 << 20;
+  /// Memory limit of the process in megabytes; 0: unknown.
+  std::uint64_t memory_megabytes = 0;
+  /// Descriptors that the process may open; 0: unknown.
+  std::uint64_t max_descriptors = 0;
   /// Limit on waiting for a complete request header on an open connection.
   Duration idle_timeout = std::chrono::seconds(60);
   /// Limit on receiving a request body, and on sending a response.
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -197,6 +197,8 @@
   if (object == nullptr) return;
   Section section(*object, "limits", errors);
   section.Number("largest_body", settings.max_body_bytes, 1024, 64 << 20);
+  section.Number("memory_megabytes", settings.memory_megabytes, 32, kMaxCount);
+  section.Number("descriptors", settings.max_descriptors, 64, kMaxCount);
   section.Number("largest_waiting", settings.options.largest_waiting, 1,
                  kMaxCount);
   section.Number("control_connections", settings.options.control_connections, 1,
