Read large answers of servers in turns, and count all unsent answers

One run in five of process_clients_test "[readers]" reached 73 MB of 64. Answers were read on up to 40 connections at a time, and nothing counted the rows received in part. Connections to servers now have accounts; answers of 64 KiB and more are read in turns once they use the reserved part and what others leave. An answer appended while a socket was not writable was neither counted nor limited until it was writable again; both is done at once now.

New test: 4,000 idle sessions with 391 MB.

--- a/fuzz/client_lines.cc
+++ b/fuzz/client_lines.cc
@@ -5,6 +5,7 @@
 
 #include "fuzz/check.h"
 #include "platform/wire.h"
+#include "platform/work_bytes.h"
 
 namespace corianderdock::fuzz {
 
@@ -12,6 +13,18 @@
 
 using platform::ClientMessage;
 
+/// All that a session occupies for one statement is released with its reply.
+void CheckWork(const ClientMessage& message, const std::string& line) {
+  platform::WorkBytes work;
+  for (int n = 0; n < 2; ++n) {
+    work.Begin(message.statement, line.size());
+    Check(work.bytes() >= work.kept_bytes(), "bytes of a statement");
+    work.End();
+    Check(work.bytes() == work.kept_bytes(), "bytes released");
+    Check(work.kept_bytes() <= line.size(), "bytes of one value");
+  }
+}
+
 void CheckLine(const std::string& line) {
   const ClientMessage message = platform::ParseClientMessage(line);
   switch (message.type) {
@@ -26,6 +39,7 @@
       break;
   }
   Check(!message.id.empty() && message.id != "-", "an id of a client");
+  CheckWork(message, line);
   if (message.statement.verb == session::Verb::kUnknown) return;
   session::ServerCommand command;
   command.id = message.id;
--- a/include/corianderdock/memory_budget.h
+++ b/include/corianderdock/memory_budget.h
@@ -67,6 +67,8 @@
     bool pause = false;  ///< don't read from this connection
     /// Connections to close; they no longer count.
     std::vector<AccountId> close;
+    /// Paused connections to servers that may be read again.
+    std::vector<AccountId> resume;
   };
 
   struct Usage {
@@ -92,11 +94,14 @@
   /// Sets the bytes held: `idle` ones are received in part or not sent yet,
   /// those in `work` belong to a statement that is being processed. If the
   /// budget is exceeded, connections with the most idle bytes are closed first;
-  /// among those of similar size, the one without a change for longest.
+  /// among those of similar size, the one without a change for longest. Servers
+  /// are never closed: the reserved part limits how many large answers are read
+  /// at a time, in the order in which they began.
   [[nodiscard]] Decision Set(AccountId id, std::size_t idle, std::size_t work);
 
-  /// Closes an account; does nothing if it is closed already.
-  void Close(AccountId id);
+  /// Closes an account; does nothing if it is closed already. Returns
+  /// connections to servers that may be read again.
+  std::vector<AccountId> Close(AccountId id);
 
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   [[nodiscard]] std::size_t bytes(PeerKind kind) const noexcept {
@@ -132,10 +137,16 @@
   [[nodiscard]] std::size_t BytesFor(PeerKind kind) const;
   [[nodiscard]] bool HasRoom(PeerKind kind, std::size_t descriptors) const;
   [[nodiscard]] std::optional<AccountId> Victim() const;
+  [[nodiscard]] std::size_t AnswerBytes() const;
+  [[nodiscard]] bool PausesServer(AccountId id, const Account& account);
+  [[nodiscard]] std::vector<AccountId> ResumeServers();
+  void Remove(AccountId id);
 
   BudgetLimits limits_;
   std::map<AccountId, Account> accounts_;
   std::set<AccountId> not_started_;
+  std::vector<AccountId> large_answers_;  ///< in the order of their beginning
+  std::set<AccountId> paused_servers_;
   std::array<Sum, kPeerKinds> kinds_;
   std::size_t bytes_ = 0;
   AccountId next_id_ = 1;
--- a/include/corianderdock/net/connection_budget.h
+++ b/include/corianderdock/net/connection_budget.h
@@ -54,6 +54,8 @@
   void SetStarted(bool started);
   /// Whether the connection is to be read no further for now.
   [[nodiscard]] bool paused() const;
+  /// Decides anew whether reading is to pause.
+  void Refresh();
   [[nodiscard]] std::uint64_t id() const noexcept { return id_; }
   /// Counts, and logs, that the connection met a limit.
   void Note(Limit limit);
@@ -85,6 +87,7 @@
   using Log = std::function<void(const std::string&)>;
   /// Closes a connection. Must not call the budget before it returns.
   using CloseConnection = std::function<void()>;
+  using ResumeReading = std::function<void()>;
 
   ConnectionBudget(const BudgetLimits& limits, Log log)
       : budget_(limits), log_(std::move(log)) {}
@@ -97,8 +100,10 @@
   [[nodiscard]] std::shared_ptr<BudgetAccount> Open(
       PeerKind kind, std::size_t descriptors = 1);
 
-  /// Sets how the connection of an account is closed.
-  void OnClose(const BudgetAccount& account, CloseConnection close);
+  /// Sets how the connection of an account is closed, and how it is read again
+  /// after a pause that others caused; that may be empty.
+  void OnClose(const BudgetAccount& account, CloseConnection close,
+               ResumeReading resume = {});
 
   /// Counts that a limit was met and logs it, unless it was logged recently.
   void Note(Limit limit);
@@ -125,9 +130,12 @@
   /// Calls the callbacks of closed accounts. \pre `mutex_` is not held.
   void CloseAll(const std::vector<std::uint64_t>& ids, Limit limit);
 
+  void ResumeAll(const std::vector<std::uint64_t>& ids);
+
   mutable std::mutex mutex_;
   MemoryBudget budget_;
   std::map<std::uint64_t, CloseConnection> close_;
+  std::map<std::uint64_t, ResumeReading> resume_;
   std::array<Noted, kLimits> noted_;
   Log log_;
 };
--- a/include/corianderdock/net/line_socket.h
+++ b/include/corianderdock/net/line_socket.h
@@ -83,6 +83,7 @@
              std::shared_ptr<BudgetAccount> account);
   void CloseOverBudget();
   void UpdateAccount();
+  void Resume();
   [[nodiscard]] bool MayRead() const;
   void KeepPart(std::string_view bytes);
   void StartReaderTimer();
@@ -91,6 +92,7 @@
   void ReadSome();
   bool Consume(std::string_view bytes);
   bool Refuse(const std::string& reason);
+  bool WriteSome();
   void WaitWritable();
   void StartLineTimer(Duration timeout, Limit limit, const std::string& reason);
   void Fail(const std::string& reason);
--- a/src/adapters/connection_budget.cc
+++ b/src/adapters/connection_budget.cc
@@ -44,6 +44,8 @@
   budget_->budget_.SetStarted(id_, started);
 }
 
+void BudgetAccount::Refresh() { paused_ = budget_->Set(id_, idle_, work_); }
+
 bool BudgetAccount::paused() const { return paused_; }
 
 void BudgetAccount::Note(Limit limit) { budget_->Note(limit); }
@@ -75,9 +77,10 @@
 }
 
 void ConnectionBudget::OnClose(const BudgetAccount& account,
-                               CloseConnection close) {
+                               CloseConnection close, ResumeReading resume) {
   const std::lock_guard lock(mutex_);
   close_[account.id()] = std::move(close);
+  if (resume) resume_[account.id()] = std::move(resume);
 }
 
 bool ConnectionBudget::Set(std::uint64_t id, std::size_t idle,
@@ -88,13 +91,31 @@
     decision = budget_.Set(id, idle, work);
   }
   if (!decision.close.empty()) CloseAll(decision.close, Limit::kMemory);
+  if (!decision.resume.empty()) ResumeAll(decision.resume);
   return decision.pause;
 }
 
 void ConnectionBudget::Close(std::uint64_t id) {
-  const std::lock_guard lock(mutex_);
-  budget_.Close(id);
-  close_.erase(id);
+  std::vector<std::uint64_t> resume;
+  {
+    const std::lock_guard lock(mutex_);
+    resume = budget_.Close(id);
+    close_.erase(id);
+    resume_.erase(id);
+  }
+  ResumeAll(resume);
+}
+
+void ConnectionBudget::ResumeAll(const std::vector<std::uint64_t>& ids) {
+  for (const std::uint64_t id : ids) {
+    ResumeReading resume;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto it = resume_.find(id);
+      if (it != resume_.end()) resume = it->second;
+    }
+    if (resume) resume();
+  }
 }
 
 void ConnectionBudget::CloseAll(const std::vector<std::uint64_t>& ids,
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -184,7 +184,11 @@
   }
 
   void Fail(beast::error_code ec) {
-    if (ec == beast::error::timeout) Note(Limit::kHttpTimeout);
+    // A connection that is idle between requests didn't meet a limit.
+    if (ec == beast::error::timeout &&
+        (buffer_.size() > 0 || parser_->got_some())) {
+      Note(Limit::kHttpTimeout);
+    }
     if (ec == http::error::body_limit || ec == http::error::header_limit ||
         ec == http::error::buffer_overflow) {
       Note(Limit::kHttpTooLarge);
--- a/src/adapters/line_socket.cc
+++ b/src/adapters/line_socket.cc
@@ -60,12 +60,18 @@
 /// since any connection may be the one that exceeds the budget.
 void LineSocket::CloseOverBudget() {
   account_->budget().OnClose(
-      *account_, [weak = weak_from_this(), executor = socket_.get_executor()] {
+      *account_,
+      [weak = weak_from_this(), executor = socket_.get_executor()] {
         asio::post(executor, [weak] {
           if (const auto self = weak.lock()) {
             self->Fail("memory budget exceeded");
           }
         });
+      },
+      [weak = weak_from_this(), executor = socket_.get_executor()] {
+        asio::post(executor, [weak] {
+          if (const auto self = weak.lock()) self->Resume();
+        });
       });
 }
 
@@ -76,6 +82,13 @@
   if (MayRead() && on_line_) WaitReadable();
 }
 
+/// Reads on after other connections made room.
+void LineSocket::Resume() {
+  if (!account_ || closed_) return;
+  account_->Refresh();
+  if (MayRead()) WaitReadable();
+}
+
 bool LineSocket::MayRead() const { return !account_ || !account_->paused(); }
 
 void LineSocket::SetWork(std::size_t bytes) {
@@ -94,7 +107,7 @@
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code ec) {
                        self->waiting_readable_ = false;
-                       if (self->closed_) return;
+                       if (self->closed_ || !self->MayRead()) return;
                        if (ec) return self->Fail(ec.message());
                        self->ReadSome();
                      });
@@ -212,29 +225,37 @@
 }
 
 void LineSocket::Flush() {
-  if (closed_ || unsent_.empty() || waiting_writable_) return;
-  error_code ec;
-  const std::size_t n = socket_.write_some(asio::buffer(unsent_), ec);
-  if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
-    // The next read fails too and reports the close, so callers learn of it in
-    // one place.
-    unsent_.clear();
-    return;
-  }
-  unsent_.erase(0, n);
-  sent_bytes_ += n;
+  if (closed_ || unsent_.empty()) return;
+  if (!waiting_writable_ && !WriteSome()) return;
   if (unsent_.empty()) {
     reader_timer_.reset();
     if (unsent_.capacity() > kKeptBufferBytes) unsent_ = std::string();
     return UpdateAccount();
   }
+  // Also while it waits, as further answers may have been appended.
   if (unsent_.size() > limits_.max_unsent_bytes) {
     Note(Limit::kSlowReader);
     return Fail("peer does not read");
   }
   UpdateAccount();
   StartReaderTimer();
-  WaitWritable();
+  if (!waiting_writable_) WaitWritable();
+}
+
+/// Sends what the socket accepts. Returns false if the connection has failed.
+bool LineSocket::WriteSome() {
+  error_code ec;
+  const std::size_t n = socket_.write_some(asio::buffer(unsent_), ec);
+  if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
+    // The next read fails too and reports the close, so callers learn of it in
+    // one place.
+    unsent_ = std::string();
+    UpdateAccount();
+    return false;
+  }
+  unsent_.erase(0, n);
+  sent_bytes_ += n;
+  return true;
 }
 
 void LineSocket::WaitWritable() {
--- a/src/runtime/memory_budget.cc
+++ b/src/runtime/memory_budget.cc
@@ -16,8 +16,9 @@
 constexpr std::size_t kBudgetDivisor = 2;
 constexpr std::size_t kReservedDivisor = 4;
 constexpr std::size_t kConnectionDivisor = 16;
-/// A statement of the largest size, its parsed copy, and the command.
-constexpr std::size_t kMinConnectionBytes = std::size_t{4} << 20;
+/// A statement of the largest size with its copies, or a message of 4 MiB
+/// between instances.
+constexpr std::size_t kMinConnectionBytes = std::size_t{6} << 20;
 constexpr std::size_t kMaxConnectionBytes = std::size_t{16} << 20;
 /// Memory of an idle session, with some to spare, and the share of the limit
 /// that idle sessions may use.
@@ -27,6 +28,10 @@
 constexpr std::size_t kMaxReservedDescriptors = 96;
 /// Listening sockets, the store's connections, log and event descriptors.
 constexpr std::size_t kFixedDescriptors = 32;
+/// Smaller answers of servers are read at once.
+constexpr std::size_t kLargeAnswerBytes = std::size_t{64} << 10;
+/// The longest row while it is received and copied.
+constexpr std::size_t kAnswerRoomBytes = std::size_t{2} << 20;
 /// Used when the system sets no limit.
 constexpr std::uint64_t kUnlimitedDescriptors = 1 << 20;
 /// HTTP connections are few where only probes use them.
@@ -97,7 +102,7 @@
   if (kind != PeerKind::kServer && !HasRoom(kind, descriptors)) {
     if (not_started_.empty()) return out;
     out.close = *not_started_.begin();
-    Close(*out.close);
+    Remove(*out.close);
     if (!HasRoom(kind, descriptors)) return out;
   }
   const AccountId id = next_id_++;
@@ -130,9 +135,12 @@
   account.idle = idle;
   account.work = work;
   account.changed = ++serial_;
-  out.pause = account.bytes() > limits_.connection_bytes;
+  out.pause = account.kind == PeerKind::kServer
+                  ? PausesServer(id, account)
+                  : account.bytes() > limits_.connection_bytes;
+  if (account.kind == PeerKind::kServer) out.resume = ResumeServers();
   while (const auto victim = Victim()) {
-    Close(*victim);
+    Remove(*victim);
     out.close.push_back(*victim);
   }
   return out;
@@ -173,7 +181,58 @@
   return out;
 }
 
-void MemoryBudget::Close(AccountId id) {
+/// Room for answers of servers: the reserved part, and what others don't use.
+std::size_t MemoryBudget::AnswerBytes() const {
+  const std::size_t others = bytes_ - bytes(PeerKind::kServer);
+  const std::size_t rest =
+      limits_.total_bytes - std::min(limits_.total_bytes, others);
+  return std::max(limits_.reserved_bytes, rest);
+}
+
+/// Whether an answer has to wait until others are complete. The oldest one is
+/// always read, so that there is progress.
+bool MemoryBudget::PausesServer(AccountId id, const Account& account) {
+  const auto at = std::find(large_answers_.begin(), large_answers_.end(), id);
+  if (account.bytes() < kLargeAnswerBytes) {
+    if (at != large_answers_.end()) large_answers_.erase(at);
+    paused_servers_.erase(id);
+    return false;
+  }
+  if (at == large_answers_.end()) large_answers_.push_back(id);
+  const bool pause =
+      large_answers_.front() != id &&
+      bytes(PeerKind::kServer) + kAnswerRoomBytes > AnswerBytes();
+  if (pause) {
+    paused_servers_.insert(id);
+  } else {
+    paused_servers_.erase(id);
+  }
+  return pause;
+}
+
+/// Returns the paused answers that fit, oldest first.
+std::vector<MemoryBudget::AccountId> MemoryBudget::ResumeServers() {
+  std::vector<AccountId> out;
+  std::size_t used = bytes(PeerKind::kServer);
+  for (const AccountId id : large_answers_) {
+    if (!paused_servers_.contains(id)) continue;
+    used += kAnswerRoomBytes;
+    if (id != large_answers_.front() && used > AnswerBytes()) break;
+    out.push_back(id);
+  }
+  for (const AccountId id : out) paused_servers_.erase(id);
+  return out;
+}
+
+std::vector<MemoryBudget::AccountId> MemoryBudget::Close(AccountId id) {
+  const auto it = accounts_.find(id);
+  if (it == accounts_.end()) return {};
+  const bool server = it->second.kind == PeerKind::kServer;
+  Remove(id);
+  return server ? ResumeServers() : std::vector<AccountId>();
+}
+
+void MemoryBudget::Remove(AccountId id) {
   const auto it = accounts_.find(id);
   if (it == accounts_.end()) return;
   Sum& sum = SumOf(it->second.kind);
@@ -182,6 +241,8 @@
   sum.descriptors -= it->second.descriptors;
   bytes_ -= it->second.bytes();
   not_started_.erase(id);
+  std::erase(large_answers_, id);
+  paused_servers_.erase(id);
   accounts_.erase(it);
 }
 
--- a/tests/memory_budget_test.cc
+++ b/tests/memory_budget_test.cc
@@ -61,6 +61,25 @@
   CHECK(budget.Set(id, 4 * kMegabyte, 1).pause);
 }
 
+// Guards against as many large answers at a time as there are connections.
+TEST_CASE("large answers of servers are read in turns") {
+  MemoryBudget budget(SmallLimits());
+  const auto client = *budget.Open(PeerKind::kClient, 1).id;
+  CHECK(budget.Set(client, 5 * kMegabyte + kMegabyte / 2, 0).close.empty());
+  const auto first = *budget.Open(PeerKind::kServer, 1).id;
+  const auto second = *budget.Open(PeerKind::kServer, 1).id;
+  CHECK_FALSE(budget.Set(first, kMegabyte, 0).pause);
+  CHECK_FALSE(budget.Set(second, 1000, 0).pause);
+  CHECK(budget.Set(second, 100'000, 0).pause);
+  CHECK_FALSE(budget.Set(first, kMegabyte, kMegabyte).pause);
+  const std::vector<MemoryBudget::AccountId> resumed{second};
+  CHECK(budget.Set(first, 0, 0).resume == resumed);
+  CHECK_FALSE(budget.Set(second, 2 * kMegabyte, 0).pause);
+  CHECK(budget.Set(first, kMegabyte / 4, 0).pause);
+  const std::vector<MemoryBudget::AccountId> next{first};
+  CHECK(budget.Close(second) == next);
+}
+
 // Guards against silent connections that keep all others out.
 TEST_CASE("a connection without a message makes way for a new one") {
   MemoryBudget budget(SmallLimits());
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -337,4 +337,27 @@
   CHECK(settings.error().size() == 8);
 }
 
+// Guards against limits under which no client could be served.
+TEST_CASE("settings of limits are checked") {
+  const std::string required =
+      R"({"instance":"a","zone":"z","client_address":"c","ready_address":"r",)"
+      R"("relay_address":"l","store_address":"s","cloud_address":"o",)"
+      R"("grace_seconds":4,"drain_milliseconds":7000,"memory_megabytes":160,)"
+      R"("max_descriptors":1024)";
+  const auto settings = platform::ParseSettings(required + "}");
+  REQUIRE(settings);
+  CHECK(platform::BudgetOf(*settings).total_bytes == 80 << 20);
+  CHECK(platform::BudgetOf(*settings).max_descriptors == 1024);
+  for (const std::string wrong :
+       {R"("budget_megabytes":161)", R"("budget_megabytes":1)",
+        R"("budget_megabytes":1e300)", R"("connection_megabytes":1)",
+        R"("start_timeout_milliseconds":-1)", R"("max_connections":1e20)",
+        R"("reader_timeout_milliseconds":"1")"}) {
+    CAPTURE(wrong);
+    const auto rejected = platform::ParseSettings(required + "," + wrong + "}");
+    REQUIRE_FALSE(rejected);
+    CHECK(rejected.error().size() == 1);
+  }
+}
+
 }  // namespace corianderdock::test
--- a/tests/process_clients_test.cc
+++ b/tests/process_clients_test.cc
@@ -319,6 +319,24 @@
   fixture.CheckHeld(watch);
 }
 
+// Guards against limits that clients meet which do nothing wrong.
+TEST_CASE("4,000 idle sessions with 391 MB of memory", "[calm]") {
+  constexpr std::size_t kSessions = 4000;
+  Fixture fixture({.memory_megabytes = 391, .descriptors = 4500});
+  ProcessWatch watch(fixture.process());
+  Crowd crowd(fixture.client_port, kSessions, watch);
+  crowd.Send(kStart, kWhole, Ms(0));
+  const auto until = Clock::now() + kServedLimit;
+  while (crowd.CountAnswered("READY I") < kSessions && Clock::now() < until) {
+    crowd.Wait(Ms(100));
+  }
+  CHECK(crowd.CountAnswered("READY I") == kSessions);
+  // Longer than the time limits of the settings.
+  crowd.Wait(Ms(3000));
+  CHECK(crowd.CountAnswered("READY I") == kSessions);
+  fixture.CheckHeld(watch);
+}
+
 TEST_CASE("a statement of 1 MiB with 160 MB of memory", "[longest]") {
   Fixture fixture({.memory_megabytes = 160});
   ProcessWatch watch(fixture.process());
--- a/tests/support/crowd.cc
+++ b/tests/support/crowd.cc
@@ -126,6 +126,18 @@
   watch_.Sample();
 }
 
+std::size_t Crowd::CountAnswered(std::string_view text) const {
+  std::size_t count = 0;
+  std::string buf(text.size(), '\0');
+  for (const int it : sockets_) {
+    if (it < 0) continue;
+    const ssize_t n =
+        ::recv(it, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (n == static_cast<ssize_t>(text.size()) && buf == text) ++count;
+  }
+  return count;
+}
+
 void Crowd::Wait(std::chrono::milliseconds time) {
   const auto until = Clock::now() + time;
   while (Clock::now() < until) {
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -50,6 +50,9 @@
   void Send(std::string_view bytes, std::size_t piece,
             std::chrono::milliseconds pause);
 
+  /// Returns how many connections are open and were answered with `text` first.
+  [[nodiscard]] std::size_t CountAnswered(std::string_view text) const;
+
   /// Waits, and samples the process meanwhile.
   void Wait(std::chrono::milliseconds time);
 
