Limit what corianderdockd holds for its connections

Its client and peer ports count in one budget (memory_budget.h), with settings under limits.*; /metrics and /state show it.

--- a/apps/corianderdockd.cc
+++ b/apps/corianderdockd.cc
@@ -6,6 +6,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <malloc.h>
 
 #include <fstream>
 #include <iostream>
@@ -34,6 +35,18 @@
       log4cplus::getLogLevelManager().fromString(settings.log_level));
 }
 
+/// Makes the memory of large buffers, which misbehaving clients can fill, go
+/// back to the system when they are freed. By default the threshold rises with
+/// the largest buffer freed, and each thread has a heap that stays fragmented.
+void InitMemory() {
+  constexpr int kMmapThresholdBytes = 64 << 10;
+  constexpr int kTrimThresholdBytes = 1 << 20;
+  constexpr int kHeaps = 2;
+  (void)::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  (void)::mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+  (void)::mallopt(M_ARENA_MAX, kHeaps);
+}
+
 int Run(const std::string& path, bool check_only) {
   std::ifstream in(path);
   if (!in) {
@@ -53,6 +66,7 @@
     std::cout << path << ": ok\n";
     return kExitOk;
   }
+  InitMemory();
   log4cplus::Initializer initializer;
   InitLogging(*settings);
   corianderdock::Node node(*settings);
--- a/include/corianderdock/detail/node_impl.h
+++ b/include/corianderdock/detail/node_impl.h
@@ -17,6 +17,7 @@
 
 #include "corianderdock/metrics.h"
 #include "corianderdock/net/backend_client.h"
+#include "corianderdock/net/connection_budget.h"
 #include "corianderdock/net/http_client.h"
 #include "corianderdock/net/http_server.h"
 #include "corianderdock/net/json_rpc.h"
@@ -118,6 +119,7 @@
   asio::steady_timer exit_timer_{control_io_};
   asio::signal_set signals_{control_io_, SIGTERM, SIGINT};
   std::vector<std::unique_ptr<TrafficThread>> traffic_threads_;
+  std::shared_ptr<net::ConnectionBudget> budget_;
   std::unique_ptr<net::PlatformClient> platform_;
   std::unique_ptr<net::HttpServer> client_listener_;
   std::unique_ptr<net::HttpServer> peer_listener_;
--- a/include/corianderdock/settings.h
+++ b/include/corianderdock/settings.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "corianderdock/memory_budget.h"
 #include "corianderdock/options.h"
 #include "corianderdock/result.h"
 
@@ -28,6 +29,15 @@
   std::uint64_t memory_megabytes = 0;
   /// Descriptors that the process may open; 0: unknown.
   std::uint64_t max_descriptors = 0;
+  /// Limits of the bytes held for others; 0: derived from the memory limit.
+  std::uint64_t budget_megabytes = 0;
+  std::uint64_t reserved_megabytes = 0;
+  std::uint64_t connection_megabytes = 0;
+  /// Descriptors kept from accepted connections; 0: derived.
+  std::uint64_t reserved_descriptors = 0;
+  /// Accepted connections; 0: derived from the memory limit.
+  std::uint64_t max_connections = 0;
+  std::size_t max_header_bytes = 8 << 10;
   /// Limit on waiting for a complete request header on an open connection.
   Duration idle_timeout = std::chrono::seconds(60);
   /// Limit on receiving a request body, and on sending a response.
@@ -35,6 +45,10 @@
   Options options;
 };
 
+/// Limits of the process. Unknown ones are 512 MB of memory, and the number of
+/// descriptors that the system allows this process.
+[[nodiscard]] BudgetLimits BudgetOf(const Settings& settings);
+
 /// Parses settings; returns every error with the path of the setting.
 [[nodiscard]] Result<Settings, std::vector<Error>> ParseSettings(
     std::string_view text);
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -85,7 +85,11 @@
   }
   platform_ = std::make_unique<net::PlatformClient>(
       traffic_threads_.front()->io, settings_.platform);
+  budget_ = std::make_shared<net::ConnectionBudget>(
+      BudgetOf(settings_),
+      [this](const std::string& text) { LOG4CPLUS_WARN(logger_, text); });
   net::HttpLimits limits;
+  limits.max_header_bytes = settings_.max_header_bytes;
   limits.max_body_bytes = settings_.max_body_bytes;
   limits.idle_timeout = settings_.idle_timeout;
   limits.body_timeout = settings_.body_timeout;
@@ -94,14 +98,17 @@
       [this](const HttpRequest& request, HttpRespond respond,
              std::function<void()>& on_disconnect) {
         OnClientHttp(request, std::move(respond), on_disconnect);
-      });
+      },
+      budget_);
   limits.max_body_bytes = kMaxPeerBodyBytes;
+  limits.kind = PeerKind::kInstance;
   peer_listener_ = std::make_unique<net::HttpServer>(
       contexts, net::ParseEndpoint(settings_.peer_listen), limits,
       [this](const HttpRequest& request, HttpRespond respond,
              std::function<void()>&) {
         OnPeerHttp(request, std::move(respond));
-      });
+      },
+      budget_);
 }
 
 void Node::Impl::Run() {
@@ -176,7 +183,10 @@
   gauges["ready"] = reducer_->Ready() ? 1 : 0;
   gauges["control_thread_seconds"] = ControlThreadCpuSeconds();
   gauges["control_bytes"] = static_cast<double>(control_bytes_.load());
-  return metrics_.Render(reducer_->counters(), gauges);
+  gauges.merge(budget_->Gauges());
+  auto counters = reducer_->counters();
+  counters.merge(budget_->Counters());
+  return metrics_.Render(counters, gauges);
 }
 
 HttpResponse Node::Impl::Health() const {
--- a/src/runtime/node_http.cc
+++ b/src/runtime/node_http.cc
@@ -36,8 +36,12 @@
                                           RenderMetrics()));
     }
     if (target == "/state") {
+      // Adds a member to the object.
+      std::string state = DumpState(*reducer_);
+      state.erase(state.rfind('}'));
+      state += ",\"budget\":" + budget_->DumpState() + "}";
       return respond(
-          detail::TextResponse(200, "application/json", DumpState(*reducer_)));
+          detail::TextResponse(200, "application/json", std::move(state)));
     }
     respond(detail::TextResponse(404, "text/plain", "not found\n"));
   });
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -13,6 +13,8 @@
 
 constexpr std::uint64_t kMaxTimeMs = 86'400'000;
 constexpr std::uint64_t kMaxCount = 1'000'000;
+/// Used when the memory of the machine is unknown.
+constexpr std::uint64_t kUnknownMemoryMegabytes = 512;
 constexpr std::array<std::string_view, 6> kLogLevels = {
     "TRACE", "DEBUG", "INFO", "WARN", "ERROR", "FATAL"};
 
@@ -199,6 +201,15 @@
   section.Number("largest_body", settings.max_body_bytes, 1024, 64 << 20);
   section.Number("memory_megabytes", settings.memory_megabytes, 32, kMaxCount);
   section.Number("descriptors", settings.max_descriptors, 64, kMaxCount);
+  section.Number("budget_megabytes", settings.budget_megabytes, 8, kMaxCount);
+  section.Number("reserved_megabytes", settings.reserved_megabytes, 1,
+                 kMaxCount);
+  section.Number("connection_megabytes", settings.connection_megabytes, 4,
+                 kMaxCount);
+  section.Number("reserved_descriptors", settings.reserved_descriptors, 1,
+                 kMaxCount);
+  section.Number("connections", settings.max_connections, 1, kMaxCount);
+  section.Number("largest_header", settings.max_header_bytes, 1024, 64 << 10);
   section.Number("largest_waiting", settings.options.largest_waiting, 1,
                  kMaxCount);
   section.Number("control_connections", settings.options.control_connections, 1,
@@ -234,6 +245,33 @@
 
 }  // namespace
 
+BudgetLimits BudgetOf(const Settings& settings) {
+  BudgetLimits out = DeriveLimits(
+      (settings.memory_megabytes != 0 ? settings.memory_megabytes
+                                      : kUnknownMemoryMegabytes)
+          << 20,
+      settings.max_descriptors != 0
+          ? std::min(settings.max_descriptors, AllowedDescriptors())
+          : AllowedDescriptors());
+  if (settings.budget_megabytes != 0) {
+    out.total_bytes = settings.budget_megabytes << 20;
+  }
+  if (settings.reserved_megabytes != 0) {
+    out.reserved_bytes = settings.reserved_megabytes << 20;
+  }
+  out.reserved_bytes = std::min(out.reserved_bytes, out.total_bytes / 2);
+  if (settings.connection_megabytes != 0) {
+    out.connection_bytes = settings.connection_megabytes << 20;
+  }
+  if (settings.reserved_descriptors != 0) {
+    out.reserved_descriptors = settings.reserved_descriptors;
+  }
+  if (settings.max_connections != 0) {
+    out.max_connections = settings.max_connections;
+  }
+  return out;
+}
+
 Result<Settings, std::vector<Error>> ParseSettings(std::string_view text) {
   std::vector<Error> errors;
   const auto json = ParseJson(text);
