--- a/src/session/quota_members.cc
+++ b/src/session/quota_members.cc
@@ -126,6 +126,7 @@
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<InstanceId> ordered;
+  ordered.reserve(ranks.size());
   for (auto& [rank, id] : ranks) ordered.push_back(std::move(id));
   return ordered;
 }
