--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -36,9 +36,6 @@
 
 namespace corianderdock::session {
 
-/// Sets what the tests of this branch can't feed as events.
-struct ProxyTestSeam;
-
 /// Multiplexes client sessions over pooled server connections.
 ///
 /// A session occupies a server connection while a statement runs, or from the
@@ -83,8 +80,6 @@
   [[nodiscard]] std::string DumpState() const;
 
  private:
-  friend struct ProxyTestSeam;
-
   enum class TimerKind {
     kStatementDeadline,
     kAttemptTimeout,
--- a/tests/session_quota_test.cc
+++ b/tests/session_quota_test.cc
@@ -1,20 +1,9 @@
 /// Quotas of tenants at the session proxy.
 #include <catch2/catch.hpp>
 
+#include "corianderdock/session/client_keys.h"
 #include "support/proxy_driver.h"
 
-namespace corianderdock::session {
-
-/// Sessions get their tenants from keys, which this test doesn't have.
-struct ProxyTestSeam {
-  static void SetTenant(Proxy& proxy, SessionId session,
-                        const TenantId& tenant) {
-    proxy.sessions_.at(session).tenant = tenant;
-  }
-};
-
-}  // namespace corianderdock::session
-
 namespace corianderdock::test {
 
 namespace {
@@ -32,7 +21,9 @@
       const session::InstanceList& instances = {{"self", {"zone", ""}}})
       : ProxyDriver(WithQuota(enabled)) {
     auto directory = std::make_shared<session::TenantDirectory>();
-    directory->tenants["shop"] = {"shop", 0, 10, 5};
+    const session::Tenant& tenant = directory->tenants["shop"] = {"shop", 0, 10,
+                                                                  5};
+    directory->holders[session::DigestOf("key")] = &tenant;
     auto config = std::make_shared<session::RoutingConfig>();
     config->version = 2;
     config->transaction_idle_timeout = std::chrono::seconds(3);
@@ -43,8 +34,7 @@
     Feed(session::ConfigRead{config});
     Feed(session::InstancesRead{instances});
     RunServers(std::chrono::seconds(2));
-    Feed(session::SessionOpened{1, "claims"});
-    session::ProxyTestSeam::SetTenant(proxy, 1, "shop");
+    Feed(session::SessionOpened{1, "claims", session::DigestOf("key")});
     answers.clear();
   }
 
--- a/tests/session_tenants_test.cc
+++ b/tests/session_tenants_test.cc
@@ -91,7 +91,13 @@
 
 /// The only instance that shares connections.
 struct OwnerFixture {
-  OwnerFixture() {
+  /// Adaptive routing would begin with one command at a time.
+  static session::ProxyOptions FixedLimits() {
+    session::ProxyOptions options;
+    options.adaptive_routing = false;
+    return options;
+  }
+  OwnerFixture() : driver(FixedLimits()) {
     FeedTenants(driver, 2, kKeys);
     driver.Feed(session::InstancesRead{Fleet(0)});
     driver.AdvanceTime(session::ProxyOptions().stale_connection_time);
