--- a/src/session/connection_owners.cc
+++ b/src/session/connection_owners.cc
@@ -58,10 +58,9 @@
   std::vector<Candidate> candidates;
   for (const auto& [id, entry] : instances) {
     if (entry.share_address.empty()) continue;
-    candidates.emplace_back(entry.zone != server.zone,
-                            -detail::WeightedRank(id, server.id,
-                                                  entry.processor_share),
-                            id);
+    candidates.emplace_back(
+        entry.zone != server.zone,
+        -detail::WeightedRank(id, server.id, entry.processor_share), id);
   }
   if (candidates.empty()) {
     return PlanConnections(server, max_connections, reserved, instances);
--- a/tests/config_freshness_test.cc
+++ b/tests/config_freshness_test.cc
@@ -24,7 +24,10 @@
     config->version = 2;
     config->transaction_idle_timeout = std::chrono::seconds(10);
     config->services["books"] = {16, 1};
-    config->tenants = std::make_shared<session::TenantDirectory>();
+    auto directory = std::make_shared<session::TenantDirectory>();
+    const session::Tenant& tenant = directory->tenants["shop"] = {"shop"};
+    directory->holders[session::KeyDigest{}] = &tenant;
+    config->tenants = directory;
     ProxyDriver::AddRoute(*config, "claims", Freshness::kPrimary);
     if (public_route) {
       ProxyDriver::AddRoute(*config, "open", Freshness::kPrimary);
--- a/tests/session_quota_test.cc
+++ b/tests/session_quota_test.cc
@@ -21,8 +21,8 @@
       const session::InstanceList& instances = {{"self", {"zone", ""}}})
       : ProxyDriver(WithQuota(enabled)) {
     auto directory = std::make_shared<session::TenantDirectory>();
-    const session::Tenant& tenant = directory->tenants["shop"] = {"shop", 0, 10,
-                                                                  5};
+    const session::Tenant& tenant =
+        directory->tenants["shop"] = {"shop", 0, 10, 5};
     directory->holders[session::DigestOf("key")] = &tenant;
     auto config = std::make_shared<session::RoutingConfig>();
     config->version = 2;
@@ -54,7 +54,10 @@
     statement.text = "x";
     Feed(session::StatementReceived{1, "s" + std::to_string(++serial),
                                     statement});
-    for (int n = 0; n < 5; ++n) AnswerAll({});
+    for (int n = 0; n < 5; ++n) {
+      CompleteConnects();
+      AnswerAll({});
+    }
   }
 
   [[nodiscard]] std::uint64_t CountOf(const char* name) const {
