--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -171,21 +171,21 @@
     /// To which the connection belongs; of a shared one, as last set at the
     /// owner. Empty: none.
     TenantId tenant;
-    bool path_probe = false;  ///< tests a path other than the pool's
     ConnectionState state;
     std::deque<ExpectedReply> expected;
     ReplyHistory replies;
-    bool in_transaction = false;  ///< once all commands sent have run
     /// Log position with the last error; equal errors at it may be repeats.
     std::optional<Position> refused_at;
-    bool setup_in_doubt = false;  ///< its last setup may have failed
     /// Commands without result since the last new receipt whose own replies may
     /// not have come, as those that were taken for them may be repeats.
     std::size_t unsettled = 0;
     std::optional<DoubtedCommand> doubted;
-    bool retired = false;         ///< closed once it has no outstanding command
     SessionId bound_session = 0;  ///< 0 while unbound
     PeerId bound_peer = 0;        ///< 0 while unbound
+    bool path_probe = false;      ///< tests a path other than the pool's
+    bool in_transaction = false;  ///< once all commands sent have run
+    bool setup_in_doubt = false;  ///< its last setup may have failed
+    bool retired = false;         ///< closed once it has no outstanding command
     bool shared = false;          ///< `relay` shares its own connections
     bool used = false;            ///< it has run a statement
     bool open = false;
@@ -790,12 +790,9 @@
   detail::TimerHeap<Timer> timers_;
   Effects effects_;
   std::shared_ptr<const RoutingConfig> config_;
-  /// A configuration had tenants, so that connections may belong to some.
-  bool tenants_seen_ = false;
   ConfigFreshness config_freshness_;
   std::unordered_map<SessionId, Session> sessions_;
   std::optional<QuotaGate> quota_;  ///< absent without limits of tenants
-  bool self_listed_ = false;        ///< in the list last read
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<PeerId, Peer> peers_;
   std::map<ServerId, ServerPool> pools_;
@@ -811,10 +808,13 @@
   int warnings_ = 0;
   std::uint64_t log_dropped_ = 0;
   InstanceList instances_;
-  bool adaptive_ = false;             ///< adaptive routing is on
   std::uint64_t fallback_token_ = 0;  ///< fencing token; 0 when there is none
   TimePoint servers_read_at_;
   TimePoint started_at_;  ///< first event
+  /// A configuration had tenants, so that connections may belong to some.
+  bool tenants_seen_ = false;
+  bool self_listed_ = false;  ///< in the list of instances last read
+  bool adaptive_ = false;     ///< adaptive routing is on
   bool servers_known_ = false;
   bool server_list_complete_ = false;
   bool members_known_ = false;  ///< the records were read once
