--- a/src/session/proxy_pace.cc
+++ b/src/session/proxy_pace.cc
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-/// A server that starts, recovers or is promoted is taken in anew.
+/// Ramps up a server that starts, recovers or is promoted from the lowest limit.
 void Proxy::RestartPace(ServerPool& pool) {
   pool.pace.Restart(now_, pool.entry.slots, pool.entry.cold_left > Duration(0));
 }
@@ -77,8 +77,8 @@
 }
 
 /// Longest wait of another instance's command for a connection. A server that
-/// is taken in runs few at once; what would wait there for long is better off
-/// at another one.
+/// is ramping up runs few at once, so that what would wait there for long is
+/// better sent to another one.
 Duration Proxy::PeerWait(const ServerPool& pool) const {
   if (!adaptive_) return options_.peer_wait;
   const double part = pool.pace.Limit() / std::max(1, pool.entry.slots);
@@ -87,7 +87,7 @@
 }
 
 /// Shows the limit of a server that this instance connects to, and logs when it
-/// is taken in anew and when it is used fully.
+/// starts to ramp up and when it is used fully.
 void Proxy::ReportLimit(ServerPool& pool) {
   if (!adaptive_ || pool.shared) return;
   const int limit = static_cast<int>(pool.pace.Limit());
--- a/tests/process_clients_test.cc
+++ b/tests/process_clients_test.cc
@@ -199,8 +199,8 @@
 TEST_CASE("parts of legal lines", "[lines]") {
   Fixture fixture({});
   ProcessWatch watch(fixture.process());
-  Crowd strangers(fixture.client_port, 100, watch);
-  strangers.Send(PartOfLine(), kWhole, Ms(0));
+  Crowd crowd(fixture.client_port, 100, watch);
+  crowd.Send(PartOfLine(), kWhole, Ms(0));
   Crowd sessions(fixture.client_port, 100, watch);
   sessions.Send(kStart + PartOfLine(), kWhole, Ms(0));
   sessions.Wait(Ms(500));
