--- a/src/session/proxy_pace.cc
+++ b/src/session/proxy_pace.cc
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-/// Ramps up a server that starts, recovers or is promoted from the lowest limit.
+/// Ramps up a server that starts, recovers or is promoted from the lowest
+/// limit.
 void Proxy::RestartPace(ServerPool& pool) {
   pool.pace.Restart(now_, pool.entry.slots, pool.entry.cold_left > Duration(0));
 }
