--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -30,10 +30,10 @@
 struct ReceivedBody {
   using value_type = std::string;
 
-  class reader {
+  class Reader {
    public:
     template <bool IsRequest, class Fields>
-    reader(http::header<IsRequest, Fields>&, value_type& body) : body_(body) {}
+    Reader(http::header<IsRequest, Fields>&, value_type& body) : body_(body) {}
     void init(const boost::optional<std::uint64_t>&, beast::error_code& ec) {
       ec = {};
     }
@@ -52,6 +52,7 @@
    private:
     value_type& body_;
   };
+  using reader = Reader;  // the name that Beast's concept requires
 };
 
 /// One keep-alive connection; confined to its context's thread.
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -252,7 +252,7 @@
     connection.retired = true;
     if (ended_early) return CloseInDoubt(id, doubted.refusal);
   }
-  Reply own = refused ? std::move(doubted.refusal) : reply;
+  Reply own = refused ? doubted.refusal : reply;
   if (expected.step == Step::kPeer) {
     // The other instance sends a ROLLBACK, which releases the connection.
     const bool open = refused && own.state == TransactionState::kOpen;
--- a/src/session/quota_messages.cc
+++ b/src/session/quota_messages.cc
@@ -23,35 +23,35 @@
 
 Json::Value ToJson(const QuotaRequest& request) {
   Json::Value root;
-  root["ask"] = Json::UInt64(request.number);
-  root["boot"] = Json::UInt64(request.boot);
-  root["ticket"] = Json::UInt64(request.ticket);
+  root["ask"] = static_cast<Json::UInt64>(request.number);
+  root["boot"] = static_cast<Json::UInt64>(request.boot);
+  root["ticket"] = static_cast<Json::UInt64>(request.ticket);
   root["urgent"] = request.urgent;
-  root["list"] = Json::UInt64(request.list_digest);
-  root["members"] = Json::UInt64(request.members);
+  root["list"] = static_cast<Json::UInt64>(request.list_digest);
+  root["members"] = static_cast<Json::UInt64>(request.members);
   root["items"] = Json::Value(Json::arrayValue);
   for (const QuotaRequestItem& it : request.items) {
     Json::Value& item = root["items"].append(Json::arrayValue);
     item.append(it.tenant);
-    item.append(Json::Int64(it.give));
-    item.append(Json::Int64(it.need));
+    item.append(static_cast<Json::Int64>(it.give));
+    item.append(static_cast<Json::Int64>(it.need));
   }
   return root;
 }
 
 Json::Value ToJson(const QuotaAnswer& answer) {
   Json::Value root;
-  root["answer"] = Json::UInt64(answer.number);
-  root["boot"] = Json::UInt64(answer.boot);
-  root["ticket"] = Json::UInt64(answer.ticket);
-  root["list"] = Json::UInt64(answer.agreed_digest);
-  root["members"] = Json::UInt64(answer.agreed_members);
+  root["answer"] = static_cast<Json::UInt64>(answer.number);
+  root["boot"] = static_cast<Json::UInt64>(answer.boot);
+  root["ticket"] = static_cast<Json::UInt64>(answer.ticket);
+  root["list"] = static_cast<Json::UInt64>(answer.agreed_digest);
+  root["members"] = static_cast<Json::UInt64>(answer.agreed_members);
   root["items"] = Json::Value(Json::arrayValue);
   for (const QuotaAnswerItem& it : answer.items) {
     Json::Value& item = root["items"].append(Json::arrayValue);
     item.append(it.tenant);
-    item.append(Json::Int64(it.taken));
-    item.append(Json::Int64(it.granted));
+    item.append(static_cast<Json::Int64>(it.taken));
+    item.append(static_cast<Json::Int64>(it.granted));
   }
   root["wanted"] = Json::Value(Json::arrayValue);
   for (const TenantId& it : answer.wanted) root["wanted"].append(it);
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -364,7 +364,8 @@
         R"("start_timeout_milliseconds":-1)", R"("max_connections":1e20)",
         R"("reader_timeout_milliseconds":"1")"}) {
     CAPTURE(wrong);
-    const auto rejected = platform::ParseSettings(required + "," + wrong + "}");
+    const auto rejected = platform::ParseSettings(
+        std::string(required).append(",").append(wrong).append("}"));
     REQUIRE_FALSE(rejected);
     CHECK(rejected.error().size() == 1);
   }
--- a/tests/process_http_clients_test.cc
+++ b/tests/process_http_clients_test.cc
@@ -114,8 +114,9 @@
         std::string(10'000, 'x') + R"('"}})";
     std::string ahead;
     for (int n = 0; n < 200; ++n) {
-      ahead += kPost + "Content-Length: " + std::to_string(body.size()) +
-               "\r\n\r\n" + body;
+      ahead.append(kPost).append("Content-Length: ");
+      ahead.append(std::to_string(body.size())).append("\r\n\r\n");
+      ahead.append(body);
     }
     Crowd crowd(PortOf(cluster.CallerAddress(0)), 150, watch);
     crowd.Send(ahead, kWhole, Milliseconds(0));
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -76,8 +76,8 @@
   fleet.Run(seconds(8));
   const auto ids = fleet.Ids();
   const auto some = [&](std::size_t n) {
-    return std::vector<InstanceId>(ids.begin(),
-                                   ids.begin() + static_cast<long>(n));
+    return std::vector<InstanceId>(
+        ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(n));
   };
   SECTION("messages are lost and repeated") { fleet.Run(seconds(15)); }
   SECTION("all instances restart at once") {
--- a/tests/read_cost_test.cc
+++ b/tests/read_cost_test.cc
@@ -32,6 +32,7 @@
   double sum = 0;
   for (const int it : starts) sum += it;
   std::vector<double> shares;
+  shares.reserve(starts.size());
   for (const int it : starts) {
     shares.push_back(it / (sum / static_cast<double>(starts.size())));
   }
--- a/tests/support/read_sim.h
+++ b/tests/support/read_sim.h
@@ -42,7 +42,8 @@
     std::uint64_t serial = 0;
   };
 
-  ReadSim(int instances, int instance_zones, std::vector<int> server_zones)
+  ReadSim(int instances, int instance_zones,
+          const std::vector<int>& server_zones)
       : rule(ChoiceRule::kByCost) {
     for (const int zone : server_zones) {
       servers.emplace_back();
@@ -146,8 +147,9 @@
     const auto best = static_cast<std::size_t>(
         std::min_element(costs.begin(), costs.end()) - costs.begin());
     if (rule == ChoiceRule::kLeastTime) return best;
-    const auto a = static_cast<std::size_t>(random * costs.size());
-    const auto b = static_cast<std::size_t>(Random() * (costs.size() - 1));
+    const auto count = static_cast<double>(costs.size());
+    const auto a = static_cast<std::size_t>(random * count);
+    const auto b = static_cast<std::size_t>(Random() * (count - 1));
     const std::size_t other = b >= a ? b + 1 : b;
     return costs[other] < costs[a] ? other : a;
   }
