--- a/tests/process_clients_test.cc
+++ b/tests/process_clients_test.cc
@@ -142,7 +142,7 @@
     settings["start_timeout_milliseconds"] = 2000;
     settings["reader_timeout_milliseconds"] = 2000;
     settings["http_timeout_milliseconds"] = 2000;
-    const std::string path = folder_ + "/settings.json";
+    std::string path = folder_ + "/settings.json";
     std::ofstream(path) << Json::writeString(Json::StreamWriterBuilder(),
                                              settings);
     return path;
@@ -239,7 +239,7 @@
     Crowd crowd(fixture.client_port, 100, watch);
     crowd.Send(kStart, kWhole, Ms(0));
     crowd.Wait(Ms(100));
-    crowd.Send(std::string_view(ahead).substr(sizeof(kStart) - 1), kWhole,
+    crowd.Send(std::string_view{ahead}.substr(sizeof(kStart) - 1), kWhole,
                Ms(0));
   }
   Crowd crowd(fixture.client_port, 100, watch);
