--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -549,11 +549,18 @@
   bool primary = false;
   bool dark = false;  ///< sends and reads nothing
   bool draining = false;
+  bool deaf = false;  ///< receives nothing
   std::uint64_t fence = 0;
   std::uint64_t seq = 0;
+  std::uint64_t log_term = 3;
+  std::uint64_t log_end = 100;     ///< number of the last entry of its log
+  std::int64_t copying_until = 0;  ///< it has no log before
+  std::int64_t born = 1'700'000'000'000;
+  std::vector<std::weak_ptr<Stream>> streams;
 };
 
-/// The servers of one service. A commit reaches all replicas at once.
+/// The servers of one service. A commit is acknowledged once a replica has
+/// received it.
 class Group {
  public:
   /// What the work of a statement takes and what a read returns.
@@ -574,6 +581,10 @@
       : service_(std::move(service)), store_(store), record_(record) {}
 
   OnRun on_run;
+  /// Called when a server begins to lead.
+  std::function<void(const ServerState&)> on_promoted;
+  /// Called when a commit is acknowledged to its connection.
+  std::function<void(const std::string& id, std::uint64_t number)> on_commit;
   Answers answers;
   std::function<Work(const std::string& text)> work;
 
@@ -625,6 +636,7 @@
       out["cold_left_ms"] = 0;
       out["db_role"] = it.primary ? "primary" : "replica";
       out["seq"] = Json::UInt64{++it.seq};
+      out["born"] = Json::Int64{it.born};
     }
     store_.Put("servers/" + id, ToText(out));
   }
@@ -645,6 +657,40 @@
     lit_.notify_all();
   }
 
+  /// A replica receives nothing while it is deaf.
+  void SetDeaf(const std::string& id, bool deaf) {
+    const std::lock_guard lock(mutex_);
+    servers_.at(id).deaf = deaf;
+    Replicate();
+  }
+
+  /// A replica starts again under its id. It then holds and knows nothing of
+  /// before, and copies the log from the primary for some time.
+  void Restart(const std::string& id, std::int64_t copies_ms) {
+    std::vector<std::weak_ptr<Stream>> streams;
+    {
+      const std::lock_guard lock(mutex_);
+      ServerState& it = servers_.at(id);
+      it.log_end = 0;
+      it.log_term = 0;
+      it.fence = 0;
+      it.seq = 0;
+      it.born += NowMs();
+      it.copying_until = NowMs() + copies_ms;
+      streams.swap(it.streams);
+    }
+    for (const auto& it : streams) {
+      if (const auto stream = it.lock()) stream->Shutdown();
+    }
+    Beat(id);
+  }
+
+  /// Number of the last entry of a server's log.
+  [[nodiscard]] std::uint64_t LogEnd(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return servers_.at(id).log_end;
+  }
+
   void Drain(const std::string& id) {
     {
       const std::lock_guard lock(mutex_);
@@ -666,13 +712,18 @@
       SleepMs(600);
       {
         const std::lock_guard lock(mutex_);
-        for (auto& [other, state] : servers_) state.primary = false;
+        for (auto& [other, each] : servers_) {
+          each.primary = other == id;
+          each.fence = 0;
+        }
         ServerState& state = servers_.at(id);
-        state.primary = true;
-        for (auto& [other, each] : servers_) each.fence = 0;
         ++term_;
-        record_.Line("server %s leads term %llu", id.c_str(),
-                     static_cast<unsigned long long>(term_));
+        state.log_term = term_;
+        record_.Line("server %s leads term %llu, its log ends at %llu",
+                     id.c_str(), static_cast<unsigned long long>(term_),
+                     static_cast<unsigned long long>(state.log_end));
+        if (on_promoted) on_promoted(state);
+        Replicate();
       }
       Beat(id);
     }).detach();
@@ -697,8 +748,28 @@
     std::map<std::string, std::pair<bool, std::string>> prepared;
   };
 
-  std::string PositionText() const {
-    return std::to_string(term_) + "." + std::to_string(index_);
+  static std::string PositionText(const ServerState& self) {
+    return std::to_string(self.log_term) + "." + std::to_string(self.log_end);
+  }
+
+  /// Brings the replicas that receive to the end of the primary's log. Returns
+  /// whether there is one.
+  bool Replicate() {
+    const ServerState* primary = nullptr;
+    for (const auto& [id, it] : servers_) {
+      if (it.primary && !it.dark) primary = &it;
+    }
+    bool received = false;
+    for (auto& [id, it] : servers_) {
+      const bool receives = primary != nullptr && !it.primary && !it.dark &&
+                            !it.deaf && it.fence == 0 &&
+                            NowMs() >= it.copying_until;
+      if (!receives) continue;
+      it.log_end = primary->log_end;
+      it.log_term = primary->log_term;
+      received = true;
+    }
+    return received;
   }
 
   void AwaitLight(const std::string& id) {
@@ -729,7 +800,9 @@
         std::string text;
         {
           const std::lock_guard lock(mutex_);
-          text = "READY I " + PositionText() + "\r\n";
+          ServerState& self = servers_.at(id);
+          text = "READY I " + PositionText(self) + "\r\n";
+          self.streams.push_back(stream);
         }
         if (!stream->Send(text)) return;
         continue;
@@ -750,9 +823,9 @@
     }
   }
 
-  std::string Ready(const Conn& conn) const {
-    return std::string("READY ") + (conn.open ? "T " : "I ") + PositionText() +
-           "\r\n";
+  static std::string Ready(const Conn& conn, const ServerState& self) {
+    return std::string("READY ") + (conn.open ? "T " : "I ") +
+           PositionText(self) + "\r\n";
   }
 
   std::string Run(const std::string& id, Conn& conn, const std::string& query,
@@ -770,7 +843,7 @@
       in >> name;
       if (!conn.prepared.contains(name)) {
         const std::lock_guard lock(mutex_);
-        return "ERR NOSTMT " + name + "\r\n" + Ready(conn);
+        return "ERR NOSTMT " + name + "\r\n" + Ready(conn, servers_.at(id));
       }
       writes = conn.prepared[name].first;
       reads = !writes;
@@ -778,7 +851,7 @@
     Work todo;
     if ((reads || writes || verb == "COMMIT") && work) todo = work(text);
     if (reads || writes || verb == "COMMIT") SleepMs(todo.ms);
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     ServerState& self = servers_.at(id);
     const std::string done = "DONE -\r\n";
     if (verb == "STATUS" || verb == "HOLD" || verb == "DEMOTE") {
@@ -789,17 +862,18 @@
         self.primary = false;
       }
       return std::string("ROW ") + (self.primary ? "primary " : "replica ") +
-             std::to_string(term_) + " " + PositionText() + " " +
-             std::to_string(self.fence) + " 0 0 1\r\n" + done + Ready(conn);
+             std::to_string(term_) + " " + PositionText(self) + " " +
+             std::to_string(self.fence) + " 0 0 1\r\n" + done +
+             Ready(conn, self);
     }
     if (verb == "RESUME") {
       self.fence = 0;
-      return done + Ready(conn);
+      return done + Ready(conn, self);
     }
-    if (verb == "SET" || verb == "FORGET") return done + Ready(conn);
+    if (verb == "SET" || verb == "FORGET") return done + Ready(conn, self);
     if (verb == "RESET") {
       conn.prepared.clear();
-      return done + Ready(conn);
+      return done + Ready(conn, self);
     }
     if (verb == "PREPARE") {
       std::string name;
@@ -808,38 +882,49 @@
       std::string shape;
       std::getline(in, shape);
       conn.prepared[name] = {mode == "WRITE", shape};
-      return done + Ready(conn);
+      return done + Ready(conn, self);
     }
     if (verb == "BEGIN") {
       const bool plain = text == "BEGIN";
       if (plain && !self.primary) {
-        return "ERR READONLY " + id + "\r\n" + Ready(conn);
+        return "ERR READONLY " + id + "\r\n" + Ready(conn, self);
       }
       conn.open = true;
       conn.plain = plain;
       conn.term = term_;
-      return done + Ready(conn);
+      return done + Ready(conn, self);
     }
     if (verb == "ROLLBACK") {
       conn.open = false;
-      return done + Ready(conn);
+      return done + Ready(conn, self);
     }
     if (on_run) on_run(self, query, text);
     const bool stale = conn.open && conn.plain && conn.term != term_;
     if ((writes && !self.primary) || stale) {
       conn.open = false;
-      return "ERR READONLY " + id + "\r\n" + Ready(conn);
+      return "ERR READONLY " + id + "\r\n" + Ready(conn, self);
     }
     const bool commits = verb == "COMMIT" || (writes && !conn.open);
     if (verb == "COMMIT") conn.open = false;
-    if (commits) ++index_;
+    if (commits) {
+      const std::uint64_t number = ++self.log_end;
+      while (!Replicate()) {
+        lock.unlock();
+        SleepMs(2);
+        AwaitLight(id);
+        lock.lock();
+        // A promotion of another server rolls the commit back.
+        if (!self.primary) return "ERR FAILED -\r\n" + Ready(conn, self);
+      }
+      if (on_commit) on_commit(query, number);
+    }
     std::string reply;
     if (reads) {
       const std::string row(todo.row_bytes, 'r');
       for (int n = 0; n < todo.rows; ++n) reply += "ROW " + row + "\r\n";
     }
     reply += "DONE " + id + "." + std::to_string(++receipts_) + "\r\n";
-    return reply + Ready(conn);
+    return reply + Ready(conn, self);
   }
 
   std::string service_;
@@ -850,7 +935,6 @@
   std::map<std::string, ServerState> servers_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::uint64_t term_ = 3;
-  std::uint64_t index_ = 100;
   std::uint64_t receipts_ = 0;
   std::uint64_t newest_fence_ = 0;
 };
