review: case 9, commits lost to an order that another process gave

A process that saw nothing of the loss of a primary answers commits without reading the member record, which names an order that is executed later.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -685,6 +685,29 @@
     Beat(id);
   }
 
+  /// A server crashes, and comes back with its log.
+  void Crash(const std::string& id, std::int64_t for_ms) {
+    SetDark(id, true);
+    std::vector<std::weak_ptr<Stream>> streams;
+    {
+      const std::lock_guard lock(mutex_);
+      streams.swap(servers_.at(id).streams);
+    }
+    for (const auto& it : streams) {
+      if (const auto stream = it.lock()) stream->Shutdown();
+    }
+    SleepMs(for_ms);
+    {
+      const std::lock_guard lock(mutex_);
+      ServerState& it = servers_.at(id);
+      it.fence = 0;
+      it.seq = 0;
+      it.born += NowMs();
+    }
+    SetDark(id, false);
+    Beat(id);
+  }
+
   /// Number of the last entry of a server's log.
   [[nodiscard]] std::uint64_t LogEnd(const std::string& id) {
     const std::lock_guard lock(mutex_);
@@ -1271,6 +1294,22 @@
     const std::string id = request.body["id"].asString();
     const std::uint64_t fence =
         std::stoull(request.headers.at("x-corianderdock-fence"));
+    if (late_ms > 0) {
+      const std::int64_t ms = late_ms.exchange(0);
+      record.Line("promote %s by %s fence %llu: not answered, executed later",
+                  id.c_str(),
+                  request.headers.at("x-corianderdock-holder").c_str(),
+                  static_cast<unsigned long long>(fence));
+      std::thread([this, id, fence, ms] {
+        SleepMs(ms);
+        const HttpAnswer answer = group.Promote(id, fence);
+        record.Line("the late order to promote %s, fence %llu: %d", id.c_str(),
+                    static_cast<unsigned long long>(fence), answer.status);
+      }).detach();
+      giver = request.headers.at("x-corianderdock-holder");
+      given = true;
+      return std::nullopt;
+    }
     const HttpAnswer answer = group.Promote(id, fence);
     record.Line("promote %s by %s fence %llu: %d", id.c_str(),
                 request.headers.at("x-corianderdock-holder").c_str(),
@@ -1291,6 +1330,10 @@
   Deployment deployment;
   std::string folder;
   std::atomic<bool> cloud_down{false};
+  /// The next promotion order is left unanswered and executed so much later.
+  std::atomic<std::int64_t> late_ms{0};
+  std::string giver;  ///< of that order
+  std::atomic<bool> given{false};
   std::vector<std::unique_ptr<Process>> processes;
 
  private:
