--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -318,6 +318,19 @@
           });
         }) {}
 
+  /// Opens another address of the store, which answers 503 while `refuses`
+  /// holds: the store turns away the machine that has this address.
+  void AddDoor(const std::string& ip, int port,
+               const std::atomic<bool>& refuses) {
+    doors_.push_back(std::make_unique<Listener>(
+        ip, port, [this, &refuses](const std::shared_ptr<Stream>& stream) {
+          ServeHttp(*stream, [&](const HttpRequest& it) {
+            if (refuses) return std::optional(HttpAnswer{503, "{}"});
+            return std::optional(Handle(it));
+          });
+        }));
+  }
+
   /// Age of reads with `allow_stale`.
   std::atomic<std::int64_t> stale_ms{200};
 
@@ -538,6 +551,7 @@
   std::map<std::uint64_t, Lease> leases_;
   std::uint64_t revision_ = 10;
   std::uint64_t next_lease_ = 100;
+  std::vector<std::unique_ptr<Listener>> doors_;
   Listener listener_;
 };
 
