--- a/review/9/scenario.cc
+++ b/review/9/scenario.cc
@@ -1,14 +1,17 @@
 /// \file
-/// The order of a promotion is executed late, after the process that gave it
-/// was killed and the primary is back.
+/// The store turns a process away, which orders a promotion under its fallback
+/// token. The order is executed late, after that process was killed and the
+/// primary is back.
 #include "../standins-2/world.h"
 
 namespace {
 
 using review::NowMs;
 
+/// From the store's first refusal until the primary is dark.
+constexpr int kRefusedMs = 1500;
 constexpr int kDarkMs = 2000;
-constexpr int kLateMs = 2600;
+constexpr int kLateMs = 4000;
 /// From the order until the process that gave it is killed, and how long it is
 /// down.
 constexpr int kKillAfterMs = 50;
@@ -42,11 +45,15 @@
   };
   world.AddServers();
   world.AddProcess("east");
+  std::atomic<bool> refuses{false};
+  world.store.AddDoor("127.0.2.5", world.store_port, refuses);
+  world.deployment.fields["platform.addr"] =
+      "127.0.2.5:" + std::to_string(world.store_port);
   world.AddProcess("west");
   if (!world.AwaitServing()) world.Finish(2);
   review::SleepMs(6000);
   std::atomic<bool> over{false};
-  std::atomic<std::size_t> at{0};  ///< the process that consumers come to
+  std::atomic<std::size_t> at{1};  ///< the process that consumers come to
   std::vector<std::thread> threads;
   for (int n = 0; n < kConsumers; ++n) {
     threads.emplace_back([&, n] {
@@ -79,6 +86,9 @@
   }
   review::SleepMs(1500);
   if (review::Trouble()) {
+    refuses = true;
+    world.record.Line("the store turns front-2 away");
+    review::SleepMs(kRefusedMs);
     world.late_ms = kLateMs;
     world.record.Line("the primary i-1 is dark");
     const std::int64_t dark = NowMs();
@@ -113,7 +123,9 @@
     review::SleepMs(dark + kDarkMs - NowMs());
     world.group.SetDark("i-1", false);
     world.record.Line("i-1 is back, nobody was promoted");
-    review::SleepMs(9000);
+    review::SleepMs(4000);
+    refuses = false;
+    review::SleepMs(4000);
   } else {
     review::SleepMs(10'000);
   }
