--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -587,9 +587,6 @@
   /// consumer when it runs. The text is as the server got it.
   using OnRun = std::function<void(const ServerState&, const std::string&,
                                    const std::string&)>;
-  /// Returns false to lose the answer of a statement that has run.
-  using Answers =
-      std::function<bool(const std::string& id, const std::string& text)>;
 
   Group(std::string service, Store& store, Record& record)
       : service_(std::move(service)), store_(store), record_(record) {}
@@ -599,7 +596,6 @@
   std::function<void(const ServerState&)> on_promoted;
   /// Called when a commit is acknowledged to its connection.
   std::function<void(const std::string& id, std::uint64_t number)> on_commit;
-  Answers answers;
   std::function<Work(const std::string& text)> work;
 
   void Add(const std::string& id, const std::string& ip, int port,
@@ -850,11 +846,6 @@
       const std::size_t at = line->find(' ', 6);
       const std::string text = line->substr(at + 1);
       const std::string reply = Run(id, conn, query, text);
-      if (query != "-" && answers && !answers(query, text)) {
-        while (stream->Fill()) {
-        }
-        return;
-      }
       AwaitLight(id);
       if (!stream->Send(reply)) return;
     }
@@ -1092,16 +1083,6 @@
     pid_ = 0;
   }
 
-  /// Resident memory in MiB; 0 if unknown.
-  [[nodiscard]] double MemoryMb() const {
-    std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
-    std::string line;
-    while (std::getline(in, line)) {
-      if (line.starts_with("VmRSS:")) return std::stod(line.substr(6)) / 1024;
-    }
-    return 0;
-  }
-
   /// Asks `GET /ready` as the platform does.
   [[nodiscard]] bool Ready() const {
     const auto stream = Stream::Connect(ip, ready_port);
@@ -1232,35 +1213,28 @@
     std::_Exit(code);
   }
 
-  /// Adds a database and its service to the next manifest.
-  void AddRoute(const std::string& database, const std::string& service) {
-    routes_.emplace_back(database, service);
-  }
-
-  /// Puts the manifest; the first route is named `db`.
+  /// Puts the manifest: one route, named `db`.
   void PutManifest(int version, const std::string& type, int timeout_ms,
                    int goal_ms, int max_conns = 46) {
     Json::Value root;
     root["version"] = version;
-    for (const auto& [database, service] : routes_) {
-      Json::Value route;
-      route["name"] = "r-" + database;
-      route["host"] = database;
-      route["prefix"] = "/";
-      route["type"] = type;
-      route["timeout_ms"] = timeout_ms;
-      route["goal_ms"] = goal_ms;
-      route["priority"] = 1;
-      route["backend"] = service;
-      route["attempts"] = 2;
-      if (type != "primary") route["max_stale_ms"] = 1500;
-      root["routes"].append(route);
-      Json::Value backend;
-      backend["name"] = service;
-      backend["max_conns"] = max_conns;
-      backend["sync_replicas"] = 1;
-      root["backends"].append(backend);
-    }
+    Json::Value route;
+    route["name"] = "r-1";
+    route["host"] = "db";
+    route["prefix"] = "/";
+    route["type"] = type;
+    route["timeout_ms"] = timeout_ms;
+    route["goal_ms"] = goal_ms;
+    route["priority"] = 1;
+    route["backend"] = "books";
+    route["attempts"] = 2;
+    if (type != "primary") route["max_stale_ms"] = 1500;
+    root["routes"].append(route);
+    Json::Value service;
+    service["name"] = "books";
+    service["max_conns"] = max_conns;
+    service["sync_replicas"] = 1;
+    root["backends"].append(service);
     root["limits"]["tx_idle_ms"] = 3000;
     store.Put("op/config", ToText(root));
   }
@@ -1303,7 +1277,6 @@
   }
 
   std::optional<HttpAnswer> Cloud(const HttpRequest& request) {
-    if (cloud_down) return std::nullopt;
     if (request.path != "/promote") return HttpAnswer{404, "{}"};
     const std::string id = request.body["id"].asString();
     const std::uint64_t fence =
@@ -1343,7 +1316,6 @@
   Group group;
   Deployment deployment;
   std::string folder;
-  std::atomic<bool> cloud_down{false};
   /// The next promotion order is left unanswered and executed so much later.
   std::atomic<std::int64_t> late_ms{0};
   std::string giver;  ///< of that order
@@ -1351,7 +1323,6 @@
   std::vector<std::unique_ptr<Process>> processes;
 
  private:
-  std::vector<std::pair<std::string, std::string>> routes_ = {{"db", "books"}};
   Listener cloud_;
 };
 
