--- a/review/9/scenario.cc
+++ b/review/9/scenario.cc
@@ -123,9 +123,10 @@
     review::SleepMs(dark + kDarkMs - NowMs());
     world.group.SetDark("i-1", false);
     world.record.Line("i-1 is back, nobody was promoted");
-    review::SleepMs(4000);
+    review::SleepMs(3000);
     refuses = false;
-    review::SleepMs(4000);
+    world.record.Line("the store serves front-2 again");
+    review::SleepMs(5000);
   } else {
     review::SleepMs(10'000);
   }
