--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -199,18 +200,29 @@
   int fd_;
 };
 
-/// Returns a port that is free on all of 127.0.0.0/8.
+/// Whether a port is free on a loopback address.
+inline bool IsFree(const std::string& ip, int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(static_cast<std::uint16_t>(port));
+  (void)::inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
+  const bool free =
+      ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+  ::close(fd);
+  return free;
+}
+
+/// Returns a port that is free on all addresses of a case.
 inline int FreePort() {
+  static const std::vector<std::string> kAddresses = {
+      "127.0.1.1", "127.0.1.2", "127.0.2.1", "127.0.2.2",
+      "127.0.2.5", "127.0.3.1", "127.0.3.2", "127.0.3.3"};
   static int next = 21000 + ::getpid() % 500 * 16;
   for (;; ++next) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(static_cast<std::uint16_t>(next));
-    at.sin_addr.s_addr = htonl(INADDR_ANY);
     const bool free =
-        ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
-    ::close(fd);
+        std::all_of(kAddresses.begin(), kAddresses.end(),
+                    [](const std::string& ip) { return IsFree(ip, next); });
     if (free) return next++;
   }
 }
