Log on which evidence the client of a lost commit was answered

The error line of a missing commit now names the servers that were known to have it, with the age of the oldest connection to each, whether a fence was reported and how old the record was; two counters split the answered commits; a log that goes back within its term is a warning.

--- a/include/corianderdock/session/acknowledged_commits.h
+++ b/include/corianderdock/session/acknowledged_commits.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "corianderdock/session/statement.h"
 #include "corianderdock/types.h"
@@ -24,12 +25,14 @@
     StatementId id;
     Position earliest;
     Position latest;
+    std::string evidence = {};  ///< on which the client was answered
   };
 
   /// Adds a commit that was acknowledged with `reported`. `before` is a
   /// position of the same server that was known when the commit was sent.
+  /// `evidence` is for log lines only.
   void Add(const StatementId& id, Position reported,
-           const std::optional<Position>& before);
+           const std::optional<Position>& before, std::string evidence = {});
 
   /// Returns the newest commit if no log with an entry at `entry` has it: a
   /// primary of a later term created that entry in the place of the commit or
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -190,6 +190,7 @@
     bool used = false;            ///< it has run a statement
     bool open = false;
     std::vector<std::pair<Step, ServerCommand>> commands_on_open;
+    TimePoint opened_at;  ///< its server ran then, and runs while it is open
     TimePoint last_used;  ///< when it was created or last became idle
   };
 
@@ -247,7 +248,9 @@
     /// Log position that the primary reported after this server had fallen
     /// silent. A log that reaches it has every acknowledged commit of this one.
     std::optional<Position> covered_by;
-    std::optional<Position> received;      ///< as its status last showed
+    std::optional<Position> received;  ///< as its status last showed
+    /// Highest end of its log that a status showed, also before it restarted.
+    std::optional<Position> newest_end;
     double latency_ms = 5;                 ///< moving average over statements
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
@@ -752,6 +755,9 @@
   void ReportMissing(const ServerPool& pool,
                      const AcknowledgedCommits::Commit& commit, Term term,
                      Position position);
+  [[nodiscard]] std::string DescribeHolders(const Service& service,
+                                            Position position) const;
+  void NoteLogEnd(ServerPool& pool, const ServerStatus& status);
   void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   [[nodiscard]] std::string DescribeOrder(const Service& service,
                                           const Failover::Order& order) const;
--- a/src/session/acknowledged_commits.cc
+++ b/src/session/acknowledged_commits.cc
@@ -6,14 +6,15 @@
 namespace corianderdock::session {
 
 void AcknowledgedCommits::Add(const StatementId& id, Position reported,
-                              const std::optional<Position>& before) {
+                              const std::optional<Position>& before,
+                              std::string evidence) {
   // Positions of another term say nothing about where this one began.
   if (!before || before->term != reported.term) return;
   const Position earliest{reported.term, before->index + 1};
   const bool newer =
       !newest_ || std::tie(earliest.term, earliest.index) >=
                       std::tie(newest_->earliest.term, newest_->earliest.index);
-  if (newer) newest_ = Commit{id, earliest, reported};
+  if (newer) newest_ = Commit{id, earliest, reported, std::move(evidence)};
 }
 
 std::optional<AcknowledgedCommits::Commit> AcknowledgedCommits::TakeMissing(
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "corianderdock/detail/log_text.h"
@@ -18,6 +19,22 @@
 
 }  // namespace
 
+/// Logs that a log ends before an entry that it had in the same term, so that
+/// no promotion can have rolled it back: the server lost its log.
+void Proxy::NoteLogEnd(ServerPool& pool, const ServerStatus& status) {
+  const auto known = pool.newest_end;
+  const auto order = [](Position it) { return std::pair(it.term, it.index); };
+  const bool back = known && status.term <= known->term &&
+                    order(status.received) < order(*known);
+  if (back) {
+    Count("logs_shortened");
+    Warn("server log went back id=" + pool.entry.id + " from=" +
+         FormatPosition(known) + " to=" + FormatPosition(status.received) +
+         " term=" + std::to_string(status.term));
+  }
+  pool.newest_end = status.received;
+}
+
 /// Logs a fence report. Repeated reports of the same state are no warnings.
 void Proxy::LogFence(ServerPool& pool, const ServerStatus& status,
                      std::string text) {
@@ -32,7 +49,36 @@
                              Position position) {
   // Without synchronous replicas a commit may be lost with its primary.
   if (service.limits.sync_replicas == 0) return;
-  service.acknowledged.Add(pending.id, position, pending.position_before);
+  const std::string holders = DescribeHolders(service, position);
+  const bool none = holders == "-";
+  Count(none ? "commits_answered_unreceived" : "commits_answered_received");
+  service.acknowledged.Add(
+      pending.id, position, pending.position_before,
+      "holders=" + holders + " fence_reported=" +
+          FormatFlag(service.proof.FenceReported(now_)) + " record_age_ms=" +
+          (service.members_current_at
+               ? WholeMs(now_ - *service.members_current_at)
+               : "-"));
+}
+
+/// Lists the servers that are known to have the entry at `position` as
+/// ID:CONNECTED, where CONNECTED is the age in ms of the oldest connection to
+/// it: a shorter time may lie behind its restart.
+std::string Proxy::DescribeHolders(const Service& service,
+                                   Position position) const {
+  std::string text;
+  for (const ServerId& id : service.servers) {
+    if (!service.proof.HasReceivedAt(id, position)) continue;
+    std::optional<TimePoint> oldest;
+    for (const ConnectionId it : pools_.at(id).connections) {
+      const Connection& connection = connections_.at(it);
+      if (!connection.open) continue;
+      oldest = std::min(oldest.value_or(now_), connection.opened_at);
+    }
+    if (!text.empty()) text += ",";
+    text += id + ":" + (oldest ? WholeMs(now_ - *oldest) : "-");
+  }
+  return OrDash(text);
 }
 
 /// Checks an entry of a server's log against the newest acknowledged commit.
@@ -50,9 +96,9 @@
   Emit(LogDecision{
       "acknowledged commit missing service=" + pool.entry.service +
           " id=" + commit.id + " earliest=" + FormatPosition(commit.earliest) +
-          " latest=" + FormatPosition(commit.latest) +
-          " term=" + std::to_string(term) +
-          " position=" + FormatPosition(position) + " server=" + pool.entry.id,
+          " latest=" + FormatPosition(commit.latest) + " term=" +
+          std::to_string(term) + " position=" + FormatPosition(position) +
+          " server=" + pool.entry.id + " " + commit.evidence,
       Severity::kError});
 }
 
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -230,6 +230,7 @@
 void Proxy::OnServerStatus(ServerPool& pool, TimePoint sent,
                            const ServerStatus& status) {
   Service& service = ServiceOf(pool.entry.service);
+  NoteLogEnd(pool, status);
   pool.received = LaterPosition(pool.received, status.received);
   CheckAcknowledged(pool, status.received);
   if (status.primary) {
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -237,6 +237,7 @@
     return CloseConnection(event.connection, false);
   }
   connection.open = true;
+  connection.opened_at = now_;
   pool.full_refusals = 0;
   --(connection.path_probe ? pool.opening_path_probes : pool.opening);
   if (connection.path_probe) {
--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -177,9 +177,38 @@
   INFO(line);
   CHECK(line.find("earliest=1.12 latest=1.12 term=2 position=2.12") !=
         std::string::npos);
+  CHECK(line.find(" holders=") != std::string::npos);
+  CHECK(line.find(" fence_reported=0 record_age_ms=") != std::string::npos);
   CHECK(driver.proxy.counters().at("acknowledged_commits_missing") == 1);
 }
 
+// Guards against a log that a restart emptied and that no line tells of.
+TEST_CASE("a log that ends earlier than before in its term is reported") {
+  ProxyDriver driver;
+  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", 5}};
+  driver.keeps_order = true;
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.LoseAllConnections();
+  const auto let_replicas_answer = [&driver] {
+    for (int n = 0; n < 40; ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo({"b", "c"});
+      driver.AnswerAs("", {"b", "c"});
+    }
+  };
+  let_replicas_answer();
+  CHECK(LinesOf(driver, "server log went back").empty());
+  driver.log_ends["b"] = 0;
+  let_replicas_answer();
+  const auto lines = LinesOf(driver, "server log went back");
+  REQUIRE_FALSE(lines.empty());
+  INFO(lines.front().text);
+  CHECK(lines.front().severity == Severity::kWarning);
+  CHECK(lines.front().text.find(" id=b from=1.10 to=1.0 ") !=
+        std::string::npos);
+}
+
 TEST_CASE("a commit that a later term may have kept is not reported missing") {
   ProxyDriver driver;
   Acknowledge(driver, {1, 11}, {1, 12});
