--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -33,6 +33,8 @@
   std::uint64_t order_renewals = 0;
   /// Servers of earlier orders that may still be executed as well.
   std::set<ServerId> superseded = {};
+  /// The primary, if it was promoted by the last order that the record named.
+  ServerId leader = {};
 
   bool operator==(const MemberRecord&) const = default;
 };
@@ -67,7 +69,8 @@
     /// The order that the record names can't be executed any more, and this
     /// instance gave it or may remove it.
     bool order_expired = false;
-    int rank = 0;  ///< of this instance among all; 0 is the first
+    ServerId leader;  ///< it was promoted by that order; empty if unknown
+    int rank = 0;     ///< of this instance among all; 0 is the first
   };
 
   enum class Step { kNone, kRead, kWrite };
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -14,7 +14,7 @@
 
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/acknowledged_commits.h"
-#include "corianderdock/session/commit_evidence.h"
+#include "corianderdock/session/commit_quorum.h"
 #include "corianderdock/session/config_freshness.h"
 #include "corianderdock/session/connection_cache.h"
 #include "corianderdock/session/connection_owners.h"
@@ -88,6 +88,7 @@
     kTransactionIdle,
     kConnectTimeout,
     kRefusalDoubt,
+    kHeldCommit,
     kQuota,
     kCheck,
   };
@@ -241,8 +242,6 @@
     TimePoint known_since;  ///< when this instance learned of it
     bool repeats_replies = false;  ///< it sent a reply more than once
     bool superseded = false;  ///< another one of its service has its address
-    /// Commits had waited long, or had no answer, before the last one.
-    bool commits_waited = false;
     TimePoint draining_since;
     TimePoint unlisted_at;  ///< when it left the server list
     /// Log position that the primary reported after this server had fallen
@@ -258,6 +257,7 @@
     Term leader_term = 0;        ///< in which it leads; 0 while unknown
     TimePoint listed_since;      ///< the epoch if listed before this instance
     TimePoint last_query;        ///< last `kWitness` command
+    TimePoint last_contact;      ///< last `kContact` command for held commits
     int queries = 0;             ///< unanswered `kWitness` commands
     TimePoint last_demote;       ///< when it was last told of a newer term
     TimePoint fence_query_sent;  ///< query of the last fence report
@@ -275,18 +275,27 @@
 
   struct Service {
     Service(ServiceId service_id, const FailoverOptions& options)
-        : id(std::move(service_id)), failover(options) {}
+        : id(std::move(service_id)),
+          quorum(QuorumOptions(options)),
+          failover(options) {}
     ServiceId id;
     ServiceLimits limits;
     std::set<ServerId> servers;
-    ServerId primary;       ///< empty when unknown
-    ServerId last_primary;  ///< last server that proved leadership
+    ServerId primary;           ///< empty when unknown
+    ServerId last_primary;      ///< last server that proved leadership
+    ServerId previous_primary;  ///< that led before `last_primary`
     Term last_primary_term = 0;
     Term newest_term = 0;  ///< highest term that any server reported
     TimePoint last_search;
     TimePoint no_primary_since;
     TimePoint last_used;  ///< arrival of the last statement
     TimePoint primary_since;
+    /// When the known primary, or the last one, was last proven to lead.
+    std::optional<TimePoint> led_at;
+    ServerId previous_led_by;
+    /// The present primary was promoted after this time, at which the one
+    /// before still led; null if unknown.
+    std::optional<TimePoint> term_began_after;
     TimePoint queue_refusals_since;  ///< start of the counting period
     int queue_refusals = 0;  ///< statements the queues refused since then
     /// A primary whose replicas all lag is to be replaced by a switchover.
@@ -295,29 +304,27 @@
     FreshnessSamples samples;
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
-    CommitEvidence commits;
+    CommitQuorum quorum;
     AcknowledgedCommits acknowledged;
     MemberRecorder members;
     /// When to look for an order in the record that its instance did not
     /// remove.
     std::optional<TimePoint> order_check_at;
-    /// When the known primary last counted as lost, or another instance was
-    /// found to have claimed its replacement.
-    std::optional<TimePoint> primary_doubted_at;
     /// The member record is known as it was at the store at this time or later.
     std::optional<TimePoint> members_current_at;
-    /// When the known primary replaced another one. An order for a third server
-    /// may have been given before.
-    std::optional<TimePoint> primary_replaced_at;
-    /// When a commit of that primary first had to wait for a read of the
-    /// record.
-    std::optional<TimePoint> orders_asked_at;
     TimePoint last_status_query;
     Duration status_backoff{0};
     int status_queries = 0;  ///< since one helped
     TimePoint last_position_query;
-    TimePoint last_change;  ///< a server was added, restarted or drained
     std::set<SessionId> awaiting_proof;  ///< sessions whose reply is held
+    Duration holder_pause{0};            ///< between queries for held commits
+    TimePoint holder_query_at;
+    std::size_t holder_queries = 0;
+    /// A commit whose appearance in other replies is timed, and the moving
+    /// average of these times.
+    std::optional<std::pair<Position, TimePoint>> timed_commit;
+    std::optional<Duration> apply_delay;
+    TimePoint timed_at;
     std::map<DatabaseName, Duration> mean_run_time;
     StatementQueue primary_queue;
     StatementQueue read_queue;
@@ -350,10 +357,10 @@
     /// The reply to a commit, held until a replica has received the commit at
     /// `held_commit`.
     std::optional<Reply> held_reply;
-    CommitEvidence::Commit held_commit;
+    CommitQuorum::Commit held_commit;
+    TimePoint held_since;
     /// Log position that was known when the commit was sent.
     std::optional<Position> position_before;
-    bool needs_receipt = false;  ///< no other evidence suffices
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
     TimePoint arrived;
@@ -680,25 +687,12 @@
   static void ResetStatusBackoff(Service& service);
   void QueryPositions(Service& service);
   [[nodiscard]] bool NeedsProof() const;
-  [[nodiscard]] bool CommitsNeedProof(const Service& service) const;
   void ContactReplica(ServerPool& pool);
-  void ContactNearestReplica(Service& service);
-  void NoteContact(ServerPool& pool, const Connection& connection,
-                   const ExpectedReply& expected, const Reply& reply);
   [[nodiscard]] std::set<ServerId> ServersUnderOrders(
       const Service& service) const;
   [[nodiscard]] bool OrderedElsewhere(const Service& service) const;
   [[nodiscard]] bool OrphanedOrder(const Service& service) const;
-  [[nodiscard]] bool RecentlyDoubted(const Service& service) const;
-  [[nodiscard]] bool RecentlyReplaced(const Service& service) const;
-  [[nodiscard]] bool OrdersExcluded(const Service& service,
-                                    const CommitEvidence::Commit& commit) const;
-  [[nodiscard]] bool AllHaveReceived(const Service& service,
-                                     Position position) const;
-  void CheckForOrders(Service& service);
-  [[nodiscard]] bool CommitProven(const Service& service,
-                                  const CommitEvidence::Commit& commit,
-                                  bool needs_receipt) const;
+  void CheckForOrders();
   void NotePosition(ServerPool& pool, TimePoint sent,
                     const std::optional<Position>& position);
   void OnServerStatus(ServerPool& pool, TimePoint sent,
@@ -707,18 +701,44 @@
   void DemoteStaleLeader(ServerPool& pool);
   void AddSample(Service& service, Position position, TimePoint sent);
   void AdoptSample(Service& service, Position position, TimePoint sent);
-  void NoteCommitAnswered(Service& service,
-                          const CommitEvidence::Commit& commit);
-  void AnswerCommit(SessionId id, Session& session, TimePoint sent,
-                    Reply reply);
   [[nodiscard]] bool MayRun(const ServerPool& pool) const;
   [[nodiscard]] bool LeadershipProven(const Service& service) const;
   [[nodiscard]] std::string ProofAge(const Service& service) const;
   void ReleaseProven(Service& service);
-  void FailHeld(SessionId id, Session& session, const std::string& detail);
   void ResetProof(Service& service);
   void CheckProofs(Service& service);
 
+  // Answers of commits (proxy_commits.cc).
+  [[nodiscard]] static CommitQuorum::Options QuorumOptions(
+      const FailoverOptions& options) {
+    if (!options.safety->ExcludeLateOrders()) return {Duration(0), Duration(0)};
+    return {options.max_order_delay, options.fence_report_max_age};
+  }
+  [[nodiscard]] bool IsCounted(const Service& service,
+                               const ServerPool& pool) const;
+  [[nodiscard]] bool IsPromotable(const Service& service,
+                                  const ServerPool& pool) const;
+  [[nodiscard]] CommitQuorum::Servers ServersForCommits(
+      const Service& service) const;
+  [[nodiscard]] bool OrdersEnded(const Service& service) const;
+  void NoteApplied(Service& service, const ServerPool& pool, Position end);
+  [[nodiscard]] bool MustAsk(const Service& service,
+                             const PendingStatement& pending) const;
+  void TimeApplied(Service& service);
+  void QueryUnknown(Service& service);
+  void NoteReport(ServerPool& pool, const Connection& connection,
+                  const ExpectedReply& expected, const Reply& reply);
+  [[nodiscard]] CommitBasis BasisOf(const Service& service,
+                                    const CommitQuorum::Commit& commit) const;
+  void AnswerCommit(SessionId id, Session& session, TimePoint sent,
+                    Reply reply);
+  void ReleaseCommits(Service& service);
+  void OnHeldCommit(SessionId id, std::uint64_t statement_serial);
+  void QueryHolders(Service& service);
+  [[nodiscard]] std::vector<ServerPool*> ServersWithout(const Service& service,
+                                                        Position position);
+  void FailHeld(SessionId id, Session& session, const std::string& detail);
+
   // Leadership (proxy_leadership.cc).
   void NotePrimary(ServerPool& pool, std::optional<Position> position,
                    TimePoint sent);
@@ -729,7 +749,6 @@
                          const Failover::Situation& situation);
   void SearchPrimary(Service& service);
   [[nodiscard]] bool CommitsStall(const ServerPool& pool) const;
-  [[nodiscard]] bool CommitWaits(const ServerPool& pool) const;
   [[nodiscard]] bool PrimaryLost(const Service& service) const;
   [[nodiscard]] bool SwitchoverHelps(const Service& service) const;
   void ConsiderSwitchover(const ServiceId& id, Service& service);
@@ -750,7 +769,7 @@
 
   // Log lines (proxy_decision_log.cc).
   void NoteAcknowledged(Service& service, const PendingStatement& pending,
-                        Position position);
+                        Position position, CommitBasis basis);
   void CheckAcknowledged(const ServerPool& pool, Position entry);
   void ReportMissing(const ServerPool& pool,
                      const AcknowledgedCommits::Commit& commit, Term term,
--- a/include/corianderdock/session/statement.h
+++ b/include/corianderdock/session/statement.h
@@ -76,6 +76,9 @@
   Term term = 0;
   Position received;
   Term fence_term = 0;  ///< accepts no lower terms; 0: not fenced
+  /// Time for which its process is known to run, if the instance that shares
+  /// its connection tells.
+  std::optional<Duration> running_for = {};
 };
 
 /// Reply to one statement.
@@ -87,6 +90,9 @@
   TransactionState state = TransactionState::kIdle;
   std::optional<Position> position;    ///< of the server's log
   std::optional<ServerStatus> status;  ///< for `kStatus`, `kHold` and the like
+  /// To be added to the row of a status for another instance: as in
+  /// `ServerStatus`.
+  std::optional<Duration> running_for = {};
 };
 
 }  // namespace corianderdock::session
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -43,6 +43,7 @@
     root["renewals"] = static_cast<Json::UInt64>(record.order_renewals);
     for (const ServerId& id : record.superseded) root["superseded"].append(id);
   }
+  if (!record.leader.empty()) root["leader"] = record.leader;
   root["servers"] = Json::Value(Json::arrayValue);
   for (const auto& [id, entry] : record.servers) {
     Json::Value item;
@@ -73,6 +74,7 @@
   if (!root.isObject() || !root["servers"].isArray()) return std::nullopt;
   MemberRecord record;
   record.ordered = StringOf(root["ordered"]);
+  record.leader = StringOf(root["leader"]);
   if (root["token"].isUInt64()) record.order_token = root["token"].asUInt64();
   if (root["renewals"].isUInt64()) {
     record.order_renewals = root["renewals"].asUInt64();
@@ -161,6 +163,7 @@
     replacement.order_end.reset();
     replacement.order_renewals = 0;
     replacement.superseded.clear();
+    replacement.leader = situation.leader;
   }
   for (const ServerId& id : situation.obsolete) replacement.servers.erase(id);
   for (const auto& [id, entry] : situation.required) {
--- a/src/session/proxy.cc
+++ b/src/session/proxy.cc
@@ -66,6 +66,9 @@
       case TimerKind::kRefusalDoubt:
         OnRefusalDoubt(timer->id);
         break;
+      case TimerKind::kHeldCommit:
+        OnHeldCommit(timer->id, timer->statement_serial);
+        break;
       case TimerKind::kQuota:
         if (quota_) quota_->Tick(now_);
         FinishQuota();
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <utility>
 
 #include "corianderdock/detail/log_text.h"
@@ -46,37 +45,25 @@
 }
 
 void Proxy::NoteAcknowledged(Service& service, const PendingStatement& pending,
-                             Position position) {
+                             Position position, CommitBasis basis) {
   // Without synchronous replicas a commit may be lost with its primary.
   if (service.limits.sync_replicas == 0) return;
-  const std::string holders = DescribeHolders(service, position);
-  const bool none = holders == "-";
-  Count(none ? "commits_answered_unreceived" : "commits_answered_received");
-  service.acknowledged.Add(
-      pending.id, position, pending.position_before,
-      "holders=" + holders + " fence_reported=" +
-          FormatFlag(service.proof.FenceReported(now_)) + " record_age_ms=" +
-          (service.members_current_at
-               ? WholeMs(now_ - *service.members_current_at)
-               : "-"));
+  Count(std::string("commits_answered_") + NameOf(basis));
+  service.acknowledged.Add(pending.id, position, pending.position_before,
+                           std::string("basis=") + NameOf(basis) + " holders=" +
+                               DescribeHolders(service, position));
 }
 
 /// Lists the servers that are known to have the entry at `position` as
-/// ID:CONNECTED, where CONNECTED is the age in ms of the oldest connection to
-/// it: a shorter time may lie behind its restart.
+/// ID:RUNNING, the time in ms for which the process is known to run.
 std::string Proxy::DescribeHolders(const Service& service,
                                    Position position) const {
   std::string text;
   for (const ServerId& id : service.servers) {
-    if (!service.proof.HasReceivedAt(id, position)) continue;
-    std::optional<TimePoint> oldest;
-    for (const ConnectionId it : pools_.at(id).connections) {
-      const Connection& connection = connections_.at(it);
-      if (!connection.open) continue;
-      oldest = std::min(oldest.value_or(now_), connection.opened_at);
-    }
+    if (id == service.primary || !service.quorum.Holds(id, position)) continue;
+    const auto running_since = service.quorum.RunningSince(id);
     if (!text.empty()) text += ",";
-    text += id + ":" + (oldest ? WholeMs(now_ - *oldest) : "-");
+    text += id + ":" + (running_since ? WholeMs(now_ - *running_since) : "-");
   }
   return OrDash(text);
 }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -89,7 +89,11 @@
   if (pool.leader_term == 0 && NeedsProof() && (contested || outdated)) {
     return QueryServer(pool);
   }
+  if (service.primary == pool.entry.id) service.led_at = sent;
   if (position) {
+    if (service.last_primary != pool.entry.id) {
+      service.previous_primary = service.last_primary;
+    }
     service.last_primary = pool.entry.id;
     service.last_primary_term = std::max(pool.leader_term, position->term);
     AddSample(service, *position, sent);
@@ -103,9 +107,11 @@
        " acknowledged=" + FormatPosition(service.acknowledged.position()));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
-  service.primary_doubted_at.reset();
-  if (!service.last_primary.empty()) service.primary_replaced_at = now_;
-  service.orders_asked_at.reset();
+  if (service.previous_led_by != pool.entry.id) {
+    service.term_began_after = service.led_at;
+  }
+  service.previous_led_by = pool.entry.id;
+  service.led_at = sent;
   service.primary_since = now_;
   service.order_check_at = now_ + kOrderCheckDelay;
   service.switching_over = false;
@@ -180,17 +186,6 @@
   return stalled >= kStalledCommits;
 }
 
-/// Whether a commit had no answer, or still waits for one after a long time.
-bool Proxy::CommitWaits(const ServerPool& pool) const {
-  const auto waits = [&](ConnectionId id) {
-    const auto& expected = connections_.at(id).expected;
-    return !expected.empty() && expected.front().commits_writes &&
-           CommitEvidence::Stalls(expected.front().sent, now_);
-  };
-  return pool.lost_commits > 0 ||
-         std::any_of(pool.connections.begin(), pool.connections.end(), waits);
-}
-
 bool Proxy::PrimaryLost(const Service& service) const {
   const Duration primary_loss_timeout = options_.failover.primary_loss_timeout;
   if (service.primary.empty()) {
@@ -436,11 +431,6 @@
     QueryReceived(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
-    const bool doubted =
-        has_primary &&
-        (service.failover.PromotionInProgress(now_) || PrimaryLost(service) ||
-         service.proof.FenceReported(now_));
-    if (doubted) service.primary_doubted_at = now_;
     if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
     const Failover::Situation situation = SituationOf(service);
     Perform(id, service.failover.Step(situation));
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -47,7 +47,7 @@
   for (auto& [id, service] : services_) {
     if (!event.all && !event.records.contains(id)) continue;
     service.members_current_at = event.current_at;
-    if (!service.awaiting_proof.empty()) ReleaseProven(service);
+    if (!service.awaiting_proof.empty()) ReleaseCommits(service);
   }
 }
 
@@ -90,6 +90,10 @@
     return !service.members.record().servers.contains(id);
   });
   situation.order_expired = OrderEnded(service);
+  const MemberRecord& record = service.members.record();
+  const bool led = record.ordered == service.primary &&
+                   service.failover.OwnOrderEnded(record.order_token, now_);
+  if (led) situation.leader = service.primary;
   situation.rank = PromotionRank(service);
   return situation;
 }
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -332,6 +332,11 @@
   const PeerId peer_id = it->first;
   Peer& peer = it->second;
   peer.running = false;
+  if (peer.commands.front().statement.verb == Verb::kStatus) {
+    const auto since =
+        ServiceOf(pool.entry.service).quorum.RunningSince(peer.server);
+    if (since) reply.running_for = now_ - *since;
+  }
   peer.commands.pop_front();
   if (reply.error == ErrorCode::kNoStatement) connection.state.Invalidate();
   if (reply.error == ErrorCode::kBusy) {
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -21,12 +21,6 @@
 /// time since its last statement for which they go on.
 constexpr Duration kPositionQueryInterval = std::chrono::milliseconds(100);
 constexpr Duration kProofIdleTimeout = std::chrono::milliseconds(1000);
-/// Age of the server list from which it may lack a server that has joined.
-constexpr Duration kListMaxAge = std::chrono::milliseconds(2000);
-/// Time from the last change in a service's list until every list has it.
-constexpr Duration kJoinTime = std::chrono::milliseconds(4000);
-/// Time for which a draining server may run after it left the list.
-constexpr Duration kLeaveTime = std::chrono::milliseconds(6000);
 /// A primary that still answers this long after another server fell silent is
 /// not behind the same partition as that one.
 constexpr Duration kSeparationTime = std::chrono::milliseconds(1000);
@@ -56,37 +50,11 @@
          options_.safety->RequireReplicaProof();
 }
 
-/// Whether a server that a claimant may leave out can acknowledge commits: one
-/// that drains, or one that no list shows yet, while a server of the service is
-/// replaced, the list is old, or a promotion may be under way.
-bool Proxy::CommitsNeedProof(const Service& service) const {
-  if (now_ - servers_read_at_ >= kListMaxAge) return true;
-  if (!members_known_ || !MembersRecorded(service)) return true;
-  if (service.proof.FenceReported(now_)) return true;
-  // A claim made meanwhile may still lead to a promotion.
-  if (RecentlyDoubted(service)) return true;
-  const bool changed = service.last_change != TimePoint{} &&
-                       now_ - service.last_change < kJoinTime;
-  return changed || std::any_of(service.servers.begin(), service.servers.end(),
-                                [&](const ServerId& id) {
-                                  const ServerPool& pool = pools_.at(id);
-                                  const bool may_run =
-                                      pool.listed ||
-                                      now_ - pool.unlisted_at < kLeaveTime;
-                                  return pool.entry.draining && may_run;
-                                });
-}
-
 /// Records since when a listed server is known. The servers of the first list
 /// are taken to be known to everyone.
 void Proxy::NoteWitness(ServerPool& pool, bool added, bool restarted) {
   Service& service = ServiceOf(pool.entry.service);
   if (pool.entry.draining) service.proof.Discard(pool.entry.id);
-  const bool starts_draining =
-      pool.entry.draining && pool.draining_since == now_;
-  if (starts_draining || (added && servers_known_)) {
-    service.last_change = now_;
-  }
   if (!added && !restarted) return;
   pool.listed_since = servers_known_ ? now_ : TimePoint{};
   pool.leader_term = 0;
@@ -171,7 +139,6 @@
   if (primary == pools_.end() || !IsWitness(pool)) return;
   service.proof.AddReplicaPosition(pool.entry.id, *position,
                                    primary->second.leader_term);
-  service.commits.AddReceived(*position);
   if (NeedsProof() || !service.awaiting_proof.empty()) ReleaseProven(service);
 }
 
@@ -185,47 +152,6 @@
   SendControl(pool.entry.id, std::move(end), Step::kEnd);
 }
 
-/// Contacts a known replica, so that it is known to be reachable by the time a
-/// commit that was just sent is acknowledged.
-void Proxy::ContactNearestReplica(Service& service) {
-  if (service.limits.sync_replicas == 0) return;
-  if (!service.commits.NeedsContact(now_)) return;
-  ServerPool* nearest = nullptr;
-  for (const ServerId& id : service.servers) {
-    ServerPool& pool = pools_.at(id);
-    const bool usable = id != service.primary && IsWitness(pool) &&
-                        !pool.failing && !pool.idle.empty();
-    if (!usable) continue;
-    const bool near = pool.entry.zone == self_.zone;
-    if (nearest == nullptr || near) nearest = &pool;
-  }
-  if (nearest != nullptr) ContactReplica(*nearest);
-}
-
-/// Notes that a known replica itself replied, not the instance that shares its
-/// connections.
-void Proxy::NoteContact(ServerPool& pool, const Connection& connection,
-                        const ExpectedReply& expected, const Reply& reply) {
-  const bool by_owner = connection.shared && (expected.step == Step::kSetup ||
-                                              expected.step == Step::kEnd ||
-                                              reply.error == ErrorCode::kBusy);
-  Service& service = ServiceOf(pool.entry.service);
-  if (by_owner || service.primary == pool.entry.id || !IsWitness(pool)) return;
-  service.commits.AddContact(expected.sent);
-  if (!service.awaiting_proof.empty()) ReleaseProven(service);
-}
-
-/// Whether the client of an acknowledged commit may be answered: a known
-/// replica has it, or nothing suggests that only other servers do.
-bool Proxy::CommitProven(const Service& service,
-                         const CommitEvidence::Commit& commit,
-                         bool needs_receipt) const {
-  if (!OrdersExcluded(service, commit)) return false;
-  if (service.proof.HasReceived(commit.position, now_)) return true;
-  if (needs_receipt || CommitsNeedProof(service)) return false;
-  return !HasOtherServers(service) || service.commits.Suffices(commit);
-}
-
 /// Handles any status report of a server.
 void Proxy::OnServerStatus(ServerPool& pool, TimePoint sent,
                            const ServerStatus& status) {
@@ -252,7 +178,6 @@
     if (!IsWitness(pool)) return;
     const bool was_fenced = service.proof.FenceReported(now_);
     service.proof.Add(pool.entry.id, sent, now_, status, leader_term);
-    service.commits.AddReceived(status.received);
     if (service.proof.FenceReported(now_) != was_fenced) {
       Warn("replica fence changed service=" + pool.entry.service + " id=" +
            pool.entry.id + " fence_term=" + std::to_string(status.fence_term));
@@ -340,45 +265,7 @@
   return std::to_string(age.count());
 }
 
-void Proxy::NoteCommitAnswered(Service& service,
-                               const CommitEvidence::Commit& commit) {
-  if (service.proof.HasReceived(commit.position, now_)) return;
-  service.commits.AddAnswered(commit.position, now_);
-}
-
-/// Answers a commit, once a known replica has received it if a server that a
-/// claimant may leave out could have acknowledged it.
-void Proxy::AnswerCommit(SessionId id, Session& session, TimePoint sent,
-                         Reply reply) {
-  PendingStatement& pending = *session.pending;
-  Service& service = ServiceOf(pending.route->service);
-  const bool required = service.limits.sync_replicas > 0 && reply.position &&
-                        options_.safety->RequireReplicaProof();
-  if (!required) {
-    if (reply.position) NoteAcknowledged(service, pending, *reply.position);
-    return Answer(id, session, std::move(reply));
-  }
-  const CommitEvidence::Commit commit{*reply.position, sent, now_};
-  const auto primary = pools_.find(service.primary);
-  service.commits.AddCommit(
-      commit, primary != pools_.end() && primary->second.commits_waited);
-  pending.needs_receipt =
-      CommitsNeedProof(service) ||
-      (HasOtherServers(service) && service.commits.NeedsReceipt(commit));
-  if (CommitProven(service, commit, pending.needs_receipt)) {
-    NoteCommitAnswered(service, commit);
-    NoteAcknowledged(service, pending, commit.position);
-    return Answer(id, session, std::move(reply));
-  }
-  Count("commits_held");
-  pending.held_commit = commit;
-  pending.held_reply = std::move(reply);
-  service.awaiting_proof.insert(id);
-  CheckForOrders(service);
-  if (pending.needs_receipt) QueryNextReplica(service);
-}
-
-/// Answers the held replies, and adopts the samples, that are proven by now.
+/// Adopts the samples that are proven by now, and goes on with what waits.
 void Proxy::ReleaseProven(Service& service) {
   const auto proven_at = service.proof.proven_at();
   if (service.primary_queue.size() > 0)
@@ -389,52 +276,13 @@
     if (proven) AdoptSample(service, it.position, it.sent);
     return proven;
   });
-  const std::vector<SessionId> awaiting(service.awaiting_proof.begin(),
-                                        service.awaiting_proof.end());
-  for (const SessionId id : awaiting) {
-    const auto it = sessions_.find(id);
-    const bool held = it != sessions_.end() && it->second.pending &&
-                      it->second.pending->held_reply;
-    if (held && !CommitProven(service, it->second.pending->held_commit,
-                              it->second.pending->needs_receipt)) {
-      continue;
-    }
-    service.awaiting_proof.erase(id);
-    if (!held) continue;
-    ResetStatusBackoff(service);
-    NoteCommitAnswered(service, it->second.pending->held_commit);
-    NoteAcknowledged(service, *it->second.pending,
-                     it->second.pending->held_commit.position);
-    Reply reply = std::move(*it->second.pending->held_reply);
-    Answer(id, it->second, std::move(reply));
-  }
-}
-
-/// Ends the wait of a held reply: the commit may be lost in a promotion.
-void Proxy::FailHeld(SessionId id, Session& session,
-                     const std::string& detail) {
-  PendingStatement& pending = *session.pending;
-  Service& service = ServiceOf(pending.route->service);
-  service.awaiting_proof.erase(id);
-  const auto held_ms = std::chrono::duration_cast<Milliseconds>(
-      now_ - pending.held_commit.acknowledged);
-  const Position position = pending.held_commit.position;
-  LogRequest("commit not proven id=" + pending.id + " database=" +
-             session.database + " position=" + std::to_string(position.term) +
-             "." + std::to_string(position.index) +
-             " held_ms=" + std::to_string(held_ms.count()) +
-             " fenced=" + std::to_string(service.proof.FenceReported(now_)));
-  Count("commits_not_proven");
-  pending.held_reply.reset();
-  session.in_doubt_since = now_;
-  AnswerError(id, session, ErrorCode::kUnsure, detail);
+  ReleaseCommits(service);
 }
 
 /// Discards the proof of a primary that changed, with the replies that wait for
 /// it: what proves the new primary says nothing about them.
 void Proxy::ResetProof(Service& service) {
   service.proof.Reset();
-  service.commits.Reset();
   service.unproven_samples.clear();
   for (const SessionId id : std::exchange(service.awaiting_proof, {})) {
     const auto it = sessions_.find(id);
@@ -464,9 +312,10 @@
   const bool fenced = service.proof.fenced_since().has_value();
   const bool unproven =
       service.primary_queue.size() > 0 && !LeadershipProven(service);
-  const bool holds = !service.awaiting_proof.empty();
-  if (holds) CheckForOrders(service);
-  if (holds || unproven || (fenced && in_use)) QueryNextReplica(service);
+  if (!service.awaiting_proof.empty()) QueryHolders(service);
+  QueryUnknown(service);
+  TimeApplied(service);
+  if (unproven || (fenced && in_use)) QueryNextReplica(service);
 }
 
 }  // namespace corianderdock::session
--- a/src/session/proxy_replies.cc
+++ b/src/session/proxy_replies.cc
@@ -64,7 +64,7 @@
   // What may be a repeat shows nothing that its predecessor didn't.
   if (!certain) expected.sent = std::min(expected.sent, matched.first_sent);
   NotePosition(pool, expected.sent, reply.position);
-  NoteContact(pool, connection, expected, reply);
+  NoteReport(pool, connection, expected, reply);
   switch (expected.step) {
     case Step::kBegin:
       OnBeginReply(event.connection, expected, reply, certain);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -482,9 +482,7 @@
   if (expected.commits_writes) expected.known_position = pool.log_position;
   if (expected.uses_slot) ++pool.running;
   connection.expected.push_back(expected);
-  const ServiceId service = connection.service;
   Emit(SendCommand{id, std::move(command)});
-  if (expected.commits_writes) ContactNearestReplica(ServiceOf(service));
 }
 
 void Proxy::NoteHeard(ServerPool& pool) {
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -231,7 +231,6 @@
     pool.latency_ms += kLatencySmoothing * (ms - pool.latency_ms);
     NoteRunTime(session, now_ - expected.sent);
     if (expected.commits_writes) {
-      pool.commits_waited = CommitWaits(pool);
       pool.lost_commits = 0;
     }
     RaiseConcurrencyLimit(pool);
--- a/src/session/store_follower.cc
+++ b/src/session/store_follower.cc
@@ -652,6 +652,7 @@
     MembersRead read;
     read.records[pending.service] = pending.members;
     read.records[pending.service].revision = {result.revision, era_};
+    read.current_at = pending.issued_at;
     if (ok) outputs_.emplace_back(Event(std::move(read)));
     if (result.status == StoreStatus::kConflict) {
       ReportMembers(result.members, false);
