--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -14,7 +15,7 @@
 /// Interval at which the proof of a held commit is looked for.
 constexpr Duration kHolderQueryInterval = std::chrono::milliseconds(10);
 /// Initial and longest pause between rounds of status queries.
-constexpr Duration kMinStatusPause = std::chrono::milliseconds(10);
+constexpr Duration kMinStatusPause = std::chrono::milliseconds(30);
 constexpr Duration kMaxStatusPause = std::chrono::milliseconds(160);
 /// Longest time until a commit appears in replies that counts, and the weight
 /// of the earlier ones in the average.
@@ -26,7 +27,7 @@
 constexpr Duration kUnknownQueryInterval = std::chrono::milliseconds(1000);
 /// Time for which a commit is held before the record is read for the order of
 /// an instance that has stopped.
-constexpr Duration kOrderReadDelay = std::chrono::milliseconds(100);
+constexpr Duration kOrderReadDelay = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -114,8 +115,10 @@
   const bool applied = end.term == position.term && end.index >= position.index;
   if (!applied && now_ - since < kMaxApplyDelay) return;
   const Duration delay = std::min(now_ - since, kMaxApplyDelay);
-  if (!service.apply_delay) service.apply_delay = delay;
-  *service.apply_delay += (delay - *service.apply_delay) / kApplyDelayDivisor;
+  if (applied) {
+    if (!service.apply_delay) service.apply_delay = delay;
+    *service.apply_delay += (delay - *service.apply_delay) / kApplyDelayDivisor;
+  }
   service.timed_commit.reset();
 }
 
@@ -131,16 +134,16 @@
   service.timed_commit.reset();  // statuses have shown it
 }
 
-/// Whether a held commit isn't expected in other replies early enough for its
-/// client, so that servers must be asked. That occupies a slot of theirs.
+/// Whether servers must be asked for a held commit, which occupies a slot of
+/// theirs: it isn't expected to appear in other replies within half of the time
+/// in which its client is to be answered, or hasn't within three quarters.
 bool Proxy::MustAsk(const Service& service,
                     const PendingStatement& pending) const {
   const Duration objective = pending.route->latency_objective;
+  const Duration expected = pending.held_since - pending.arrived +
+                            service.apply_delay.value_or(Duration(0));
   const Duration passed = now_ - pending.arrived;
-  const Duration held = now_ - pending.held_since;
-  const Duration expected =
-      service.apply_delay.value_or(kMaxApplyDelay) - held;
-  return passed + std::max(expected, objective / 4) >= objective;
+  return expected >= objective / 2 || passed >= objective * 3 / 4;
 }
 
 /// Returns what excludes the loss of a commit of the present primary.
@@ -272,7 +275,7 @@
     const auto since = service.quorum.RunningSince(pool->entry.id);
     const bool settled = servers.counted.contains(pool->entry.id) && since &&
                          now_ - *since >= service.quorum.settle_time();
-    return std::pair(!settled, pool->entry.zone != self_.zone);
+    return std::tuple(!settled, pool->running, pool->entry.zone != self_.zone);
   };
   std::stable_sort(
       lacking.begin(), lacking.end(),
@@ -286,8 +289,9 @@
   if (primary == pools_.end() || service.limits.sync_replicas == 0) return;
   const Term term = std::max(service.newest_term, service.last_primary_term);
   for (const ServerId& id : service.servers) {
+    if (id == service.primary) continue;
     ServerPool& pool = pools_.at(id);
-    if (pool.failing || !IsCounted(service, pool)) continue;
+    if (pool.failing || !pool.listed || pool.entry.draining) continue;
     const bool due = now_ - pool.last_query >= kUnknownQueryInterval;
     if (due && service.quorum.NeedsStatus(id, term)) QueryServer(pool);
   }
