--- a/include/corianderdock/session/commit_quorum.h
+++ b/include/corianderdock/session/commit_quorum.h
@@ -2,6 +2,7 @@
 /// Decides from the replies of servers whether a commit can still be lost.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,8 +69,9 @@
 
   /// Servers as they matter for a commit.
   struct Servers {
-    /// Replicas that every claimant knows and fences.
-    std::set<ServerId> counted;
+    /// Replicas that every claimant knows, and fences before each order that it
+    /// gives after the time.
+    std::map<ServerId, TimePoint> counted;
     /// Servers that an order may promote, without the primary.
     std::set<ServerId> promotable;
     /// Whether `promotable` lacks none.
--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -221,6 +221,12 @@
   /// can be executed any more.
   [[nodiscard]] bool OwnOrderEnded(std::uint64_t token, TimePoint now) const;
 
+  /// Whether the platform accepted the order recorded under `token`, which is
+  /// of this instance, so that it refuses orders under lower tokens since.
+  [[nodiscard]] bool OwnOrderAccepted(std::uint64_t token) const {
+    return token != 0 && token == accepted_token_;
+  }
+
   /// Whether the order recorded under `token` is of another instance.
   [[nodiscard]] bool OrderedByAnother(std::uint64_t token) const {
     return token != recorded_token_;
@@ -368,7 +374,8 @@
   /// Highest token under which an order ever went unanswered; it is not used
   /// again as the fallback token.
   std::uint64_t spent_token_ = 0;
-  bool unanswered_order_ = false;  ///< an order may still be executed
+  std::uint64_t accepted_token_ = 0;  ///< of the last order that was accepted
+  bool unanswered_order_ = false;     ///< an order may still be executed
   /// Server of the last unanswered order, and when it was given.
   ServerId unanswered_server_;
   TimePoint unanswered_order_at_;
--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -33,8 +33,10 @@
   std::uint64_t order_renewals = 0;
   /// Servers of earlier orders that may still be executed as well.
   std::set<ServerId> superseded = {};
-  /// The primary, if it was promoted by the last order that the record named.
+  /// The primary, if the platform answered the last order that the record
+  /// named, and the term in which it leads since.
   ServerId leader = {};
+  Term leader_term = 0;
 
   bool operator==(const MemberRecord&) const = default;
 };
@@ -69,8 +71,10 @@
     /// The order that the record names can't be executed any more, and this
     /// instance gave it or may remove it.
     bool order_expired = false;
-    ServerId leader;  ///< it was promoted by that order; empty if unknown
-    int rank = 0;     ///< of this instance among all; 0 is the first
+    /// The primary, if the platform answered that order; otherwise empty.
+    ServerId leader = {};
+    Term leader_term = 0;
+    int rank = 0;  ///< of this instance among all; 0 is the first
   };
 
   enum class Step { kNone, kRead, kWrite };
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -281,9 +281,8 @@
     ServiceId id;
     ServiceLimits limits;
     std::set<ServerId> servers;
-    ServerId primary;           ///< empty when unknown
-    ServerId last_primary;      ///< last server that proved leadership
-    ServerId previous_primary;  ///< that led before `last_primary`
+    ServerId primary;       ///< empty when unknown
+    ServerId last_primary;  ///< last server that proved leadership
     Term last_primary_term = 0;
     Term newest_term = 0;  ///< highest term that any server reported
     TimePoint last_search;
@@ -597,6 +596,7 @@
   [[nodiscard]] bool MembersRecorded(const Service& service) const;
   void CheckMembers();
   [[nodiscard]] bool OrderEnded(const Service& service) const;
+  [[nodiscard]] bool LeaderTermKnown(const Service& service) const;
   void RecordMembers(Service& service);
 
   // Shared connections (proxy_peers.cc).
@@ -718,9 +718,10 @@
                                const ServerPool& pool) const;
   [[nodiscard]] bool IsPromotable(const Service& service,
                                   const ServerPool& pool) const;
-  [[nodiscard]] CommitQuorum::Servers ServersForCommits(
-      const Service& service) const;
-  [[nodiscard]] bool OrdersEnded(const Service& service) const;
+  [[nodiscard]] CommitQuorum::Servers ServersForCommits(const Service& service,
+                                                        Term term) const;
+  [[nodiscard]] bool OrdersEnded(const Service& service, Term term) const;
+  [[nodiscard]] TimePoint KnownSince(const ServerPool& pool) const;
   void NoteApplied(Service& service, const ServerPool& pool, Position end);
   [[nodiscard]] bool MustAsk(const Service& service,
                              const PendingStatement& pending) const;
@@ -730,8 +731,8 @@
                   const ExpectedReply& expected, const Reply& reply);
   [[nodiscard]] CommitBasis BasisOf(const Service& service,
                                     const CommitQuorum::Commit& commit) const;
-  void AnswerCommit(SessionId id, Session& session, TimePoint sent,
-                    Reply reply);
+  void AnswerCommit(SessionId id, Session& session, const ServerId& server,
+                    TimePoint sent, Reply reply);
   void ReleaseCommits(Service& service);
   void OnHeldCommit(SessionId id, std::uint64_t statement_serial);
   void QueryHolders(Service& service);
--- a/src/session/commit_quorum.cc
+++ b/src/session/commit_quorum.cc
@@ -28,8 +28,10 @@
 
 void CommitQuorum::Add(const ServerId& server, const Report& report) {
   Server& known = servers_[server];
-  if (Precedes(known.end, report.end)) known.end = report.end;
-  if (!report.running_since) return;
+  if (!report.running_since) {
+    if (Precedes(known.end, report.end)) known.end = report.end;
+    return;
+  }
   Process seen;
   seen.running_since = *report.running_since;
   seen.alive_until = report.sent;
@@ -44,6 +46,7 @@
   };
   if (same(known.current)) {
     Merge(*known.current, seen);
+    if (Precedes(known.end, report.end)) known.end = report.end;
   } else if (known.current && seen.alive_until < known.current->running_since) {
     if (same(known.earlier)) Merge(*known.earlier, seen);
     return;
@@ -120,29 +123,35 @@
   }
   if (!unfenced_at || *unfenced_at < not_before) return false;
   const auto& fenced_at = process->fenced_at;
-  // A promotion lifted the fences of before.
+  const TimePoint known_since = servers.counted.at(witness);
+  // An order given just after the promotion may rely on reports of fences that
+  // it lifted.
+  const bool after_promotion =
+      *unfenced_at >= process->in_term_since + options_.fence_report_max_age;
   const bool ran_before = servers.term_began_after &&
-                          process->running_since <= *servers.term_began_after;
-  if (ran_before && fenced_at <= process->in_term_since) return true;
-  TimePoint settles = std::max(process->running_since, process->in_term_since);
+                          std::max(process->running_since, known_since) <=
+                              *servers.term_began_after;
+  if (ran_before && after_promotion && fenced_at <= process->in_term_since) {
+    return true;
+  }
+  TimePoint settles =
+      std::max({process->running_since, process->in_term_since, known_since});
   if (fenced_at) settles = std::max(settles, *fenced_at);
   return *unfenced_at >= settles + settle_time();
 }
 
 CommitBasis CommitQuorum::Find(const Commit& commit,
                                const Servers& servers) const {
-  for (const ServerId& holder : servers.counted) {
+  for (const auto& [holder, known_since] : servers.counted) {
     const Process* process = ProcessOf(holder);
     if (process == nullptr || !Covers(process->end, commit.position)) continue;
-    // Orders whose report of this server is from before its start were given
-    // before this time.
-    const TimePoint not_before =
-        process->running_since + options_.fence_report_max_age;
-    const bool excluded =
-        std::any_of(servers.counted.begin(), servers.counted.end(),
-                    [&](const ServerId& it) {
-                      return ExcludesOrders(it, commit, not_before, servers);
-                    });
+    // Orders without a report of this process were given before this time.
+    const TimePoint not_before = std::max(
+        process->running_since + options_.fence_report_max_age, known_since);
+    const bool excluded = std::any_of(
+        servers.counted.begin(), servers.counted.end(), [&](const auto& it) {
+          return ExcludesOrders(it.first, commit, not_before, servers);
+        });
     if (excluded) return CommitBasis::kQuorum;
   }
   const bool all =
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -563,6 +563,7 @@
   foreign_server_.clear();
   if (token_ > unanswered_order_token_) unanswered_server_.clear();
   if (result == PromotionResult::kAccepted) {
+    accepted_token_ = token_;
     EnterPhase(Phase::kAwaitingPrimary, situation.now);
   }
   return {};
--- a/src/session/member_record.cc
+++ b/src/session/member_record.cc
@@ -43,7 +43,10 @@
     root["renewals"] = static_cast<Json::UInt64>(record.order_renewals);
     for (const ServerId& id : record.superseded) root["superseded"].append(id);
   }
-  if (!record.leader.empty()) root["leader"] = record.leader;
+  if (!record.leader.empty()) {
+    root["leader"] = record.leader;
+    root["term"] = static_cast<Json::UInt64>(record.leader_term);
+  }
   root["servers"] = Json::Value(Json::arrayValue);
   for (const auto& [id, entry] : record.servers) {
     Json::Value item;
@@ -74,7 +77,10 @@
   if (!root.isObject() || !root["servers"].isArray()) return std::nullopt;
   MemberRecord record;
   record.ordered = StringOf(root["ordered"]);
-  record.leader = StringOf(root["leader"]);
+  if (root["term"].isUInt64()) {
+    record.leader = StringOf(root["leader"]);
+    record.leader_term = root["term"].asUInt64();
+  }
   if (root["token"].isUInt64()) record.order_token = root["token"].asUInt64();
   if (root["renewals"].isUInt64()) {
     record.order_renewals = root["renewals"].asUInt64();
@@ -164,6 +170,7 @@
     replacement.order_renewals = 0;
     replacement.superseded.clear();
     replacement.leader = situation.leader;
+    replacement.leader_term = situation.leader_term;
   }
   for (const ServerId& id : situation.obsolete) replacement.servers.erase(id);
   for (const auto& [id, entry] : situation.required) {
--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -17,6 +17,12 @@
 /// Initial and longest pause between rounds of status queries.
 constexpr Duration kMinStatusPause = std::chrono::milliseconds(30);
 constexpr Duration kMaxStatusPause = std::chrono::milliseconds(160);
+/// Age of its list up to which an instance orders without the store, and up to
+/// which a list that is read may be older than the read.
+constexpr Duration kMaxListAge = std::chrono::milliseconds(9000);
+constexpr Duration kMaxListDelay = std::chrono::milliseconds(3000);
+/// Age of the list from which it may lack a server that joined.
+constexpr Duration kFreshListAge = std::chrono::milliseconds(2500);
 /// Longest time until a commit appears in replies that counts, and the weight
 /// of the earlier ones in the average.
 constexpr Duration kMaxApplyDelay = std::chrono::milliseconds(2000);
@@ -31,49 +37,56 @@
 
 }  // namespace
 
-/// Whether every claimant knows this replica, and fences it before an order. An
-/// instance that can't reach the store orders by a list that is younger.
+/// Whether every claimant knows this replica, and fences it before the orders
+/// that it gives by now.
 bool Proxy::IsCounted(const Service& service, const ServerPool& pool) const {
   if (pool.entry.id == service.primary || pool.superseded) return false;
   if (!pool.listed || pool.entry.draining) return false;
-  const bool established = pool.listed_since == TimePoint{};
-  const bool listed_long =
-      established || now_ - pool.listed_since >= service.quorum.settle_time();
+  // A claimant leaves out a server that is silent to it and not listed for
+  // long.
+  if (now_ - servers_read_at_ >= kMaxListAge) return false;
   const bool named =
       !options_.safety->RememberMembers() || service.members.Names(pool.entry);
-  return listed_long && named;
+  return named && now_ >= KnownSince(pool);
 }
 
-/// Whether an order that may still be executed could be for this server. None
-/// is for the primary before, as its own order would have kept the present one
-/// from being promoted.
+/// Time from which all orders fence this server: an instance that can't reach
+/// the store orders by a list that may be old. One that this instance found
+/// listed when it started counts from then on.
+TimePoint Proxy::KnownSince(const ServerPool& pool) const {
+  const bool established = pool.listed_since == TimePoint{};
+  return established ? started_at_
+                     : pool.listed_since + kMaxListAge + kMaxListDelay;
+}
+
+/// Whether an order that may still be executed could be for this server.
 bool Proxy::IsPromotable(const Service& service, const ServerPool& pool) const {
-  const ServerId& id = pool.entry.id;
-  if (id == service.primary || id == service.previous_primary) return false;
+  if (pool.entry.id == service.primary) return false;
   if (pool.superseded || IsPhantom(pool)) return false;
   return pool.listed || !pool.failing || MayReturn(pool);
 }
 
-/// Whether no order that was given before the present primary was promoted can
-/// be executed any more: it was ordered under a claim. Only one server is under
-/// such orders at a time, and the platform refuses those under the lower tokens
-/// of instances that could not reach the store.
-bool Proxy::OrdersEnded(const Service& service) const {
+/// Whether no order that was given before `term` can be executed any more: the
+/// order that made it was answered, so that the platform refuses those under
+/// lower tokens, and no other one was recorded.
+bool Proxy::OrdersEnded(const Service& service, Term term) const {
   const MemberRecord& record = service.members.record();
-  const bool current = service.members_current_at > service.primary_since;
-  const bool ordered =
-      record.ordered == service.primary || record.leader == service.primary;
-  return options_.failover.tokens_checked && current && ordered &&
-         !service.primary.empty() && record.superseded.empty();
+  return options_.failover.tokens_checked && !service.primary.empty() &&
+         record.leader == service.primary && record.leader_term == term &&
+         record.superseded.empty();
 }
 
-CommitQuorum::Servers Proxy::ServersForCommits(const Service& service) const {
+CommitQuorum::Servers Proxy::ServersForCommits(const Service& service,
+                                               Term term) const {
   CommitQuorum::Servers servers;
-  servers.all_known = members_known_ && servers_known_;
-  if (OrdersEnded(service)) servers.term_began_after = service.term_began_after;
+  servers.all_known = members_known_ && servers_known_ &&
+                      now_ - servers_read_at_ < kFreshListAge;
+  if (OrdersEnded(service, term)) {
+    servers.term_began_after = service.term_began_after;
+  }
   for (const ServerId& id : service.servers) {
     const ServerPool& pool = pools_.at(id);
-    if (IsCounted(service, pool)) servers.counted.insert(id);
+    if (IsCounted(service, pool)) servers.counted[id] = KnownSince(pool);
     if (IsPromotable(service, pool)) servers.promotable.insert(id);
   }
   return servers;
@@ -85,6 +98,11 @@
 void Proxy::NoteReport(ServerPool& pool, const Connection& connection,
                        const ExpectedReply& expected, const Reply& reply) {
   if (!reply.position && !reply.status) return;
+  // The owner of a shared connection answers some commands itself.
+  const bool by_owner = connection.shared && (expected.step == Step::kSetup ||
+                                              expected.step == Step::kEnd ||
+                                              reply.error == ErrorCode::kBusy);
+  if (by_owner) return;
   CommitQuorum::Report report;
   report.sent = expected.sent;
   report.received_at = now_;
@@ -149,12 +167,13 @@
 /// Returns what excludes the loss of a commit of the present primary.
 CommitBasis Proxy::BasisOf(const Service& service,
                            const CommitQuorum::Commit& commit) const {
-  return service.quorum.Find(commit, ServersForCommits(service));
+  return service.quorum.Find(commit,
+                             ServersForCommits(service, commit.position.term));
 }
 
-/// Answers a commit once no promotion can lose it.
-void Proxy::AnswerCommit(SessionId id, Session& session, TimePoint sent,
-                         Reply reply) {
+/// Answers a commit that `server` acknowledged once no promotion can lose it.
+void Proxy::AnswerCommit(SessionId id, Session& session, const ServerId& server,
+                         TimePoint sent, Reply reply) {
   PendingStatement& pending = *session.pending;
   Service& service = ServiceOf(pending.route->service);
   const bool required = service.limits.sync_replicas > 0 && reply.position &&
@@ -166,7 +185,10 @@
     return Answer(id, session, std::move(reply));
   }
   const CommitQuorum::Commit commit{*reply.position, sent};
-  const CommitBasis basis = BasisOf(service, commit);
+  const bool replaced =
+      server != service.primary || commit.position.term < service.newest_term;
+  const CommitBasis basis =
+      replaced ? CommitBasis::kNone : BasisOf(service, commit);
   if (basis != CommitBasis::kNone) {
     NoteAcknowledged(service, pending, commit.position, basis);
     return Answer(id, session, std::move(reply));
@@ -179,6 +201,7 @@
     service.timed_at = now_;
   }
   pending.held_reply = std::move(reply);
+  if (replaced) return FailHeld(id, session, "the primary changed");
   service.awaiting_proof.insert(id);
   ScheduleAfter(kHolderQueryInterval,
                 {TimerKind::kHeldCommit, id, pending.statement_serial});
@@ -189,15 +212,13 @@
 void Proxy::ReleaseCommits(Service& service) {
   const std::vector<SessionId> awaiting(service.awaiting_proof.begin(),
                                         service.awaiting_proof.end());
-  if (awaiting.empty()) return;
-  const CommitQuorum::Servers servers = ServersForCommits(service);
   for (const SessionId id : awaiting) {
     const auto it = sessions_.find(id);
     const bool held = it != sessions_.end() && it->second.pending &&
                       it->second.pending->held_reply;
     CommitBasis basis = CommitBasis::kNone;
     if (held) {
-      basis = service.quorum.Find(it->second.pending->held_commit, servers);
+      basis = BasisOf(service, it->second.pending->held_commit);
       if (basis == CommitBasis::kNone) continue;
     }
     service.awaiting_proof.erase(id);
@@ -262,7 +283,8 @@
 /// matter for it, those first of which least else must be known.
 std::vector<Proxy::ServerPool*> Proxy::ServersWithout(const Service& service,
                                                       Position position) {
-  const CommitQuorum::Servers servers = ServersForCommits(service);
+  const CommitQuorum::Servers servers =
+      ServersForCommits(service, position.term);
   std::vector<ServerPool*> lacking;
   for (const ServerId& id : service.servers) {
     ServerPool& pool = pools_.at(id);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -82,6 +82,8 @@
   }
   const auto current = pools_.find(service.primary);
   const bool other_leads = current != pools_.end() && &current->second != &pool;
+  // What a server did before another one was proven to lead shows nothing.
+  if (other_leads && service.led_at && sent <= *service.led_at) return;
   // Another server accepts work as the primary, or led in a newer term than the
   // log shows. The one with the highest term leads.
   const bool outdated = position && position->term < service.newest_term;
@@ -91,9 +93,6 @@
   }
   if (service.primary == pool.entry.id) service.led_at = sent;
   if (position) {
-    if (service.last_primary != pool.entry.id) {
-      service.previous_primary = service.last_primary;
-    }
     service.last_primary = pool.entry.id;
     service.last_primary_term = std::max(pool.leader_term, position->term);
     AddSample(service, *position, sent);
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -15,6 +15,9 @@
 /// Time since the start until the list of instances names the others, from
 /// which their ranks follow.
 constexpr Duration kInstancesListedTime = std::chrono::milliseconds(3000);
+/// Time for which the term of a new primary is asked for before its order is
+/// removed from the record.
+constexpr Duration kLeaderTermWait = std::chrono::milliseconds(1000);
 /// Time after which a server whose entry was not renewed, although entries
 /// expire after three heartbeats, and that never answered any instance, is
 /// taken not to exist.
@@ -91,9 +94,14 @@
   });
   situation.order_expired = OrderEnded(service);
   const MemberRecord& record = service.members.record();
-  const bool led = record.ordered == service.primary &&
-                   service.failover.OwnOrderEnded(record.order_token, now_);
-  if (led) situation.leader = service.primary;
+  const auto primary = pools_.find(service.primary);
+  const bool accepted = record.ordered == service.primary &&
+                        service.failover.OwnOrderAccepted(record.order_token) &&
+                        primary != pools_.end();
+  if (accepted) {
+    situation.leader = service.primary;
+    situation.leader_term = primary->second.leader_term;
+  }
   situation.rank = PromotionRank(service);
   return situation;
 }
@@ -140,14 +148,34 @@
 bool Proxy::OrderEnded(const Service& service) const {
   const MemberRecord& record = service.members.record();
   if (record.ordered.empty()) return false;
-  if (service.failover.OwnOrderEnded(record.order_token, now_)) return true;
+  if (service.failover.OwnOrderEnded(record.order_token, now_)) {
+    return LeaderTermKnown(service);
+  }
   const Duration known = now_ - service.members.order_known_since();
   return known >= options_.failover.max_order_delay &&
          service.failover.phase() == Failover::Phase::kIdle &&
          PromotionRank(service) == 0;
 }
 
+/// Whether the term of the primary that this instance had promoted is known, or
+/// can't be learned soon. It is recorded when the order is removed.
+bool Proxy::LeaderTermKnown(const Service& service) const {
+  const auto primary = pools_.find(service.primary);
+  return primary == pools_.end() || primary->second.failing ||
+         primary->second.leader_term != 0 ||
+         now_ - service.primary_since >= kLeaderTermWait;
+}
+
 void Proxy::RecordMembers(Service& service) {
+  // The promoted server is asked in which term it leads.
+  const MemberRecord& record = service.members.record();
+  const bool ended = !record.ordered.empty() &&
+                     service.failover.OwnOrderEnded(record.order_token, now_);
+  const auto primary = pools_.find(service.primary);
+  if (ended && !LeaderTermKnown(service) &&
+      now_ - primary->second.last_query >= kMembersCheckInterval) {
+    QueryServer(primary->second);
+  }
   const bool as_recorded = std::all_of(
       service.servers.begin(), service.servers.end(), [&](const ServerId& id) {
         const ServerPool& pool = pools_.at(id);
--- a/src/session/proxy_peers.cc
+++ b/src/session/proxy_peers.cc
@@ -335,7 +335,8 @@
   if (peer.commands.front().statement.verb == Verb::kStatus) {
     const auto since =
         ServiceOf(pool.entry.service).quorum.RunningSince(peer.server);
-    if (since) reply.running_for = now_ - *since;
+    reply.running_for = now_ - std::min(since.value_or(connection.opened_at),
+                                        connection.opened_at);
   }
   peer.commands.pop_front();
   if (reply.error == ErrorCode::kNoStatement) connection.state.Invalidate();
--- a/src/session/proxy_statements.cc
+++ b/src/session/proxy_statements.cc
@@ -277,6 +277,7 @@
                               const ExpectedReply& expected, Reply reply) {
   PendingStatement& pending = *session.pending;
   Connection& server_connection = connections_.at(connection);
+  const ServerId server = server_connection.server;
   const bool commit = pending.statement.verb == Verb::kCommit;
   const bool autocommit = session.state == TransactionState::kIdle;
   if ((commit && session.sent_write) || (autocommit && pending.writes)) {
@@ -310,7 +311,7 @@
   if (commit) EndTransaction(session);
   if (commits_writes) {
     pending.position_before = expected.known_position;
-    return AnswerCommit(id, session, expected.sent, std::move(reply));
+    return AnswerCommit(id, session, server, expected.sent, std::move(reply));
   }
   Answer(id, session, std::move(reply));
 }
