Soak: a relay reports no reply after the end of its connection

PassReplies now returns once the link is closed. Such a reply was never passed on to the proxy, and docs/SOAK.md excepts it; all other checks are as before.

--- a/soak/repeater.cc
+++ b/soak/repeater.cc
@@ -126,6 +126,7 @@
   try {
     for (;;) {
       const std::string line = co_await ReadLine(link->server, buf);
+      if (link->closed) co_return;  // observers have forgotten the connection
       lines += line;
       const auto fields = SplitFields(WithoutEnd(line), 3);
       if (fields[0] == "ROW") reply.rows.push_back(WithoutEnd(line).substr(4));
