Soak: planned replacements of replicas beside the loss of a primary

A series of its own per service drains a replica, adds its successor unlisted for 0.2 to 3 s, and beside it crashes the primary or cuts it off from a share of the proxies, in half of the cases with all orders late. It draws from streams of its own; the pauses and choices of the other series are drawn as before.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Ms kGrace{6'000};
+/// Of the replacements, so that the other series draw what they drew without.
+constexpr std::uint64_t kReplacementStreams = 10'000;
 
 }  // namespace
 
@@ -42,6 +44,11 @@
   for (lab::Group& it : cluster_.groups) {
     asio::co_spawn(cluster_.io, GroupSeries(it, NewRandom()), asio::detached);
   }
+  std::uint64_t stream = kReplacementStreams;
+  for (lab::Group& it : cluster_.groups) {
+    Random& random = randoms_.emplace_back(seed_, stream++);
+    asio::co_spawn(cluster_.io, ReplacementSeries(it, random), asio::detached);
+  }
   orders_.on_order = [this](const Order& order) { OnOrder(order); };
 }
 
@@ -80,6 +87,14 @@
   }
 }
 
+Task Faults::ReplacementSeries(lab::Group& group, Random& random) {
+  for (;;) {
+    co_await lab::Sleep(Pause(random, Ms(4'000), Ms(16'000)));
+    if (stopped_) co_return;
+    co_await Track(ReplaceBesideLoss(group, random));
+  }
+}
+
 Task Faults::LateOrderSeries(Random& random) {
   constexpr double kShares[] = {0, 0.5, 0.8, 1};
   for (;;) {
@@ -390,4 +405,62 @@
   replacing_.erase(group.service());
 }
 
+Task Faults::ReplaceBesideLoss(lab::Group& group, Random& random) {
+  constexpr double kLateOrders = 0.5;
+  constexpr double kLossFirst = 0.5;
+  if (!replacing_.insert(group.service()).second) co_return;
+  lab::Server* server = Take(group, false, random);
+  if (server != nullptr) {
+    const std::string id =
+        group.service() + "-n" + std::to_string(++servers_added_);
+    cluster_.record.Line("FAULT " + server->id() + " drains, " + id +
+                         " replaces it and isn't listed yet");
+    if (random.Chance(kLateOrders)) orders_.SetLateShare(1);
+    const bool loss_first = random.Chance(kLossFirst);
+    if (loss_first) Spawn(LosePrimary(group, random));
+    server->SetDraining(true);
+    co_await lab::Sleep(random.Between(Ms(0), Ms(500)));
+    lab::Server& joining = group.Add(id, server->zone());
+    joining.CutFromStore(true);
+    taken_.insert(id);
+    Spawn(ListLater(joining, random.Between(Ms(200), Ms(3'000))));
+    co_await lab::Sleep(random.Between(Ms(0), Ms(500)));
+    if (!loss_first) Spawn(LosePrimary(group, random));
+    co_await lab::Sleep(random.Between(Ms(7'500), Ms(10'000)));
+    server->Crash();  // stays taken, so that nothing restarts it
+  }
+  replacing_.erase(group.service());
+}
+
+Task Faults::ListLater(lab::Server& server, Ms delay) {
+  co_await lab::Sleep(delay);
+  server.CutFromStore(false);
+  taken_.erase(server.id());
+}
+
+Task Faults::LosePrimary(lab::Group& group, Random& random) {
+  constexpr double kCrash = 0.3;
+  constexpr double kCutShare = 0.65;
+  lab::Server* server = Take(group, true, random);
+  if (server == nullptr) co_return;
+  if (random.Chance(kCrash)) {
+    cluster_.record.Line("FAULT " + server->id() + " crashes");
+    server->Crash();
+    co_await lab::Sleep(random.Between(Ms(500), Ms(8'000)));
+    server->Restart();
+  } else {
+    std::string cut;
+    for (const Instance& it : cluster_.instances) {
+      if (!random.Chance(kCutShare)) continue;
+      cut += " " + it.proxy->name();
+      server->CutFromInstance(it.proxy->name(), true);
+    }
+    cluster_.record.Line("FAULT " + server->id() + " is cut off from" + cut);
+    co_await lab::Sleep(random.Between(Ms(500), Ms(8'000)));
+    CutFromAll(*server, false);
+    cluster_.record.Line("FAULT " + server->id() + " is reachable again");
+  }
+  taken_.erase(server->id());
+}
+
 }  // namespace soak
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -41,6 +41,7 @@
 
   Task InstanceSeries(Random& random);
   Task GroupSeries(lab::Group& group, Random& random);
+  Task ReplacementSeries(lab::Group& group, Random& random);
   Task LateOrderSeries(Random& random);
   Task StoreSeries(Random& random);
   Task LinkSeries(Random& random);
@@ -64,6 +65,11 @@
   Task DelayApply(lab::Group& group, Random& random);
   Task HideServer(lab::Group& group, Random& random);
   Task ReplaceServer(lab::Group& group, Random& random);
+  /// Replaces a replica by one that no list shows for a moment, while the
+  /// primary crashes or is cut off from some instances (issue 56).
+  Task ReplaceBesideLoss(lab::Group& group, Random& random);
+  Task ListLater(lab::Server& server, Ms delay);
+  Task LosePrimary(lab::Group& group, Random& random);
   Task RestartAfter(lab::Group& group, std::string spared, Ms delay,
                     Random& random);
 
