Await the last primary when a fenced log was lost

Cause: Failover::CanSkip left the last primary out, as the others have all that it acknowledged. That is untrue once one of them lost its log.

Evidence of a loss: a status whose log ends before an entry that the server had, in no newer term (no promotion can have rolled it back), and that was sent after the earlier reply was read. The earlier end is kept across restarts, also over the server that takes an address, and positions of own connections raise it. The log counts again once it reaches a position of the primary that was asked after the loss was noticed: every commit acknowledged before the loss is at or before that.

Until then the last primary is awaited as a silent server is (listed, or for as long as MayReturn allows), it isn't skipped, and no order is given without the end of its log, from its fence or its demotion. A restart with the log shows no shorter log and delays nothing.

The fixture answered STATUS with an index of 1'000'000 and HOLD with 10; it now answers STATUS with the newest index that a reply showed.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -179,6 +179,9 @@
     /// Position that the log of the server to promote must have reached, as
     /// servers that are left out may have commits up to it.
     std::optional<Position> required;
+    /// The last primary, if its log is needed, as that of a replica may lack
+    /// what it acknowledged; otherwise empty.
+    ServerId needed_log;
     /// The order that the member record names, the token under which it was
     /// given, and when this instance learned of it; empty if there is none.
     ServerId recorded_order;
@@ -292,6 +295,7 @@
   Actions FenceRemaining(const Situation& situation);
   [[nodiscard]] bool CanSkip(const Situation& situation,
                              const ServerId& replica) const;
+  [[nodiscard]] bool LacksNeededLog(const Situation& situation) const;
   [[nodiscard]] ServerId MostAdvanced(const Situation& situation) const;
   [[nodiscard]] bool MustInspect(const ServerId& replica) const;
   [[nodiscard]] bool DiscardStaleReports(const Situation& situation);
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -195,6 +195,14 @@
     TimePoint last_used;  ///< when it was created or last became idle
   };
 
+  /// A server may have lost entries that its log had before `since`. The log
+  /// has all of them again, or those that replaced them, once it reaches the
+  /// end that the log of the primary had later.
+  struct LogDoubt {
+    TimePoint since;
+    std::optional<Position> primary_end;
+  };
+
   /// State of a server and this instance's connections to it.
   struct ServerPool {
     ServerEntry entry;
@@ -248,8 +256,11 @@
     /// silent. A log that reaches it has every acknowledged commit of this one.
     std::optional<Position> covered_by;
     std::optional<Position> received;  ///< as its status last showed
-    /// Highest end of its log that a status showed, also before it restarted.
+    /// End of its log as a reply last showed, also before it restarted, and
+    /// when that reply was read.
     std::optional<Position> newest_end;
+    TimePoint newest_end_at;
+    std::optional<LogDoubt> log_doubt;
     double latency_ms = 5;                 ///< moving average over statements
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
@@ -505,6 +516,20 @@
   [[nodiscard]] static ServerCommand CommandFor(const Session& session,
                                                 const Connection& connection);
 
+  // Logs that servers lost (proxy_lost_logs.cc).
+  void NoteLogEnd(ServerPool& pool, TimePoint sent, const ServerStatus& status);
+  static void NoteLogPosition(ServerPool& pool, Position position,
+                              TimePoint now);
+  void NotePrimaryEnd(const Service& service, Position position,
+                      TimePoint sent);
+  void NoteLogReached(ServerPool& pool, Position end, TimePoint sent);
+  void CheckLogs(Service& service);
+  [[nodiscard]] bool LogsMayLack(
+      const Service& service, const std::map<ServerId, bool>& replicas) const;
+  [[nodiscard]] static ServerId LastPrimaryOf(const Service& service);
+  void AwaitLastPrimary(const Service& service,
+                        Failover::Situation& situation) const;
+
   // Servers (proxy_servers.cc).
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
   ConnectionId OpenConnection(ServerPool& pool);
@@ -776,7 +801,6 @@
                      Position position);
   [[nodiscard]] std::string DescribeHolders(const Service& service,
                                             Position position) const;
-  void NoteLogEnd(ServerPool& pool, const ServerStatus& status);
   void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   [[nodiscard]] std::string DescribeOrder(const Service& service,
                                           const Failover::Order& order) const;
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -281,6 +281,7 @@
 bool Failover::CanSkip(const Situation& situation,
                        const ServerId& replica) const {
   if (replica != situation.last_primary) return false;
+  if (!situation.needed_log.empty()) return false;
   bool another = false;
   for (const auto& [id, report] : fence_reports_) {
     if (report.received.term > situation.last_primary_term) return false;
@@ -289,6 +290,13 @@
   return another;
 }
 
+/// Whether the end of a log on which the choice depends is not known yet.
+bool Failover::LacksNeededLog(const Situation& situation) const {
+  const ServerId& needed = situation.needed_log;
+  return !needed.empty() && needed != demoted_ &&
+         !fence_reports_.contains(needed);
+}
+
 /// Returns the fenced replica with the most advanced log; empty if there is
 /// none. Among equal logs, prefers a replica that is not draining.
 ServerId Failover::MostAdvanced(const Situation& situation) const {
@@ -361,6 +369,7 @@
 Failover::Actions Failover::TryOrder(const Situation& situation) {
   if (!AllFenced(situation) || AwaitsLease(situation)) return {};
   if (situation.joiner_expected && demoted_.empty()) return {};
+  if (LacksNeededLog(situation)) return {};
   if (DiscardStaleReports(situation)) {
     all_fenced_since_.reset();
     return FenceRemaining(situation);
@@ -677,6 +686,7 @@
                                               options_.leadership_lease;
   if (leased) return Wait::kLease;
   if (situation.joiner_expected && demoted_.empty()) return Wait::kJoiner;
+  if (LacksNeededLog(situation)) return Wait::kDemotion;
   const ServerId chosen = ChooseCandidate(situation);
   if (!ReachesRequired(situation, chosen)) return Wait::kPosition;
   const ServerId pending = PendingOrder(situation);
--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -98,6 +98,8 @@
   } else {
     report.term = reply.position->term;
     report.end = *reply.position;
+    // The owner of a shared connection may answer by what it knows itself.
+    if (!connection.shared) NoteLogPosition(pool, report.end, now_);
   }
   Service& service = ServiceOf(pool.entry.service);
   service.quorum.Add(pool.entry.id, report);
@@ -138,8 +140,7 @@
   const Duration objective = pending.route->latency_objective;
   const Duration passed = now_ - pending.arrived;
   const Duration held = now_ - pending.held_since;
-  const Duration expected =
-      service.apply_delay.value_or(kMaxApplyDelay) - held;
+  const Duration expected = service.apply_delay.value_or(kMaxApplyDelay) - held;
   return passed + std::max(expected, objective / 4) >= objective;
 }
 
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -18,22 +18,6 @@
 
 }  // namespace
 
-/// Logs that a log ends before an entry that it had in the same term, so that
-/// no promotion can have rolled it back: the server lost its log.
-void Proxy::NoteLogEnd(ServerPool& pool, const ServerStatus& status) {
-  const auto known = pool.newest_end;
-  const auto order = [](Position it) { return std::pair(it.term, it.index); };
-  const bool back = known && status.term <= known->term &&
-                    order(status.received) < order(*known);
-  if (back) {
-    Count("logs_shortened");
-    Warn("server log went back id=" + pool.entry.id + " from=" +
-         FormatPosition(known) + " to=" + FormatPosition(status.received) +
-         " term=" + std::to_string(status.term));
-  }
-  pool.newest_end = status.received;
-}
-
 /// Logs a fence report. Repeated reports of the same state are no warnings.
 void Proxy::LogFence(ServerPool& pool, const ServerStatus& status,
                      std::string text) {
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -325,6 +325,21 @@
   }
 }
 
+/// Has a promotion wait for the last primary, which has all that it
+/// acknowledged, if the logs of the others may lack some of it.
+void Proxy::AwaitLastPrimary(const Service& service,
+                             Failover::Situation& situation) const {
+  if (!LogsMayLack(service, situation.replicas)) return;
+  const auto last = pools_.find(LastPrimaryOf(service));
+  if (last == pools_.end() || last->second.superseded) return;
+  const ServerPool& pool = last->second;
+  const bool gone =
+      pool.failing && (pool.listed ? IsPhantom(pool) : !MayReturn(pool));
+  if (gone) return;
+  situation.needed_log = last->first;
+  if (pool.failing) situation.replicas_reachable = false;
+}
+
 Failover::Situation Proxy::SituationOf(const Service& service) const {
   Failover::Situation situation;
   situation.now = now_;
@@ -372,6 +387,7 @@
     situation.replicas[id] = pool.entry.draining;
     if (pool.failing) situation.replicas_reachable = false;
   }
+  AwaitLastPrimary(service, situation);
   // Fences would keep a primary that returns from acknowledging commits, so
   // none are set for a promotion that can't succeed.
   const bool reached =
@@ -428,6 +444,7 @@
       ProbeLeadership(pool->second);
     }
     CheckProofs(service);
+    CheckLogs(service);
     QueryReceived(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -156,7 +156,7 @@
 void Proxy::OnServerStatus(ServerPool& pool, TimePoint sent,
                            const ServerStatus& status) {
   Service& service = ServiceOf(pool.entry.service);
-  NoteLogEnd(pool, status);
+  NoteLogEnd(pool, sent, status);
   pool.received = LaterPosition(pool.received, status.received);
   CheckAcknowledged(pool, status.received);
   if (status.primary) {
@@ -227,6 +227,7 @@
   service.samples.Add(position, sent);
   service.samples.DiscardBefore(now_ - kSampleRetention);
   NoteCovered(service, position, sent);
+  NotePrimaryEnd(service, position, sent);
 }
 
 /// Whether no commit that the primary lacks was acknowledged before now. A
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -120,6 +120,10 @@
     const auto it = listed.find({pool.entry.service, pool.entry.address});
     if (it == listed.end()) continue;
     pool.superseded = true;
+    // A log that lacks entries of the one before was lost.
+    if (pool.newest_end) {
+      NoteLogPosition(pools_.at(it->second), *pool.newest_end, now_);
+    }
     Warn("server superseded id=" + id + " by=" + it->second);
   }
 }
--- a/tests/session_commits_test.cc
+++ b/tests/session_commits_test.cc
@@ -130,4 +130,77 @@
   CHECK(driver.promotions.empty());
 }
 
+namespace {
+
+/// A service whose primary "a" is lost after a commit that only "b" has as
+/// well, which starts again with its log up to `end`.
+CommitDriver WithoutPrimary(std::uint64_t end) {
+  CommitDriver driver;
+  driver.Pass(std::chrono::seconds(20));
+  driver.log_ends["b"] = 11;
+  driver.Write(11);
+  driver.Pass(Milliseconds(300));
+  driver.Lose("a");
+  driver.Lose("b");
+  driver.log_ends["b"] = end;
+  return driver;
+}
+
+/// Passes time until a server is ordered, for at most `limit`, while the
+/// servers in `running` answer as replicas and clients read. Returns the
+/// server.
+ServerId OrderedWithin(CommitDriver& driver, Duration limit,
+                       const std::set<ServerId>& running) {
+  for (Duration passed{0}; passed < limit && driver.promotions.empty();
+       passed += Milliseconds(25)) {
+    const auto reader =
+        static_cast<session::SessionId>(100 + driver.statements);
+    driver.OpenSession(reader, "lookups");
+    driver.Feed(session::StatementReceived{reader,
+                                           std::to_string(++driver.statements),
+                                           {Verb::kRead, {}, "item"}});
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo(running);
+    driver.AnswerAs("", running);
+  }
+  return driver.promotions.empty() ? "" : driver.promotions.back().server;
+}
+
+}  // namespace
+
+TEST_CASE("the last primary leads again if another log was lost") {
+  CommitDriver driver = WithoutPrimary(0);
+  REQUIRE(OrderedWithin(driver, std::chrono::seconds(3), {"b", "c"}).empty());
+  CHECK(OrderedWithin(driver, std::chrono::seconds(5), {"a", "b", "c"}) == "a");
+}
+
+TEST_CASE("a last primary that is gone isn't awaited for ever") {
+  CommitDriver driver = WithoutPrimary(0);
+  driver.ListServers({"b", "c"});
+  CHECK(OrderedWithin(driver, std::chrono::seconds(11), {"b", "c"}).empty());
+  CHECK(OrderedWithin(driver, std::chrono::seconds(5), {"b", "c"}) == "c");
+}
+
+TEST_CASE("a restart with its log delays no promotion") {
+  CommitDriver driver = WithoutPrimary(11);
+  CHECK(OrderedWithin(driver, std::chrono::seconds(3), {"b", "c"}) == "b");
+}
+
+TEST_CASE("a log that was lost counts again once it has later entries") {
+  CommitDriver driver;
+  driver.Pass(std::chrono::seconds(20));
+  driver.log_ends = {{"a", 11}, {"b", 11}, {"c", 10}};
+  driver.Pass(Milliseconds(500));
+  driver.Lose("b");
+  driver.log_ends["b"] = 3;
+  driver.Pass(std::chrono::seconds(1));
+  driver.log_ends["b"] = 11;
+  driver.Write(12);
+  driver.Pass(std::chrono::seconds(1));
+  driver.log_ends["b"] = 12;
+  driver.Pass(std::chrono::seconds(1));
+  driver.Lose("a");
+  CHECK(OrderedWithin(driver, std::chrono::seconds(3), {"b", "c"}) == "b");
+}
+
 }  // namespace corianderdock::test
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -126,6 +126,23 @@
   CHECK(Fixture::OnlyAction<Failover::Order>(actions).token == 7);
 }
 
+// Guards against the loss of commits that only the last primary still has, as
+// another server that had them has lost its log.
+TEST_CASE("no order is given without a log that is needed") {
+  Fixture it;
+  it.situation.last_primary = "a";
+  it.situation.last_primary_term = 3;
+  it.situation.needed_log = "a";
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 0);
+  CHECK(it.AnswerFence("c", 12).empty());
+  CHECK(it.failover.WaitsFor(it.situation) == Failover::Wait::kDemotion);
+  it.situation.replicas["a"] = false;
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("a", 14)).server ==
+        "a");
+}
+
 TEST_CASE("nothing is claimed while a replica does not answer") {
   Fixture it;
   it.situation.replicas_reachable = false;
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -28,6 +28,7 @@
 using session::Verb;
 
 constexpr Milliseconds kMaxAge{1000};
+/// An index that logs don't reach unless a test says so.
 constexpr std::uint64_t kCompleteLog = 1'000'000;
 
 /// A proxy and one service with the primary "a" and the replicas "b" and "c".
@@ -123,7 +124,7 @@
   }
 
   /// Answers the queries of servers in `answers_status` as unfenced members of
-  /// term 1 with a complete log, led by "a".
+  /// term 1 that have all that any reply showed, led by "a".
   void AnswerStatusQueries() {
     for (const SendCommand& it : std::exchange(status_queries, {})) {
       const auto server = server_of.find(it.connection);
@@ -136,7 +137,7 @@
       }
       Reply reply = Run(it, {1, 10});
       reply.status =
-          session::ServerStatus{server->second == "a", 1, {1, kCompleteLog}, 0};
+          session::ServerStatus{server->second == "a", 1, {1, complete_log}, 0};
       Feed(session::ServerReplied{it.connection, reply});
     }
   }
@@ -247,6 +248,9 @@
     if (succeeds && (verb == Verb::kCommit || verb == Verb::kRollback)) {
       state = TransactionState::kIdle;
     }
+    if (position.term == 1) {
+      complete_log = std::max(complete_log, position.index);
+    }
     Reply reply;
     reply.error = error;
     reply.position = position;
@@ -390,6 +394,7 @@
   std::map<ConnectionId, int> unanswered;                 ///< other commands
   std::map<ConnectionId, TransactionState> transactions;  ///< at the servers
   std::uint64_t receipts = 0;                             ///< given so far
+  std::uint64_t complete_log = 10;  ///< newest index that a reply showed
   std::set<ServerId> answers_status{"a", "b", "c"};
   std::set<ServerId> answers_contacts{"a", "b", "c"};
   std::uint64_t contact_index = 10;  ///< of the logs of the contacted replicas
