--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -117,6 +117,8 @@
   } else {
     report.term = reply.position->term;
     report.end = *reply.position;
+    // The owner of a shared connection may answer by what it knows itself.
+    if (!connection.shared) NoteLogPosition(pool, report.end, now_);
   }
   Service& service = ServiceOf(pool.entry.service);
   service.quorum.Add(pool.entry.id, report);
