Await the primary before as well when all must have a commit

Cause: the last primary was left out of the servers that must have a commit (unanimity), as its own order would have kept the present one from being promoted. But a fence number is checked when an order is executed: while an order for that server is pending under the claim's token, one for another server under a lower, earlier token can still be executed first. It can also be ordered again in the present term, by an instance that lost the primary.

Change: every server that may be promoted counts, except the primary.

--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -283,7 +283,6 @@
     std::set<ServerId> servers;
     ServerId primary;           ///< empty when unknown
     ServerId last_primary;      ///< last server that proved leadership
-    ServerId previous_primary;  ///< that led before `last_primary`
     Term last_primary_term = 0;
     Term newest_term = 0;  ///< highest term that any server reported
     TimePoint last_search;
--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -43,12 +43,12 @@
   return listed_long && named;
 }
 
-/// Whether an order that may still be executed could be for this server. None
-/// is for the primary before, as its own order would have kept the present one
-/// from being promoted.
+/// Whether an order that may still be executed could be for this server. The
+/// primary before is no exception: an order for it under a higher token doesn't
+/// keep one under a lower token from being executed first, and it may have been
+/// ordered in the present term.
 bool Proxy::IsPromotable(const Service& service, const ServerPool& pool) const {
-  const ServerId& id = pool.entry.id;
-  if (id == service.primary || id == service.previous_primary) return false;
+  if (pool.entry.id == service.primary) return false;
   if (pool.superseded || IsPhantom(pool)) return false;
   return pool.listed || !pool.failing || MayReturn(pool);
 }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -91,9 +91,6 @@
   }
   if (service.primary == pool.entry.id) service.led_at = sent;
   if (position) {
-    if (service.last_primary != pool.entry.id) {
-      service.previous_primary = service.last_primary;
-    }
     service.last_primary = pool.entry.id;
     service.last_primary_term = std::max(pool.leader_term, position->term);
     AddSample(service, *position, sent);
