--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -59,7 +59,10 @@
                      : pool.listed_since + kMaxListAge + kMaxListDelay;
 }
 
-/// Whether an order that may still be executed could be for this server.
+/// Whether an order that may still be executed could be for this server. The
+/// primary before is no exception: an order for it under a higher token doesn't
+/// keep one under a lower token from being executed first, and it may have been
+/// ordered in the present term.
 bool Proxy::IsPromotable(const Service& service, const ServerPool& pool) const {
   if (pool.entry.id == service.primary) return false;
   if (pool.superseded || IsPhantom(pool)) return false;
