Tests: answer a connection's queries in the order in which they were sent

A driver answered status queries before transactions without statements that the proxy had sent earlier on the same connection, which no server does: the proxy closed the connection over the wrong reply.

--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -743,7 +743,7 @@
   const ConnectionId contact = driver.contacts.front();
   driver.contact_index = 11;
   driver.answers_contacts = {"b", "c"};
-  driver.AnswerContacts();
+  driver.AnswerContact();
   driver.AnswerFirst(ErrorCode::kNone, {1, 11});
   REQUIRE(it.Answered(1) == 1);
   driver.answers_contacts.clear();
@@ -761,7 +761,7 @@
   // The contact's own answers.
   driver.contact_index = 12;
   driver.answers_contacts = {"b", "c"};
-  driver.AnswerContacts();
+  driver.AnswerContact();
   CHECK(it.Answered(2) == 1);
 }
 
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -102,43 +102,75 @@
 
   void Feed(const session::Event& event) {
     for (auto& effect : proxy.Reduce(now, event)) Apply(std::move(effect));
-    AnswerStatusQueries();
-    AnswerContacts();
-  }
-
-  /// Answers the transactions without statements at servers in
-  /// `answers_contacts`.
-  void AnswerContacts() {
-    for (const ConnectionId it : std::exchange(contacts, {})) {
-      if (!answers_contacts.contains(server_of[it]) || unanswered[it] > 0) {
-        contacts.push_back(it);
-        continue;
-      }
-      for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
-        SendCommand command{it, {}};
-        command.command.statement.verb = verb;
-        Feed(session::ServerReplied{it, Run(command, {1, contact_index})});
-      }
+    while (AnswerStatusQuery() || AnswerContact()) {
     }
   }
 
-  /// Answers the queries of servers in `answers_status` as unfenced members of
-  /// term 1 with a complete log, led by "a".
-  void AnswerStatusQueries() {
-    for (const SendCommand& it : std::exchange(status_queries, {})) {
-      const auto server = server_of.find(it.connection);
-      if (server == server_of.end()) continue;
-      // A connection answers in order.
-      if (!answers_status.contains(server->second) ||
-          unanswered[it.connection] > 0) {
-        status_queries.push_back(it);
-        continue;
+  /// Answers a transaction without statements at a server in
+  /// `answers_contacts`. Returns false if there is none.
+  bool AnswerContact() {
+    const auto next =
+        std::find_if(contacts.begin(), contacts.end(), [this](auto id) {
+          return answers_contacts.contains(ServerOf(id)) && IsNext(id, true);
+        });
+    if (next == contacts.end()) return false;
+    const ConnectionId id = *next;
+    contacts.erase(next);
+    ++unanswered[id];  // until its end is answered
+    for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
+      SendCommand command{id, {}};
+      command.command.statement.verb = verb;
+      if (verb == Verb::kRollback) --unanswered[id];
+      Feed(session::ServerReplied{id, Run(command, {1, contact_index})});
+    }
+    return true;
+  }
+
+  /// Answers a query of a server in `answers_status` as an unfenced member of
+  /// term 1 with a log up to `status_index`, led by "a". Returns false if there
+  /// is none.
+  bool AnswerStatusQuery() {
+    std::erase_if(status_queries, [this](const SendCommand& it) {
+      return !server_of.contains(it.connection);
+    });
+    const auto next = std::find_if(
+        status_queries.begin(), status_queries.end(), [this](const auto& it) {
+          return answers_status.contains(ServerOf(it.connection)) &&
+                 IsNext(it.connection, false);
+        });
+    if (next == status_queries.end()) return false;
+    const SendCommand query = *next;
+    status_queries.erase(next);
+    Reply reply = Run(query, {1, 10});
+    reply.status = session::ServerStatus{
+        ServerOf(query.connection) == "a", 1, {1, status_index}, 0};
+    Feed(session::ServerReplied{query.connection, reply});
+    return true;
+  }
+
+  [[nodiscard]] ServerId ServerOf(ConnectionId id) const {
+    const auto server = server_of.find(id);
+    return server == server_of.end() ? ServerId() : server->second;
+  }
+
+  /// Whether a contact, or a status query, is the oldest unanswered command of
+  /// its connection, which answers in order.
+  bool IsNext(ConnectionId id, bool contact) {
+    if (unanswered[id] > 0) return false;
+    std::vector<bool>& order = apart_order[id];
+    // Tests take some themselves, the oldest ones first.
+    const auto queries = std::count_if(
+        status_queries.begin(), status_queries.end(),
+        [id](const SendCommand& it) { return it.connection == id; });
+    const auto left = std::count(contacts.begin(), contacts.end(), id);
+    for (const bool kind : {false, true}) {
+      auto taken = std::count(order.begin(), order.end(), kind) -
+                   (kind ? left : queries);
+      while (taken-- > 0) {
+        order.erase(std::find(order.begin(), order.end(), kind));
       }
-      Reply reply = Run(it, {1, 10});
-      reply.status =
-          session::ServerStatus{server->second == "a", 1, {1, kCompleteLog}, 0};
-      Feed(session::ServerReplied{it.connection, reply});
     }
+    return !order.empty() && order.front() == contact;
   }
 
   /// Advances the time and fires the timers that become due.
@@ -387,12 +419,15 @@
   std::vector<SendCommand> status_queries;  ///< unanswered
   /// Connections to replicas with unanswered transactions without statements.
   std::vector<ConnectionId> contacts;
+  /// The order of both on a connection; true for contacts.
+  std::map<ConnectionId, std::vector<bool>> apart_order;
   std::map<ConnectionId, int> unanswered;                 ///< other commands
   std::map<ConnectionId, TransactionState> transactions;  ///< at the servers
   std::uint64_t receipts = 0;                             ///< given so far
   std::set<ServerId> answers_status{"a", "b", "c"};
   std::set<ServerId> answers_contacts{"a", "b", "c"};
   std::uint64_t contact_index = 10;  ///< of the logs of the contacted replicas
+  std::uint64_t status_index = kCompleteLog;  ///< of the logs in statuses
   std::vector<AnswerSession> answers;
   std::vector<session::CloseSession> closed;
   std::vector<session::AnswerPeer> peer_answers;
@@ -451,7 +486,10 @@
   void Record(const SendCommand& it) {
     const bool query = it.command.statement.verb == Verb::kStatus;
     all_sent.push_back(it);
-    if (query && !keeps_order) return status_queries.push_back(it);
+    if (query && !keeps_order) {
+      apart_order[it.connection].push_back(false);
+      return status_queries.push_back(it);
+    }
     sent.push_back(it);
     ++unanswered[it.connection];
     if (!keeps_order) RecordContact();
@@ -467,6 +505,7 @@
                          end.command.statement.verb == Verb::kRollback;
     if (!contact) return;
     contacts.push_back(begin.connection);
+    apart_order[begin.connection].push_back(true);
     unanswered[begin.connection] -= 2;
     sent.pop_back();
     sent.pop_back();
