Ignore late replies that show a log which a restart emptied; test CommitQuorum

A reply of an earlier process, or one sent before the present process was seen, raised the known end of the log, so that a server that had started again without its log counted for unanimity. It is ignored now. commit_quorum_test has tables without a network: 2 of 16 cases failed before the change, all pass now.

--- a/src/session/commit_quorum.cc
+++ b/src/session/commit_quorum.cc
@@ -28,7 +28,9 @@
 
 void CommitQuorum::Add(const ServerId& server, const Report& report) {
   Server& known = servers_[server];
-  if (Precedes(known.end, report.end)) known.end = report.end;
+  // One from before the present process may show a log that a restart emptied.
+  const bool late = known.current && report.sent < known.current->running_since;
+  if (!late && Precedes(known.end, report.end)) known.end = report.end;
   if (!report.running_since) return;
   Process seen;
   seen.running_since = *report.running_since;
