--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -143,6 +143,41 @@
   CHECK(out == "READY I -\r\n");
 }
 
+// Guards against a server that is taken to run for longer than it does.
+TEST_CASE("an instance adds to a status row for how long its server runs") {
+  Reply reply;
+  reply.rows = {"replica 3 3.1209 0 12 2 17"};
+  std::string out;
+  platform::AppendReply(out, reply, false);
+  CHECK(out == "ROW replica 3 3.1209 0 12 2 17\r\nDONE -\r\nREADY I -\r\n");
+  CHECK_FALSE(platform::ParseStatus(reply.rows.front())->running_for);
+  out.clear();
+  reply.running_for = std::chrono::microseconds(1'500'999);
+  platform::AppendReply(out, reply, false);
+  // Rounded down, so that it is no longer than known.
+  const std::string row = "replica 3 3.1209 0 12 2 17 1500";
+  CHECK(out == "ROW " + row + "\r\nDONE -\r\nREADY I -\r\n");
+  const auto status = platform::ParseStatus(row);
+  REQUIRE(status);
+  CHECK(status->running_for == Milliseconds(1500));
+  CHECK(status->received == Position{3, 1209});
+}
+
+// Guards against a time that isn't one, and against the loss of a status.
+TEST_CASE("a status row with an invalid running time has none") {
+  for (const char* field :
+       {"x", "-1", "1.5", "1000000001", "99999999999999999999", ""}) {
+    CAPTURE(field);
+    const auto status = platform::ParseStatus(
+        std::string("replica 3 3.1209 4 12 2 17 ").append(field));
+    REQUIRE(status);
+    CHECK_FALSE(status->running_for);
+    CHECK(status->fence_term == 4);
+  }
+  // The servers' own fields are not taken for it.
+  CHECK_FALSE(platform::ParseStatus("replica 3 3.1209 4 12 2")->running_for);
+}
+
 TEST_CASE("a command for a server is parsed as it was written") {
   const auto check = [](const ServerCommand& command) {
     std::string line;
--- a/tests/session_peers_test.cc
+++ b/tests/session_peers_test.cc
@@ -242,6 +242,61 @@
   CHECK(it.driver.peer_answers.back().reply.receipt == own.receipt);
 }
 
+// Guards against a server whose restart another instance doesn't learn of, and
+// against a client's row that gets a field more.
+TEST_CASE("an owner adds the running time to a status, and only there") {
+  OwnerFixture it;
+  const std::string row = "replica 1 1.10 0 0 1 3";
+  it.driver.keeps_order = true;
+  it.driver.sent.clear();
+  const auto run = [&](Verb verb, const std::string& id) {
+    it.driver.Feed(PeerCommand{1, Command(verb, id, {}, "item")});
+    if (verb != Verb::kStatus) it.driver.AnswerSetup();
+    REQUIRE(it.driver.sent.size() == 1);
+    const SendCommand command = it.driver.sent.front();
+    it.driver.sent.clear();
+    Reply reply = it.driver.Run(command, {1, 10});
+    reply.rows = {row};
+    it.driver.Answer(command.connection, reply);
+    REQUIRE(it.driver.peer_answers.back().reply.rows == reply.rows);
+    return it.driver.peer_answers.back().reply.running_for;
+  };
+  CHECK_FALSE(run(Verb::kRead, "x"));
+  const TimePoint connected{std::chrono::seconds(100)};
+  const auto first = run(Verb::kStatus, {});
+  REQUIRE(first);
+  CHECK(*first > Duration(0));
+  CHECK(*first <= it.driver.now - connected);
+  CHECK_FALSE(run(Verb::kRead, "y"));
+}
+
+// Guards against the same after a restart, which the owner's connections show.
+TEST_CASE("an owner tells a running time from after a server's restart") {
+  OwnerFixture it;
+  std::set<ConnectionId> lost;
+  for (const auto& [id, server] : it.driver.server_of) {
+    if (server == "b") lost.insert(id);
+  }
+  it.driver.AdvanceTime(std::chrono::seconds(1));
+  const TimePoint restarted = it.driver.now;
+  for (const ConnectionId id : lost) {
+    it.driver.server_of.erase(id);
+    it.driver.Feed(session::ServerConnectionLost{id});
+  }
+  for (int n = 0; n < 40; ++n) {
+    it.driver.AdvanceTime(Milliseconds(25));
+    it.driver.CompleteConnects();
+    it.driver.AnswerAll({});
+  }
+  it.driver.Feed(PeerOpened{7, "books", "b"});
+  it.driver.Feed(PeerCommand{7, Command(Verb::kStatus)});
+  REQUIRE(it.driver.peer_answers.back().peer == 7);
+  REQUIRE(it.driver.peer_answers.back().reply.status);
+  const auto running_for = it.driver.peer_answers.back().reply.running_for;
+  REQUIRE(running_for);
+  CHECK(*running_for <= it.driver.now - restarted);
+}
+
 // Guards against another instance's names at the server: it would drop a name
 // that this connection doesn't have, and run unknown ones.
 TEST_CASE("an owner maps another instance's names to its connection's") {
