--- a/tests/session_overlap_test.cc
+++ b/tests/session_overlap_test.cc
@@ -1,11 +1,8 @@
 /// Random schedules whose faults overlap a promotion: claimants are paused or
 /// killed, servers pause or restart, and orders are executed late. The
 /// environment variables FIRST_SEED and SEEDS set the seeds.
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <iostream>
-#include <iterator>
 
 #include "support/seeds.h"
 #include "support/session_world.h"
@@ -15,23 +12,12 @@
 namespace {
 
 constexpr std::uint64_t kSchedules = 40;
-/// Schedules of late promotions that are known to fail (KNOWN-RED.txt). They
-/// are left out unless FIRST_SEED is set.
-constexpr std::uint64_t kKnownFailures[] = {26};
-
-bool IsKnownFailure(const WorldOptions& world, std::uint64_t seed) {
-  const bool listed =
-      std::find(std::begin(kKnownFailures), std::end(kKnownFailures), seed) !=
-      std::end(kKnownFailures);
-  return listed && world.late_orders && std::getenv("FIRST_SEED") == nullptr;
-}
 
 void CheckSchedules(const WorldOptions& world) {
   const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
   const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
   int promotions = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    if (IsKnownFailure(world, seed)) continue;
     WorldOptions options = world;
     options.seed = seed;
     const WorldResult result = RunSessionSchedule(options);
--- a/tests/session_unfenced_test.cc
+++ b/tests/session_unfenced_test.cc
@@ -1,9 +1,7 @@
 /// Random schedules on a platform that checks no tokens, before servers that go
 /// on after they were replaced, with servers that join unlisted. The
 /// environment variables FIRST_SEED and SEEDS set the seeds.
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <iostream>
 
 #include "support/seeds.h"
@@ -14,24 +12,12 @@
 namespace {
 
 constexpr std::uint64_t kSchedules = 60;
-/// Schedules of servers that join which are known to fail (KNOWN-RED.txt). They
-/// are left out unless FIRST_SEED is set.
-constexpr std::uint64_t kKnownFailures[] = {17};
-
-bool IsKnownFailure(const WorldOptions& world, std::uint64_t seed) {
-  const bool listed =
-      std::find(std::begin(kKnownFailures), std::end(kKnownFailures), seed) !=
-      std::end(kKnownFailures);
-  return listed && world.joiners && world.fencing &&
-         std::getenv("FIRST_SEED") == nullptr;
-}
 
 void CheckSchedules(const WorldOptions& world) {
   const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
   const std::uint64_t count = FromEnvironment("SEEDS", kSchedules);
   WorldResult total;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    if (IsKnownFailure(world, seed)) continue;
     WorldOptions options = world;
     options.seed = seed;
     const WorldResult result = RunSessionSchedule(options);
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -988,7 +988,8 @@
   /// when the primary acknowledges it.
   [[nodiscard]] bool ClientsJudge() const {
     return options_.joiners || options_.restarts || options_.overlap ||
-           !options_.fencing || options_.repeats.rate > 0;
+           options_.reborn || options_.cut_joiners || !options_.fencing ||
+           options_.repeats.rate > 0;
   }
 
   void RecordCommit() {
@@ -1567,14 +1568,22 @@
     constexpr int kJoinerKinds = 2;
     constexpr int kRestartKinds = 2;
     constexpr int kOverlapKinds = 4;
+    constexpr int kAllKinds =
+        kCommonKinds + kJoinerKinds + kRestartKinds + kOverlapKinds;
+    const int other_kinds =
+        (options_.reborn ? 1 : 0) + (options_.cut_joiners ? 1 : 0);
     int kind =
         RandomBelow(kCommonKinds + (options_.joiners ? kJoinerKinds : 0) +
                     (options_.restarts ? kRestartKinds : 0) +
-                    (options_.overlap ? kOverlapKinds : 0));
+                    (options_.overlap ? kOverlapKinds : 0) + other_kinds);
     if (!options_.joiners && kind >= kCommonKinds) kind += kJoinerKinds;
     if (!options_.restarts && kind >= kCommonKinds + kJoinerKinds) {
       kind += kRestartKinds;
     }
+    if (!options_.overlap && kind >= kAllKinds - kOverlapKinds) {
+      kind += kOverlapKinds;
+    }
+    if (!options_.reborn && kind >= kAllKinds) ++kind;
     Trace("fault " + std::to_string(kind) + " " + id + " p" +
           std::to_string(n));
     switch (kind) {
@@ -1615,6 +1624,10 @@
       case 14:
         store_unreachable_ = true;
         return Schedule(4 * time, [this] { store_unreachable_ = false; });
+      case kAllKinds:
+        return LoseLog(id, time / 4);
+      case kAllKinds + 1:
+        return JoinBesideCut(id, n, 2 * time);
       default:
         return ResetConnections(n);
     }
@@ -1647,6 +1660,47 @@
     });
   }
 
+  /// Starts a replica again under its id without its log.
+  void LoseLog(const ServerId& id, Duration time) {
+    Server& server = servers_[id];
+    const bool ordered =
+        std::any_of(orders_.begin(), orders_.end(),
+                    [&](const auto& it) { return now_ <= it.promoted; });
+    if (!server.alive || server.primary || ordered) return;
+    Trace("loses its log " + id);
+    Crash(id, time);
+    server.log.clear();
+  }
+
+  /// Replaces the replica `id`: a new server receives from the primary before
+  /// it is listed, while all instances but `n` can't reach the primary.
+  void JoinBesideCut(const ServerId& id, std::size_t n, Duration time) {
+    const Server* leader = NewestLeader();
+    const bool replica = leader != nullptr && leader->id != id;
+    if (!replica || !leader->alive || servers_[id].gone || replacing_) return;
+    replacing_ = true;
+    const ServerId joiner_id = "s" + std::to_string(servers_.size() + 1);
+    Server& joiner = servers_[joiner_id];
+    joiner.id = joiner_id;
+    joiner.term = leader->term;
+    joiner.log = leader->log;
+    joiner.split = leader->split;
+    joiner.joined_at = leader->id;
+    joiner.process_start = servers_.size();
+    joiner.listed_from = now_ + milliseconds(1200 + RandomBelow(1200));
+    servers_[id].drains_from = now_ + milliseconds(RandomBelow(800));
+    Trace("joins " + joiner_id + " at " + leader->id + " for " + id);
+    Schedule(milliseconds(RandomBelow(300)),
+             [this, n, time] { CutOffPrimary(n, time); });
+    Schedule(milliseconds(3500), [this, id, joiner_id] {
+      replacing_ = false;
+      servers_[id].gone = true;
+      servers_[joiner_id].joined_at.clear();
+      servers_[joiner_id].split = servers_[id].split;
+      Crash(id, std::chrono::hours(1));
+    });
+  }
+
   /// Restarts all instances in turn while the reports of a replica don't reach
   /// the store. Afterwards, the other replicas receive nothing for some time,
   /// within which the primary crashes.
@@ -1783,6 +1837,7 @@
   void Restart(const ServerId& id) {
     Server& server = servers_[id];
     server.alive = true;
+    server.fence_lifted_at = now_;
     ++server.process_start;
     const Server* newest = NewestLeader();
     if (newest != nullptr && newest->term > server.term) {
@@ -1837,7 +1892,6 @@
   std::vector<TimePoint> timer_at_;
   std::map<ServerId, Server> servers_;
   std::map<std::pair<std::size_t, ConnectionId>, ServerId>
-    server.fence_lifted_at = now_;
       server_of_connection_;
   std::map<std::pair<std::size_t, ConnectionId>, TimePoint> busy_until_;
   /// Commands of each connection that were sent, and that reached their turn.
@@ -1852,6 +1906,12 @@
   std::map<std::uint64_t, Client> clients_;
   std::uint64_t next_client_ = 1;
   std::vector<AcknowledgedWrite> acknowledged_;
+  std::set<std::string> acknowledged_ids_;
+  struct OrderTimes {
+    TimePoint given;
+    TimePoint promoted;  ///< when the promotion is complete, at the latest
+  };
+  std::vector<OrderTimes> orders_;
   std::uint64_t receipts_issued_ = 0;
   /// By receipt, what it was issued for.
   struct Issued {
@@ -1894,9 +1954,3 @@
 }
 
 }  // namespace corianderdock::test
-  std::set<std::string> acknowledged_ids_;
-  struct OrderTimes {
-    TimePoint given;
-    TimePoint promoted;  ///< when the promotion is complete, at the latest
-  };
-  std::vector<OrderTimes> orders_;
--- a/tests/support/session_world.h
+++ b/tests/support/session_world.h
@@ -58,6 +58,12 @@
   /// the store away for seconds, and strike while replicas are fenced or an
   /// order may be executed.
   bool overlap = false;
+  /// Faults also start a replica again under its id without its log. None does
+  /// so while an order may be executed, as nobody can take that back.
+  bool reborn = false;
+  /// Faults also replace a replica by a server that receives from the primary
+  /// before it is listed, while some instances can't reach the primary.
+  bool cut_joiners = false;
   RepeatOptions repeats;
   double busy_rate = 0;           ///< fraction of statements refused as busy
   double setup_failure_rate = 0;  ///< fraction of `SET`, `PREPARE`, `RESET`
