--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -265,12 +265,14 @@
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
     std::optional<TimePoint> behind_since;  ///< first refusal since a success
-    Term leader_term = 0;        ///< in which it leads; 0 while unknown
-    TimePoint listed_since;      ///< the epoch if listed before this instance
-    TimePoint last_query;        ///< last `kWitness` command
-    TimePoint last_contact;      ///< last `kContact` command for held commits
-    int queries = 0;             ///< unanswered `kWitness` commands
-    TimePoint last_demote;       ///< when it was last told of a newer term
+    Term leader_term = 0;    ///< in which it leads; 0 while unknown
+    TimePoint listed_since;  ///< the epoch if listed before this instance
+    TimePoint last_query;    ///< last `kWitness` command
+    int unmoved_statuses =
+        0;                   ///< in a row, that showed the same end of the log
+    TimePoint last_contact;  ///< last `kContact` command for held commits
+    int queries = 0;         ///< unanswered `kWitness` commands
+    TimePoint last_demote;   ///< when it was last told of a newer term
     TimePoint fence_query_sent;  ///< query of the last fence report
     TimePoint fence_reported;    ///< when that report was handled
     /// Log position and fence term as last logged.
--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -17,6 +17,8 @@
 /// Initial and longest pause between rounds of status queries.
 constexpr Duration kMinStatusPause = std::chrono::milliseconds(30);
 constexpr Duration kMaxStatusPause = std::chrono::milliseconds(160);
+/// Doublings of the pause for a server whose log doesn't move.
+constexpr int kMaxPauseDoublings = 5;
 /// Age of its list up to which an instance orders without the store, and up to
 /// which a list that is read may be older than the read.
 constexpr Duration kMaxListAge = std::chrono::milliseconds(9000);
@@ -117,6 +119,8 @@
     report.term = reply.status->term;
     report.end = reply.status->received;
     if (!reply.status->primary) report.fenced = reply.status->fence_term != 0;
+    const bool unmoved = pool.received == report.end;
+    pool.unmoved_statuses = unmoved ? pool.unmoved_statuses + 1 : 0;
   } else {
     report.term = reply.position->term;
     report.end = *reply.position;
@@ -281,7 +285,12 @@
       std::clamp(service.holder_pause * 2, kMinStatusPause, kMaxStatusPause);
   service.holder_query_at = now_ + service.holder_pause;
   if (first && lacking.size() > 1) lacking.resize(1);
-  for (ServerPool* pool : lacking) QueryServer(*pool);
+  for (ServerPool* pool : lacking) {
+    const int doublings = std::min(pool->unmoved_statuses, kMaxPauseDoublings);
+    const bool due =
+        now_ - pool->last_query >= kMinStatusPause * (1 << doublings);
+    if (first || due) QueryServer(*pool);
+  }
 }
 
 /// Returns the reachable servers that are not known to have a commit and that
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -142,14 +142,22 @@
   if (NeedsProof() || !service.awaiting_proof.empty()) ReleaseProven(service);
 }
 
-/// Sends a command that uses no slot to a replica.
+/// Sends a command that uses no slot to a replica, over its oldest idle
+/// connection, which shows best since when its process runs.
 void Proxy::ContactReplica(ServerPool& pool) {
-  ServerCommand begin;
-  begin.statement.verb = Verb::kBeginRead;
-  ServerCommand end;
-  end.statement.verb = Verb::kRollback;
-  SendControl(pool.entry.id, std::move(begin), Step::kContact);
-  SendControl(pool.entry.id, std::move(end), Step::kEnd);
+  const auto oldest = std::min_element(
+      pool.idle.begin(), pool.idle.end(), [this](auto a, auto b) {
+        return connections_.at(a).opened_at < connections_.at(b).opened_at;
+      });
+  if (oldest == pool.idle.end()) return;
+  const ConnectionId id = *oldest;
+  pool.idle.erase(oldest);
+  for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
+    ServerCommand command;
+    command.statement.verb = verb;
+    SendOne(id, std::move(command),
+            verb == Verb::kBeginRead ? Step::kContact : Step::kEnd, false);
+  }
 }
 
 /// Handles any status report of a server.
--- a/tests/session_commits_test.cc
+++ b/tests/session_commits_test.cc
@@ -33,6 +33,15 @@
     }
   }
 
+  /// Has the proxy open a second connection to each replica.
+  void ReadConcurrently() {
+    for (session::SessionId id = 2; id <= 9; ++id) {
+      OpenSession(id, "lookups");
+      Query(id, Verb::kRead, {}, "item");
+    }
+    Pass(Milliseconds(200));
+  }
+
   /// Sends a write, which the primary acknowledges at `index`. The replicas
   /// answer what they are asked meanwhile. Returns whether the client got
   /// success at once.
@@ -85,6 +94,7 @@
 // the claimant has fenced the replicas that are known.
 TEST_CASE("a commit is answered once a known replica has it") {
   CommitDriver driver;
+  driver.ReadConcurrently();
   driver.Pass(std::chrono::seconds(20));
   CHECK_FALSE(driver.Write(11));
   const std::size_t answered = driver.answers.size();
