--- a/tests/session_commits_test.cc
+++ b/tests/session_commits_test.cc
@@ -82,6 +82,8 @@
       if (verb == Verb::kStatus) {
         const Term fence = fenced.contains(id) ? 2 : 0;
         reply.status = ServerStatus{id == "a", 1, end, fence};
+        // The row has the lag, by which it differs from the one before.
+        reply.rows = {"lag " + std::to_string(++statuses)};
       }
       Answer(it.connection, reply);
     }
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -142,12 +142,12 @@
     if (next == status_queries.end()) return false;
     const SendCommand query = *next;
     status_queries.erase(next);
-    Reply reply = Run(query, {1, 10});
-    reply.status =
-        session::ServerStatus{ServerOf(query.connection) == "a",
-                              1,
-                              {1, status_index.value_or(complete_log)},
-                              0};
+    const bool leads = ServerOf(query.connection) == "a";
+    Reply reply = Run(query, {1, leads ? 10 : contact_index});
+    // The row has the lag, by which it differs from the one before.
+    reply.rows = {"replica 1 1.10 0 " + std::to_string(++statuses) + " 0 3"};
+    const std::uint64_t index = status_index.value_or(complete_log);
+    reply.status = session::ServerStatus{leads, 1, {1, index}, 0};
     Feed(session::ServerReplied{query.connection, reply});
     return true;
   }
@@ -430,6 +430,7 @@
   std::map<ConnectionId, std::vector<bool>> apart_order;
   std::map<ConnectionId, int> unanswered;                 ///< other commands
   std::map<ConnectionId, TransactionState> transactions;  ///< at the servers
+  int statuses = 0;                                       ///< given so far
   std::uint64_t receipts = 0;                             ///< given so far
   std::uint64_t complete_log = 10;  ///< newest index that a reply showed
   std::set<ServerId> answers_status{"a", "b", "c"};
