Schedules: the primary may be lost soon after a replica lost its log

Change: with every other lost log the primary crashes within a second and comes back with its log after 3 s.

--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -1660,7 +1660,8 @@
     });
   }
 
-  /// Starts a replica again under its id without its log.
+  /// Starts a replica again under its id without its log. The primary may be
+  /// lost soon after, and comes back with its log.
   void LoseLog(const ServerId& id, Duration time) {
     Server& server = servers_[id];
     const bool ordered =
@@ -1670,6 +1671,11 @@
     Trace("loses its log " + id);
     Crash(id, time);
     server.log.clear();
+    if (RandomBelow(2) == 0) return;
+    Schedule(time + milliseconds(RandomBelow(1000)), [this] {
+      const Server* leader = NewestLeader();
+      if (leader != nullptr) Crash(leader->id, milliseconds(3000));
+    });
   }
 
   /// Replaces the replica `id`: a new server receives from the primary before
