--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -254,6 +254,9 @@
   int reported = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     WorldOptions options;
+    // In the first term, a commit is answered once all have it; later ones are
+    // answered on less.
+    options.duration = std::chrono::seconds(20);
     options.seed = seed;
     CHECK(RunSessionSchedule(options).losses_reported == 0);
     options.proxy.safety = &unsafe;
