Lift fences by promotions only

What callers saw: nothing yet; by reading. RESUME lifted the fences that an abandoned claim left after 4 s of a healthy primary. An order that relied on them, given by another instance, could be executed later, while the replicas went on acknowledging; the answer rule counts on fences that end only with a restart or a promotion.

Why no wait is enough: an instance without the store fences a replica that it found fenced 12 s after it first saw that, and its order is recorded nowhere. It may be given just before any later RESUME.

So no fence is lifted. A primary already counts as lost while a replica has reported a fence for 2.5 s, and the promotion that follows ends all fences. So that none stays for ever, the claimant asks the servers it fenced every 400 ms until they show no fence, also in a service without traffic. Cost: a promotion instead of a RESUME; where the fenced replica was a known one and the service in use, that is what happened before, as 2.5 s is less than 4 s.

--- a/include/corianderdock/session/failover.h
+++ b/include/corianderdock/session/failover.h
@@ -51,10 +51,6 @@
   Duration claim_validity = std::chrono::milliseconds(2000);
   /// Interval at which commands to a replica or the old primary are repeated.
   Duration fence_retry_interval = std::chrono::milliseconds(300);
-  /// The primary must have been healthy for this long before the fences of an
-  /// abandoned claim are released. Longer than a promotion that another
-  /// instance ordered in the meantime takes.
-  Duration release_delay = std::chrono::milliseconds(4000);
   /// Interval at which a claim is kept while an order may be executed; a third
   /// of the claim's lease at the store.
   Duration claim_keep_interval = std::chrono::milliseconds(1000);
@@ -110,7 +106,8 @@
     ServerId server;
     Term term = 0;
   };
-  /// Lifts the fence of a replica.
+  /// Lifts the fence of a replica, although orders may rely on it: only if
+  /// `Safety::KeepFencesOnAbandon` says so.
   struct Resume {
     ServerId server;
   };
@@ -246,6 +243,15 @@
   [[nodiscard]] Actions OnOrdered(const Situation& situation,
                                   PromotionResult result);
 
+  /// Notes that a server is not fenced any more.
+  void OnUnfenced(const ServerId& server);
+
+  /// Returns the servers whose fences this instance requested and didn't see
+  /// end.
+  [[nodiscard]] const std::set<ServerId>& fences_left() const noexcept {
+    return fence_requested_;
+  }
+
   /// Ends a promotion of `server`, which proved to be the primary.
   void OnPrimaryConfirmed(const ServerId& server);
 
@@ -317,9 +323,6 @@
                                                    TimePoint now) const;
   [[nodiscard]] Position MostAdvancedEnd(const Situation& situation) const;
   Actions DemoteOldPrimary(const Situation& situation);
-  Actions ReleaseFences(const Situation& situation);
-  Actions OnReleaseClaim(const Situation& situation,
-                         const ClaimAnswered& answer);
   Actions AbandonClaim(const Situation& situation);
   void EnterPhase(Phase phase, TimePoint now);
 
@@ -333,11 +336,8 @@
   TimePoint claimed_at_;  ///< when the claim of `token_` was requested
   Term fence_term_ = 0;
   std::optional<TimePoint> replicas_reachable_since_;
-  std::optional<TimePoint> primary_healthy_since_;
   std::optional<TimePoint> primary_lost_since_;
-  /// The current claim is made to release fences, not to promote a server.
-  bool claim_releases_fences_ = false;
-  std::set<ServerId> fence_requested_;  ///< until released or promoted
+  std::set<ServerId> fence_requested_;  ///< until promoted or seen unfenced
   bool using_fallback_token_ = false;   ///< `token_` is not from a claim
   /// Replicas that an inspection found safe to fence: not fenced by another
   /// instance, or for longer than `max_order_delay`.
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -751,6 +751,7 @@
                              const PendingStatement& pending) const;
   void TimeApplied(Service& service);
   void QueryUnknown(Service& service);
+  void QueryFencesLeft(Service& service);
   void NoteReport(ServerPool& pool, const Connection& connection,
                   const ExpectedReply& expected, const Reply& reply);
   [[nodiscard]] CommitBasis BasisOf(const Service& service,
--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -42,9 +42,6 @@
   if (!situation.primary_lost) foreign_fence_since_.reset();
   switch (phase_) {
     case Phase::kIdle:
-      if (auto actions = ReleaseFences(situation); !actions.empty()) {
-        return actions;
-      }
       if (!situation.primary_lost || !situation.server_list_complete ||
           now < next_claim_at_ || situation.replicas.empty() ||
           now - *primary_lost_since_ < situation.claim_delay ||
@@ -124,9 +121,6 @@
                                     const ClaimAnswered& answer) {
   if (phase_ != Phase::kClaiming) return {};
   NoteForeignOrder(situation);
-  if (std::exchange(claim_releases_fences_, false)) {
-    return OnReleaseClaim(situation, answer);
-  }
   if (answer.store_unreachable && !unanswered_order_ && primary_lost_since_ &&
       situation.now - *primary_lost_since_ < situation.fallback_token_delay) {
     EnterPhase(Phase::kIdle, situation.now);
@@ -597,6 +591,11 @@
   return {Claim{}};
 }
 
+void Failover::OnUnfenced(const ServerId& server) {
+  // A status may have been sent before the fence.
+  if (phase_ == Phase::kIdle) fence_requested_.erase(server);
+}
+
 void Failover::OnPrimaryConfirmed(const ServerId& server) {
   const bool started =
       phase_ == Phase::kAwaitingPrimary || phase_ == Phase::kOrdering;
@@ -607,8 +606,9 @@
   fence_requested_.clear();
 }
 
-/// The replicas stay fenced, as a promotion by another instance may rely on
-/// it. Only a promotion or `ReleaseFences` lifts the fences.
+/// The replicas stay fenced, as an order of another instance may rely on it,
+/// also one that nothing shows. Only a promotion lifts the fences: the primary
+/// counts as lost while replicas report them.
 Failover::Actions Failover::AbandonClaim(const Situation& situation) {
   Actions actions;
   if (!options_.safety->KeepFencesOnAbandon()) {
@@ -622,40 +622,12 @@
   return actions;
 }
 
-/// Releases the fences that an abandoned claim left. This takes a claim of its
-/// own, which keeps other instances from fencing the replicas in the meantime.
-Failover::Actions Failover::ReleaseFences(const Situation& situation) {
-  if (fence_requested_.empty()) return {};
-  if (situation.primary_lost) {
-    primary_healthy_since_.reset();
-    return {};
-  }
-  if (!primary_healthy_since_) primary_healthy_since_ = situation.now;
-  if (situation.now - *primary_healthy_since_ < options_.release_delay) {
-    return {};
-  }
-  primary_healthy_since_.reset();
-  claim_releases_fences_ = true;
-  EnterPhase(Phase::kClaiming, situation.now);
-  return {Claim{}};
-}
-
-Failover::Actions Failover::OnReleaseClaim(const Situation& situation,
-                                           const ClaimAnswered& answer) {
-  EnterPhase(Phase::kIdle, situation.now);
-  if (answer.token == 0 || situation.primary_lost) return {};
-  Actions actions;
-  for (const ServerId& id : fence_requested_) actions.push_back(Resume{id});
-  fence_requested_.clear();
-  return actions;
-}
-
 Failover::Wait Failover::WaitsFor(const Situation& situation) const {
   switch (phase_) {
     case Phase::kIdle:
       return WaitsBeforeClaim(situation);
     case Phase::kClaiming:
-      return claim_releases_fences_ ? Wait::kNone : Wait::kClaim;
+      return Wait::kClaim;
     case Phase::kDemoting:
       return Wait::kDemotion;
     case Phase::kFencing:
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -448,7 +448,10 @@
     QueryReceived(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
-    if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
+    const bool needs_failover =
+        in_use || service.failover.phase() != Failover::Phase::kIdle ||
+        !service.failover.fences_left().empty();
+    if (!needs_failover) continue;
     const Failover::Situation situation = SituationOf(service);
     Perform(id, service.failover.Step(situation));
     NotePromotionWait(service, situation);
--- a/src/session/proxy_proof.cc
+++ b/src/session/proxy_proof.cc
@@ -26,6 +26,9 @@
 constexpr Duration kSeparationTime = std::chrono::milliseconds(1000);
 /// Time for which a server that left the list may run behind a partition.
 constexpr Duration kHiddenTime = std::chrono::milliseconds(6000);
+/// Interval of queries to a server that an abandoned claim fenced; shorter than
+/// the time for which a report counts.
+constexpr Duration kFenceQueryInterval = std::chrono::milliseconds(400);
 /// Unanswered queries to one server.
 constexpr int kMaxQueries = 2;
 /// Interval at which a stale leader is told of the newer term.
@@ -158,6 +161,7 @@
   Service& service = ServiceOf(pool.entry.service);
   NoteLogEnd(pool, sent, status);
   pool.received = LaterPosition(pool.received, status.received);
+  if (status.fence_term == 0) service.failover.OnUnfenced(pool.entry.id);
   CheckAcknowledged(pool, status.received);
   if (status.primary) {
     if (const auto commit =
@@ -293,6 +297,18 @@
   }
 }
 
+/// Asks the servers that abandoned claims of this instance fenced, so that the
+/// primary counts as lost while the fences last.
+void Proxy::QueryFencesLeft(Service& service) {
+  if (service.failover.phase() != Failover::Phase::kIdle) return;
+  for (const ServerId& id : service.failover.fences_left()) {
+    const auto it = pools_.find(id);
+    if (it == pools_.end() || it->second.failing) continue;
+    if (now_ - it->second.last_query < kFenceQueryInterval) continue;
+    QueryServer(it->second);
+  }
+}
+
 /// Keeps the proof of a service in use recent, and repeats the queries that
 /// held replies and fences wait for.
 void Proxy::CheckProofs(Service& service) {
@@ -315,6 +331,7 @@
       service.primary_queue.size() > 0 && !LeadershipProven(service);
   if (!service.awaiting_proof.empty()) QueryHolders(service);
   QueryUnknown(service);
+  QueryFencesLeft(service);
   TimeApplied(service);
   if (unproven || (fenced && in_use)) QueryNextReplica(service);
 }
--- a/tests/session_commits_test.cc
+++ b/tests/session_commits_test.cc
@@ -203,4 +203,30 @@
   CHECK(OrderedWithin(driver, std::chrono::seconds(3), {"b", "c"}) == "b");
 }
 
+// Guards against replicas that stay fenced for ever: only a promotion or a
+// restart lifts a fence.
+TEST_CASE("fences that an abandoned claim left end with a promotion") {
+  CommitDriver driver;
+  driver.Pass(std::chrono::seconds(20));
+  driver.Lose("a");
+  for (int n = 0; n < 100 && driver.claims_answered == 0; ++n) {
+    (void)OrderedWithin(driver, Milliseconds(25), {"b", "c"});
+  }
+  REQUIRE(driver.claims_answered == 1);
+  REQUIRE(driver.promotions.empty());
+  // The primary is back before its replicas answer.
+  driver.fenced = {"b", "c"};
+  for (int n = 0; n < 400 && driver.promotions.empty(); ++n) {
+    driver.Pass(Milliseconds(25));
+    for (const auto& it : std::exchange(driver.claims, {})) {
+      driver.Feed(session::ClaimAnswered{it.service, 8, false});
+    }
+  }
+  CHECK_FALSE(driver.promotions.empty());
+  CHECK(std::none_of(driver.all_sent.begin(), driver.all_sent.end(),
+                     [](const auto& it) {
+                       return it.command.statement.verb == Verb::kResume;
+                     }));
+}
+
 }  // namespace corianderdock::test
