Count the primary before among the servers that may be promoted

Commits of s2 were answered on "unanimity", as s3 had them.

Cause: Proxy::IsPromotable left the primary before out, as "its own order would have kept the present one from being promoted". An instance that has not seen the promotion may order it afterwards.

Why the fix works: unanimity now requires every server that an order may name.

The time for which commits are held after a failover was not measured.

--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -43,12 +43,11 @@
   return listed_long && named;
 }
 
-/// Whether an order that may still be executed could be for this server. None
-/// is for the primary before, as its own order would have kept the present one
-/// from being promoted.
+/// Whether an order that may still be executed could be for this server: also
+/// for the primary before, by an instance that didn't see it replaced.
 bool Proxy::IsPromotable(const Service& service, const ServerPool& pool) const {
   const ServerId& id = pool.entry.id;
-  if (id == service.primary || id == service.previous_primary) return false;
+  if (id == service.primary) return false;
   if (pool.superseded || IsPhantom(pool)) return false;
   return pool.listed || !pool.failing || MayReturn(pool);
 }
