Order without the store only by a recent server list

An instance that can't reach the store orders under its fallback token by whatever list it has, however old. A server that joined since isn't fenced and doesn't count, while the answer rule counts it once it has been listed for 12.5 s.

Why it works: the list must be at most 9 s old (servers_read_at_, or as_of where another instance read it) when the claim is answered and when the order is given; a stale read may be 3 s old. So the list shows what was listed 12 s before the order, and 12.5 s are asked. The instance then has no fallback token; an order under way waits for the list (promotion_wait_us_server_list).

Cost: without the store for longer than 9 s and without an instance that tells the list, no primary is replaced until the store is back.

Tests (session_failover): "nothing is ordered by an old list", "is relied on for nine seconds": an order after 6 s, none after 10 s.

--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -364,6 +364,7 @@
   if (!AllFenced(situation) || AwaitsLease(situation)) return {};
   if (situation.joiner_expected && demoted_.empty()) return {};
   if (LacksNeededLog(situation)) return {};
+  if (using_fallback_token_ && situation.fallback_token == 0) return {};
   if (DiscardStaleReports(situation)) {
     all_fenced_since_.reset();
     return FenceRemaining(situation);
@@ -659,6 +660,9 @@
   if (leased) return Wait::kLease;
   if (situation.joiner_expected && demoted_.empty()) return Wait::kJoiner;
   if (LacksNeededLog(situation)) return Wait::kDemotion;
+  if (using_fallback_token_ && situation.fallback_token == 0) {
+    return Wait::kServerList;
+  }
   const ServerId chosen = ChooseCandidate(situation);
   if (!ReachesRequired(situation, chosen)) return Wait::kPosition;
   const ServerId pending = PendingOrder(situation);
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -21,6 +21,10 @@
 /// Time reserved for each instance to fence the replicas under its fallback
 /// token. The next instance then finds the fences and does not promote.
 constexpr Duration kFallbackTokenTurn = std::chrono::milliseconds(600);
+/// Age of the server list up to which an instance without the store may order a
+/// promotion. With the age of a stale read, 3 s, it has every server that has
+/// been listed for as long as one must be to count for commits.
+constexpr Duration kMaxListAge = std::chrono::milliseconds(9000);
 /// Instances that claim a promotion as soon as the primary is lost, and the
 /// time between their claims.
 constexpr int kEarlyClaimants = 4;
@@ -356,7 +360,9 @@
   situation.primary_lost =
       view_is_fresh && (PrimaryLost(service) || OrphanedOrder(service));
   situation.server_list_complete = server_list_complete_ && members_known_;
-  situation.fallback_token = fallback_token_;
+  if (now_ - servers_read_at_ <= kMaxListAge) {
+    situation.fallback_token = fallback_token_;
+  }
   situation.fallback_token_delay = FallbackTokenDelay(service);
   if (situation.primary_lost) situation.claim_delay = ClaimDelay(service);
   const MemberRecord& record = service.members.record();
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -280,6 +280,46 @@
           .size() == 1);
 }
 
+// Guards against the loss of commits of a server that joined after the list was
+// read on which an instance without the store relies.
+TEST_CASE("without the store nothing is ordered by an old list") {
+  Fixture it;
+  it.situation.fallback_token = 5;
+  (void)it.Step();
+  (void)it.AnswerClaim(0, true);
+  (void)it.AnswerFence("b", 10);
+  it.situation.fallback_token = 0;
+  CHECK(it.AnswerFence("c", 12).empty());
+  CHECK(it.failover.WaitsFor(it.situation) == Failover::Wait::kServerList);
+}
+
+TEST_CASE("without the store a server list is relied on for nine seconds") {
+  const auto orders_after = [](Duration age) {
+    ProxyDriver driver;
+    driver.Feed(session::TokenObtained{3});
+    driver.OpenSession(1, "claims");
+    driver.OpenSession(2, "lookups");
+    for (Duration passed{0}; passed < age; passed += Milliseconds(25)) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnects();
+      driver.AnswerAll({});
+    }
+    driver.LoseAllConnections();
+    driver.keeps_order = true;
+    driver.log_ends = {{"b", 10}, {"c", 10}};
+    driver.Query(2, Verb::kRead, {}, "item");
+    for (int n = 0; n < 80 && driver.promotions.empty(); ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo({"b", "c"});
+      driver.FailClaims();
+      driver.AnswerAs("", {"b", "c"});
+    }
+    return !driver.promotions.empty();
+  };
+  CHECK(orders_after(std::chrono::seconds(6)));
+  CHECK_FALSE(orders_after(std::chrono::seconds(10)));
+}
+
 TEST_CASE("a primary that still answers is demoted with the order") {
   Fixture it;
   it.situation.primary = "a";
