Take no entry for unrenewed while the list isn't read

What callers saw: nothing yet; by reading (which servers a claimant leaves out although the answer rule counts them). An entry that wasn't renewed within 5 s, and whose server never answered, is taken to name none. While an instance can't read the list nothing is renewed: a server that joined shortly before and that it can't reach was left out after 5 s, within the 9 s for which it may order without the store, and its member record may be older as well.

Why the fix works: the 5 s now end with the last list that was read. While lists are read, each about a second, that is the same.

Tests (session_members): "is not taken for unrenewed if the list isn't read", red before. The case next to it read the list once and then relied on it for 7.5 s; it now reads it each second, as an instance does.

--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -108,9 +108,11 @@
          service->second.members.Names(pool.entry);
 }
 
-/// Whether an entry in the list is taken to name no server.
+/// Whether an entry in the list is taken to name no server. That it was not
+/// renewed shows only in lists that were read.
 bool Proxy::IsPhantom(const ServerPool& pool) const {
-  return now_ - pool.known_since >= kConfirmTime && !IsConfirmed(pool);
+  return servers_read_at_ - pool.known_since >= kConfirmTime &&
+         !IsConfirmed(pool);
 }
 
 /// Whether an instance that starts now would learn of all servers to which the
--- a/tests/session_members_test.cc
+++ b/tests/session_members_test.cc
@@ -258,8 +258,8 @@
   for (const bool renewed : {false, true}) {
     ProxyDriver driver;
     if (!renewed) driver.not_renewed = {"x"};
-    driver.ListServers({"a", "b", "c", "x"});
     for (int n = 0; n < 300; ++n) {
+      if (n % 40 == 0) driver.ListServers({"a", "b", "c", "x"});
       driver.AdvanceTime(Milliseconds(25));
       driver.CompleteConnectsTo({"a", "b", "c"});
       driver.AnswerAll({"x"});
@@ -276,4 +276,26 @@
   }
 }
 
+// Guards against the loss of commits of a server that joined shortly before the
+// list could not be read any more.
+TEST_CASE("an entry is not taken for unrenewed if the list isn't read") {
+  ProxyDriver driver;
+  driver.not_renewed = {"x"};
+  driver.ListServers({"a", "b", "c", "x"});
+  for (int n = 0; n < 300; ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo({"a", "b", "c"});
+    driver.AnswerAll({"x"});
+  }
+  driver.OpenSession(1, "claims");
+  driver.Query(1, Verb::kWrite, {}, "item data");
+  driver.LoseAllConnections();
+  for (int n = 0; n < 80; ++n) {
+    driver.AdvanceTime(Milliseconds(25));
+    driver.CompleteConnectsTo({"b", "c"});
+    driver.AnswerReplicas();
+  }
+  CHECK(driver.claims.empty());
+}
+
 }  // namespace corianderdock::test
