Have a replica answer before a commit under an order counts

It is compared with the same commit without an order now, and both must be answered with the same evidence.

--- a/tests/session_orders_test.cc
+++ b/tests/session_orders_test.cc
@@ -76,12 +76,18 @@
 }
 
 TEST_CASE("a commit needs no more than before if its primary is under order") {
-  ProxyDriver driver = WritingDriver();
-  RecordOrder(driver, "a");
-  driver.Feed(session::MembersRead{driver.stored_members, true});
-  const std::size_t answered = driver.answers.size();
-  Write(driver, 11);
-  CHECK(driver.answers.size() == answered + 1);
+  for (const bool ordered : {false, true}) {
+    CAPTURE(ordered);
+    ProxyDriver driver = WritingDriver();
+    driver.keeps_order = true;
+    if (ordered) RecordOrder(driver, "a");
+    driver.Feed(session::MembersRead{driver.stored_members, true});
+    const std::size_t answered = driver.answers.size();
+    Write(driver, 11);
+    Answer(driver, 11);
+    REQUIRE(driver.answers.size() == answered + 1);
+    CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+  }
 }
 
 // Guards against an order that nobody completes, while commits wait for it: its
