--- a/src/session/failover.cc
+++ b/src/session/failover.cc
@@ -320,8 +320,11 @@
   }
   ServerId best = MostAdvanced(situation);
   if (demoted_.empty() || best.empty()) return best;
-  return IsLater(demoted_end_, fence_reports_.at(best).received) ? demoted_
-                                                                 : best;
+  // Its own report is newer: it may have lost its log since.
+  const auto report = fence_reports_.find(demoted_);
+  const Position end =
+      report == fence_reports_.end() ? demoted_end_ : report->second.received;
+  return IsLater(end, fence_reports_.at(best).received) ? demoted_ : best;
 }
 
 /// Whether the candidate's log has what the servers that are left out may have.
--- a/tests/session_proof_test.cc
+++ b/tests/session_proof_test.cc
@@ -415,7 +415,7 @@
 TEST_CASE("a commit must be seen at a known replica, however recent its word") {
   using session::CommitBasis;
   session::CommitQuorum quorum{session::CommitQuorum::Options{}};
-  const session::CommitQuorum::Servers servers{{"b"}, {"b"}, true, {}};
+  const session::CommitQuorum::Servers servers{{{"b", {}}}, {"b"}, true, {}};
   const session::CommitQuorum::Commit commit{{1, 5}, At(20'000)};
   const auto add = [&](int sent_ms, Position end) {
     quorum.Add("b", {At(0), At(sent_ms), At(sent_ms + 2), 1, end, false});
