--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -152,13 +152,16 @@
 /// Contacts a replica until the timed commit appears.
 void Proxy::TimeApplied(Service& service) {
   if (!service.timed_commit) return;
-  const auto lacking = ServersWithout(service, service.timed_commit->first);
-  for (ServerPool* pool : lacking) {
-    if (pool->shared || pool->idle.empty()) continue;
-    pool->last_contact = now_;
-    return ContactReplica(*pool);
+  if (now_ - service.timed_commit->second >= kMaxApplyDelay) {
+    return service.timed_commit.reset();
+  }
+  for (const ServerId& id : service.servers) {
+    ServerPool& pool = pools_.at(id);
+    if (pool.shared || pool.failing || pool.idle.empty()) continue;
+    if (!IsCounted(service, pool)) continue;
+    pool.last_contact = now_;
+    return ContactReplica(pool);
   }
-  service.timed_commit.reset();  // statuses have shown it
 }
 
 /// Whether servers must be asked for a held commit, which occupies a slot of
@@ -168,7 +171,7 @@
                     const PendingStatement& pending) const {
   const Duration objective = pending.route->latency_objective;
   const Duration expected = pending.held_since - pending.arrived +
-                            service.apply_delay.value_or(Duration(0));
+                            service.apply_delay.value_or(kMaxApplyDelay);
   const Duration passed = now_ - pending.arrived;
   return expected >= objective / 2 || passed >= objective * 3 / 4;
 }
@@ -323,6 +326,7 @@
 void Proxy::QueryUnknown(Service& service) {
   const auto primary = pools_.find(service.primary);
   if (primary == pools_.end() || service.limits.sync_replicas == 0) return;
+  if (NeedsProof()) return;  // they are asked for that of the primary
   const Term term = std::max(service.newest_term, service.last_primary_term);
   for (const ServerId& id : service.servers) {
     if (id == service.primary) continue;
--- a/tests/session_answers_test.cc
+++ b/tests/session_answers_test.cc
@@ -396,6 +396,11 @@
   it.driver.AdvanceTime(Milliseconds(12));
   (void)OnlyOutstanding(it.driver);
   const Reply own = it.driver.AnswerFirst(ErrorCode::kNone, {1, 12});
+  it.driver.contact_index = 12;
+  for (int n = 0; n < 4; ++n) {
+    it.driver.AdvanceTime(Milliseconds(25));
+    it.driver.CompleteConnects();
+  }
   CHECK(it.Only(1).receipt == own.receipt);
 }
 
@@ -738,6 +743,7 @@
   driver.status_index = 10;
   const auto pass = [&](Duration time, const std::set<ServerId>& silent) {
     for (Duration passed{0}; passed < time; passed += Milliseconds(25)) {
+      driver.ListServers({"a", "b", "c"});
       driver.AdvanceTime(Milliseconds(25));
       driver.CompleteConnects();
       driver.AnswerAll(silent);
