--- a/tests/session_ablation_test.cc
+++ b/tests/session_ablation_test.cc
@@ -50,10 +50,6 @@
   [[nodiscard]] bool KeepFencesOnAbandon() const override { return false; }
 };
 
-struct SkipPrimaryProof : session::Safety {
-  [[nodiscard]] bool RequirePrimaryProof() const override { return false; }
-};
-
 struct SkipReplicaProof : session::Safety {
   [[nodiscard]] bool RequireReplicaProof() const override { return false; }
 };
@@ -139,12 +135,41 @@
   CHECK_FALSE(OverlappingClaimsLoseCommit(session::DefaultSafety()));
 }
 
+namespace {
+
+struct AnswerCommitsAtOnce : session::Safety {
+  [[nodiscard]] bool RequireReplicaProof() const override { return false; }
+};
+
+struct AnswerAtOnceWithoutProof : AnswerCommitsAtOnce {
+  [[nodiscard]] bool RequirePrimaryProof() const override { return false; }
+};
+
+/// Whether a schedule returns stale reads of the latest data.
+bool HasStaleClaims(const session::Safety& safety, WorldOptions options) {
+  options.proxy.safety = &safety;
+  const auto violations = RunSessionSchedule(options).violations;
+  return std::any_of(violations.begin(), violations.end(), [](const auto& it) {
+    return it.rfind("STALE claims", 0) == 0;
+  });
+}
+
+}  // namespace
+
+// A commit that the former primary lacks is not answered soon after it was
+// replaced, which hides the lack of proof. So commits are answered at once
+// here, with and without it.
 TEST_CASE("reads of the latest data are stale without proof of the primary") {
   WorldOptions options;
   options.faults_per_second = kHighFaultRate;
-  options.joiners = true;
-  options.overlap = true;
-  CHECK(ViolatesRule(SkipPrimaryProof{}, "STALE claims", options));
+  bool found = false;
+  for (options.seed = 1; !found && options.seed <= kMaxSchedules;
+       ++options.seed) {
+    found = HasStaleClaims(AnswerAtOnceWithoutProof{}, options) &&
+            !HasStaleClaims(AnswerCommitsAtOnce{}, options);
+    if (found) std::cout << "STALE claims: seed " << options.seed << "\n";
+  }
+  CHECK(found);
 }
 
 TEST_CASE("reads are stale without proof by replicas if primaries go on") {
