--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -870,6 +870,7 @@
   bool adaptive_ = false;     ///< adaptive routing is on
   bool servers_known_ = false;
   bool server_list_complete_ = false;
+  std::optional<TimePoint> list_complete_since_;  ///< first complete list
   bool members_known_ = false;  ///< the records were read once
   TimePoint members_read_at_;   ///< last `ReadMembers` effect
   TimePoint orders_read_at_;    ///< the last one that is linearizable
--- a/src/session/proxy_commits.cc
+++ b/src/session/proxy_commits.cc
@@ -27,8 +27,8 @@
 constexpr Duration kFreshListAge = std::chrono::milliseconds(2500);
 /// Longest time until a commit appears in replies that counts, and the weight
 /// of the earlier ones in the average.
-constexpr Duration kMaxApplyDelay = std::chrono::milliseconds(2000);
-constexpr int kApplyDelayDivisor = 8;
+constexpr Duration kMaxApplyDelay = std::chrono::milliseconds(250);
+constexpr int kApplyDelayDivisor = 4;
 /// Interval at which that time is measured.
 constexpr Duration kTimedInterval = std::chrono::milliseconds(1000);
 /// Interval of status queries to a replica of which too little is known.
@@ -56,9 +56,10 @@
 /// the store orders by a list that may be old. One that this instance found
 /// listed when it started counts from then on.
 TimePoint Proxy::KnownSince(const ServerPool& pool) const {
-  const bool established = pool.listed_since == TimePoint{};
+  const bool established =
+      !list_complete_since_ || pool.known_since <= *list_complete_since_;
   return established ? started_at_
-                     : pool.listed_since + kMaxListAge + kMaxListDelay;
+                     : pool.known_since + kMaxListAge + kMaxListDelay;
 }
 
 /// Whether an order that may still be executed could be for this server. The
@@ -142,19 +143,14 @@
   const bool applied = end.term == position.term && end.index >= position.index;
   if (!applied && now_ - since < kMaxApplyDelay) return;
   const Duration delay = std::min(now_ - since, kMaxApplyDelay);
-  if (applied) {
-    if (!service.apply_delay) service.apply_delay = delay;
-    *service.apply_delay += (delay - *service.apply_delay) / kApplyDelayDivisor;
-  }
+  if (!service.apply_delay) service.apply_delay = delay;
+  *service.apply_delay += (delay - *service.apply_delay) / kApplyDelayDivisor;
   service.timed_commit.reset();
 }
 
 /// Contacts a replica until the timed commit appears.
 void Proxy::TimeApplied(Service& service) {
   if (!service.timed_commit) return;
-  if (now_ - service.timed_commit->second >= kMaxApplyDelay) {
-    return service.timed_commit.reset();
-  }
   for (const ServerId& id : service.servers) {
     ServerPool& pool = pools_.at(id);
     if (pool.shared || pool.failing || pool.idle.empty()) continue;
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -104,6 +104,7 @@
   servers_read_at_ = event.as_of.value_or(now_);
   servers_known_ = servers_known_ || !event.servers.empty();
   server_list_complete_ = event.complete;
+  if (event.complete && !list_complete_since_) list_complete_since_ = now_;
 }
 
 /// Finds the servers that left the list and whose address another server of the
--- a/tests/session_commits_test.cc
+++ b/tests/session_commits_test.cc
@@ -165,8 +165,8 @@
                        const std::set<ServerId>& running) {
   for (Duration passed{0}; passed < limit && driver.promotions.empty();
        passed += Milliseconds(25)) {
-    const auto reader =
-        static_cast<session::SessionId>(100 + driver.statements);
+    const auto reader = static_cast<session::SessionId>(100) +
+                        static_cast<session::SessionId>(driver.statements);
     driver.OpenSession(reader, "lookups");
     driver.Feed(session::StatementReceived{reader,
                                            std::to_string(++driver.statements),
