--- a/include/corianderdock/session/member_record.h
+++ b/include/corianderdock/session/member_record.h
@@ -33,6 +33,10 @@
   std::uint64_t order_renewals = 0;
   /// Servers of earlier orders that may still be executed as well.
   std::set<ServerId> superseded = {};
+  /// The primary, if the platform answered the last order that the record
+  /// named, and the term in which it leads since.
+  ServerId leader = {};
+  Term leader_term = 0;
 
   bool operator==(const MemberRecord&) const = default;
 };
@@ -67,6 +71,9 @@
     /// The order that the record names can't be executed any more, and this
     /// instance gave it or may remove it.
     bool order_expired = false;
+    /// The primary, if the platform answered that order; otherwise empty.
+    ServerId leader = {};
+    Term leader_term = 0;
     int rank = 0;  ///< of this instance among all; 0 is the first
   };
 
--- a/include/corianderdock/session/proxy.h
+++ b/include/corianderdock/session/proxy.h
@@ -14,7 +14,7 @@
 
 #include "corianderdock/detail/timers.h"
 #include "corianderdock/session/acknowledged_commits.h"
-#include "corianderdock/session/commit_evidence.h"
+#include "corianderdock/session/commit_quorum.h"
 #include "corianderdock/session/config_freshness.h"
 #include "corianderdock/session/connection_cache.h"
 #include "corianderdock/session/connection_owners.h"
@@ -88,6 +88,7 @@
     kTransactionIdle,
     kConnectTimeout,
     kRefusalDoubt,
+    kHeldCommit,
     kQuota,
     kCheck,
   };
@@ -194,6 +195,14 @@
     TimePoint last_used;  ///< when it was created or last became idle
   };
 
+  /// A server may have lost entries that its log had before `since`. The log
+  /// has all of them again, or those that replaced them, once it reaches the
+  /// end that the log of the primary had later.
+  struct LogDoubt {
+    TimePoint since;
+    std::optional<Position> primary_end;
+  };
+
   /// State of a server and this instance's connections to it.
   struct ServerPool {
     ServerEntry entry;
@@ -241,25 +250,29 @@
     TimePoint known_since;  ///< when this instance learned of it
     bool repeats_replies = false;  ///< it sent a reply more than once
     bool superseded = false;  ///< another one of its service has its address
-    /// Commits had waited long, or had no answer, before the last one.
-    bool commits_waited = false;
     TimePoint draining_since;
     TimePoint unlisted_at;  ///< when it left the server list
     /// Log position that the primary reported after this server had fallen
     /// silent. A log that reaches it has every acknowledged commit of this one.
     std::optional<Position> covered_by;
     std::optional<Position> received;  ///< as its status last showed
-    /// Highest end of its log that a status showed, also before it restarted.
+    /// End of its log as a reply last showed, also before it restarted, and
+    /// when that reply was read.
     std::optional<Position> newest_end;
+    TimePoint newest_end_at;
+    std::optional<LogDoubt> log_doubt;
     double latency_ms = 5;                 ///< moving average over statements
     std::optional<Position> log_position;  ///< highest position reported
     Duration behind_backoff{0};  ///< doubles with each read that it refuses
     std::optional<TimePoint> behind_since;  ///< first refusal since a success
-    Term leader_term = 0;        ///< in which it leads; 0 while unknown
-    TimePoint listed_since;      ///< the epoch if listed before this instance
-    TimePoint last_query;        ///< last `kWitness` command
-    int queries = 0;             ///< unanswered `kWitness` commands
-    TimePoint last_demote;       ///< when it was last told of a newer term
+    Term leader_term = 0;    ///< in which it leads; 0 while unknown
+    TimePoint listed_since;  ///< the epoch if listed before this instance
+    TimePoint last_query;    ///< last `kWitness` command
+    int unmoved_statuses =
+        0;                   ///< in a row, that showed the same end of the log
+    TimePoint last_contact;  ///< last `kContact` command for held commits
+    int queries = 0;         ///< unanswered `kWitness` commands
+    TimePoint last_demote;   ///< when it was last told of a newer term
     TimePoint fence_query_sent;  ///< query of the last fence report
     TimePoint fence_reported;    ///< when that report was handled
     /// Log position and fence term as last logged.
@@ -275,7 +288,9 @@
 
   struct Service {
     Service(ServiceId service_id, const FailoverOptions& options)
-        : id(std::move(service_id)), failover(options) {}
+        : id(std::move(service_id)),
+          quorum(QuorumOptions(options)),
+          failover(options) {}
     ServiceId id;
     ServiceLimits limits;
     std::set<ServerId> servers;
@@ -287,6 +302,12 @@
     TimePoint no_primary_since;
     TimePoint last_used;  ///< arrival of the last statement
     TimePoint primary_since;
+    /// When the known primary, or the last one, was last proven to lead.
+    std::optional<TimePoint> led_at;
+    ServerId previous_led_by;
+    /// The present primary was promoted after this time, at which the one
+    /// before still led; null if unknown.
+    std::optional<TimePoint> term_began_after;
     TimePoint queue_refusals_since;  ///< start of the counting period
     int queue_refusals = 0;  ///< statements the queues refused since then
     /// A primary whose replicas all lag is to be replaced by a switchover.
@@ -295,29 +316,27 @@
     FreshnessSamples samples;
     std::deque<UnprovenSample> unproven_samples;  ///< by arrival
     LeadershipProof proof;
-    CommitEvidence commits;
+    CommitQuorum quorum;
     AcknowledgedCommits acknowledged;
     MemberRecorder members;
     /// When to look for an order in the record that its instance did not
     /// remove.
     std::optional<TimePoint> order_check_at;
-    /// When the known primary last counted as lost, or another instance was
-    /// found to have claimed its replacement.
-    std::optional<TimePoint> primary_doubted_at;
     /// The member record is known as it was at the store at this time or later.
     std::optional<TimePoint> members_current_at;
-    /// When the known primary replaced another one. An order for a third server
-    /// may have been given before.
-    std::optional<TimePoint> primary_replaced_at;
-    /// When a commit of that primary first had to wait for a read of the
-    /// record.
-    std::optional<TimePoint> orders_asked_at;
     TimePoint last_status_query;
     Duration status_backoff{0};
     int status_queries = 0;  ///< since one helped
     TimePoint last_position_query;
-    TimePoint last_change;  ///< a server was added, restarted or drained
     std::set<SessionId> awaiting_proof;  ///< sessions whose reply is held
+    Duration holder_pause{0};            ///< between queries for held commits
+    TimePoint holder_query_at;
+    std::size_t holder_queries = 0;
+    /// A commit whose appearance in other replies is timed, and the moving
+    /// average of these times.
+    std::optional<std::pair<Position, TimePoint>> timed_commit;
+    std::optional<Duration> apply_delay;
+    TimePoint timed_at;
     std::map<DatabaseName, Duration> mean_run_time;
     StatementQueue primary_queue;
     StatementQueue read_queue;
@@ -350,10 +369,10 @@
     /// The reply to a commit, held until a replica has received the commit at
     /// `held_commit`.
     std::optional<Reply> held_reply;
-    CommitEvidence::Commit held_commit;
+    CommitQuorum::Commit held_commit;
+    TimePoint held_since;
     /// Log position that was known when the commit was sent.
     std::optional<Position> position_before;
-    bool needs_receipt = false;  ///< no other evidence suffices
     int attempts = 0;
     std::uint64_t statement_serial = 0;  ///< unique; carried by its timers
     TimePoint arrived;
@@ -498,6 +517,20 @@
   [[nodiscard]] static ServerCommand CommandFor(const Session& session,
                                                 const Connection& connection);
 
+  // Logs that servers lost (proxy_lost_logs.cc).
+  void NoteLogEnd(ServerPool& pool, TimePoint sent, const ServerStatus& status);
+  static void NoteLogPosition(ServerPool& pool, Position position,
+                              TimePoint now);
+  void NotePrimaryEnd(const Service& service, Position position,
+                      TimePoint sent);
+  void NoteLogReached(ServerPool& pool, Position end, TimePoint sent);
+  void CheckLogs(Service& service);
+  [[nodiscard]] bool LogsMayLack(
+      const Service& service, const std::map<ServerId, bool>& replicas) const;
+  [[nodiscard]] static ServerId LastPrimaryOf(const Service& service);
+  void AwaitLastPrimary(const Service& service,
+                        Failover::Situation& situation) const;
+
   // Servers (proxy_servers.cc).
   void OpenIfNeeded(ServerPool& pool, std::size_t wanted);
   ConnectionId OpenConnection(ServerPool& pool);
@@ -590,6 +623,7 @@
   [[nodiscard]] bool MembersRecorded(const Service& service) const;
   void CheckMembers();
   [[nodiscard]] bool OrderEnded(const Service& service) const;
+  [[nodiscard]] bool LeaderTermKnown(const Service& service) const;
   void RecordMembers(Service& service);
 
   // Shared connections (proxy_peers.cc).
@@ -680,25 +714,12 @@
   static void ResetStatusBackoff(Service& service);
   void QueryPositions(Service& service);
   [[nodiscard]] bool NeedsProof() const;
-  [[nodiscard]] bool CommitsNeedProof(const Service& service) const;
   void ContactReplica(ServerPool& pool);
-  void ContactNearestReplica(Service& service);
-  void NoteContact(ServerPool& pool, const Connection& connection,
-                   const ExpectedReply& expected, const Reply& reply);
   [[nodiscard]] std::set<ServerId> ServersUnderOrders(
       const Service& service) const;
   [[nodiscard]] bool OrderedElsewhere(const Service& service) const;
   [[nodiscard]] bool OrphanedOrder(const Service& service) const;
-  [[nodiscard]] bool RecentlyDoubted(const Service& service) const;
-  [[nodiscard]] bool RecentlyReplaced(const Service& service) const;
-  [[nodiscard]] bool OrdersExcluded(const Service& service,
-                                    const CommitEvidence::Commit& commit) const;
-  [[nodiscard]] bool AllHaveReceived(const Service& service,
-                                     Position position) const;
-  void CheckForOrders(Service& service);
-  [[nodiscard]] bool CommitProven(const Service& service,
-                                  const CommitEvidence::Commit& commit,
-                                  bool needs_receipt) const;
+  void CheckForOrders();
   void NotePosition(ServerPool& pool, TimePoint sent,
                     const std::optional<Position>& position);
   void OnServerStatus(ServerPool& pool, TimePoint sent,
@@ -707,18 +728,46 @@
   void DemoteStaleLeader(ServerPool& pool);
   void AddSample(Service& service, Position position, TimePoint sent);
   void AdoptSample(Service& service, Position position, TimePoint sent);
-  void NoteCommitAnswered(Service& service,
-                          const CommitEvidence::Commit& commit);
-  void AnswerCommit(SessionId id, Session& session, TimePoint sent,
-                    Reply reply);
   [[nodiscard]] bool MayRun(const ServerPool& pool) const;
   [[nodiscard]] bool LeadershipProven(const Service& service) const;
   [[nodiscard]] std::string ProofAge(const Service& service) const;
   void ReleaseProven(Service& service);
-  void FailHeld(SessionId id, Session& session, const std::string& detail);
   void ResetProof(Service& service);
   void CheckProofs(Service& service);
 
+  // Answers of commits (proxy_commits.cc).
+  [[nodiscard]] static CommitQuorum::Options QuorumOptions(
+      const FailoverOptions& options) {
+    if (!options.safety->ExcludeLateOrders()) return {Duration(0), Duration(0)};
+    return {options.max_order_delay, options.fence_report_max_age};
+  }
+  [[nodiscard]] bool IsCounted(const Service& service,
+                               const ServerPool& pool) const;
+  [[nodiscard]] bool IsPromotable(const Service& service,
+                                  const ServerPool& pool) const;
+  [[nodiscard]] CommitQuorum::Servers ServersForCommits(const Service& service,
+                                                        Term term) const;
+  [[nodiscard]] bool OrdersEnded(const Service& service, Term term) const;
+  [[nodiscard]] TimePoint KnownSince(const ServerPool& pool) const;
+  void NoteApplied(Service& service, const ServerPool& pool, Position end);
+  [[nodiscard]] bool MustAsk(const Service& service,
+                             const PendingStatement& pending) const;
+  void TimeApplied(Service& service);
+  void QueryUnknown(Service& service);
+  void QueryFencesLeft(Service& service);
+  void NoteReport(ServerPool& pool, const Connection& connection,
+                  const ExpectedReply& expected, const Reply& reply);
+  [[nodiscard]] CommitBasis BasisOf(const Service& service,
+                                    const CommitQuorum::Commit& commit) const;
+  void AnswerCommit(SessionId id, Session& session, const ServerId& server,
+                    TimePoint sent, Reply reply);
+  void ReleaseCommits(Service& service);
+  void OnHeldCommit(SessionId id, std::uint64_t statement_serial);
+  void QueryHolders(Service& service);
+  [[nodiscard]] std::vector<ServerPool*> ServersWithout(const Service& service,
+                                                        Position position);
+  void FailHeld(SessionId id, Session& session, const std::string& detail);
+
   // Leadership (proxy_leadership.cc).
   void NotePrimary(ServerPool& pool, std::optional<Position> position,
                    TimePoint sent);
@@ -729,7 +778,6 @@
                          const Failover::Situation& situation);
   void SearchPrimary(Service& service);
   [[nodiscard]] bool CommitsStall(const ServerPool& pool) const;
-  [[nodiscard]] bool CommitWaits(const ServerPool& pool) const;
   [[nodiscard]] bool PrimaryLost(const Service& service) const;
   [[nodiscard]] bool SwitchoverHelps(const Service& service) const;
   void ConsiderSwitchover(const ServiceId& id, Service& service);
@@ -750,14 +798,13 @@
 
   // Log lines (proxy_decision_log.cc).
   void NoteAcknowledged(Service& service, const PendingStatement& pending,
-                        Position position);
+                        Position position, CommitBasis basis);
   void CheckAcknowledged(const ServerPool& pool, Position entry);
   void ReportMissing(const ServerPool& pool,
                      const AcknowledgedCommits::Commit& commit, Term term,
                      Position position);
   [[nodiscard]] std::string DescribeHolders(const Service& service,
                                             Position position) const;
-  void NoteLogEnd(ServerPool& pool, const ServerStatus& status);
   void LogFence(ServerPool& pool, const ServerStatus& status, std::string text);
   [[nodiscard]] std::string DescribeOrder(const Service& service,
                                           const Failover::Order& order) const;
@@ -823,6 +870,7 @@
   bool adaptive_ = false;     ///< adaptive routing is on
   bool servers_known_ = false;
   bool server_list_complete_ = false;
+  std::optional<TimePoint> list_complete_since_;  ///< first complete list
   bool members_known_ = false;  ///< the records were read once
   TimePoint members_read_at_;   ///< last `ReadMembers` effect
   TimePoint orders_read_at_;    ///< the last one that is linearizable
--- a/src/session/proxy_decision_log.cc
+++ b/src/session/proxy_decision_log.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <utility>
 
 #include "corianderdock/detail/log_text.h"
@@ -19,22 +18,6 @@
 
 }  // namespace
 
-/// Logs that a log ends before an entry that it had in the same term, so that
-/// no promotion can have rolled it back: the server lost its log.
-void Proxy::NoteLogEnd(ServerPool& pool, const ServerStatus& status) {
-  const auto known = pool.newest_end;
-  const auto order = [](Position it) { return std::pair(it.term, it.index); };
-  const bool back = known && status.term <= known->term &&
-                    order(status.received) < order(*known);
-  if (back) {
-    Count("logs_shortened");
-    Warn("server log went back id=" + pool.entry.id + " from=" +
-         FormatPosition(known) + " to=" + FormatPosition(status.received) +
-         " term=" + std::to_string(status.term));
-  }
-  pool.newest_end = status.received;
-}
-
 /// Logs a fence report. Repeated reports of the same state are no warnings.
 void Proxy::LogFence(ServerPool& pool, const ServerStatus& status,
                      std::string text) {
@@ -46,37 +29,25 @@
 }
 
 void Proxy::NoteAcknowledged(Service& service, const PendingStatement& pending,
-                             Position position) {
+                             Position position, CommitBasis basis) {
   // Without synchronous replicas a commit may be lost with its primary.
   if (service.limits.sync_replicas == 0) return;
-  const std::string holders = DescribeHolders(service, position);
-  const bool none = holders == "-";
-  Count(none ? "commits_answered_unreceived" : "commits_answered_received");
-  service.acknowledged.Add(
-      pending.id, position, pending.position_before,
-      "holders=" + holders + " fence_reported=" +
-          FormatFlag(service.proof.FenceReported(now_)) + " record_age_ms=" +
-          (service.members_current_at
-               ? WholeMs(now_ - *service.members_current_at)
-               : "-"));
+  Count(std::string("commits_answered_") + NameOf(basis));
+  service.acknowledged.Add(pending.id, position, pending.position_before,
+                           std::string("basis=") + NameOf(basis) + " holders=" +
+                               DescribeHolders(service, position));
 }
 
 /// Lists the servers that are known to have the entry at `position` as
-/// ID:CONNECTED, where CONNECTED is the age in ms of the oldest connection to
-/// it: a shorter time may lie behind its restart.
+/// ID:RUNNING, the time in ms for which the process is known to run.
 std::string Proxy::DescribeHolders(const Service& service,
                                    Position position) const {
   std::string text;
   for (const ServerId& id : service.servers) {
-    if (!service.proof.HasReceivedAt(id, position)) continue;
-    std::optional<TimePoint> oldest;
-    for (const ConnectionId it : pools_.at(id).connections) {
-      const Connection& connection = connections_.at(it);
-      if (!connection.open) continue;
-      oldest = std::min(oldest.value_or(now_), connection.opened_at);
-    }
+    if (id == service.primary || !service.quorum.Holds(id, position)) continue;
+    const auto running_since = service.quorum.RunningSince(id);
     if (!text.empty()) text += ",";
-    text += id + ":" + (oldest ? WholeMs(now_ - *oldest) : "-");
+    text += id + ":" + (running_since ? WholeMs(now_ - *running_since) : "-");
   }
   return OrDash(text);
 }
--- a/src/session/proxy_leadership.cc
+++ b/src/session/proxy_leadership.cc
@@ -21,6 +21,10 @@
 /// Time reserved for each instance to fence the replicas under its fallback
 /// token. The next instance then finds the fences and does not promote.
 constexpr Duration kFallbackTokenTurn = std::chrono::milliseconds(600);
+/// Age of the server list up to which an instance without the store may order a
+/// promotion. With the age of a stale read, 3 s, it has every server that has
+/// been listed for as long as one must be to count for commits.
+constexpr Duration kMaxListAge = std::chrono::milliseconds(9000);
 /// Instances that claim a promotion as soon as the primary is lost, and the
 /// time between their claims.
 constexpr int kEarlyClaimants = 4;
@@ -82,6 +86,8 @@
   }
   const auto current = pools_.find(service.primary);
   const bool other_leads = current != pools_.end() && &current->second != &pool;
+  // What a server did before another one was proven to lead shows nothing.
+  if (other_leads && service.led_at && sent <= *service.led_at) return;
   // Another server accepts work as the primary, or led in a newer term than the
   // log shows. The one with the highest term leads.
   const bool outdated = position && position->term < service.newest_term;
@@ -89,6 +95,7 @@
   if (pool.leader_term == 0 && NeedsProof() && (contested || outdated)) {
     return QueryServer(pool);
   }
+  if (service.primary == pool.entry.id) service.led_at = sent;
   if (position) {
     service.last_primary = pool.entry.id;
     service.last_primary_term = std::max(pool.leader_term, position->term);
@@ -103,9 +110,11 @@
        " acknowledged=" + FormatPosition(service.acknowledged.position()));
   if (!service.primary.empty() || fallback_token_ != 0) Emit(RenewToken{});
   service.primary = pool.entry.id;
-  service.primary_doubted_at.reset();
-  if (!service.last_primary.empty()) service.primary_replaced_at = now_;
-  service.orders_asked_at.reset();
+  if (service.previous_led_by != pool.entry.id) {
+    service.term_began_after = service.led_at;
+  }
+  service.previous_led_by = pool.entry.id;
+  service.led_at = sent;
   service.primary_since = now_;
   service.order_check_at = now_ + kOrderCheckDelay;
   service.switching_over = false;
@@ -180,17 +189,6 @@
   return stalled >= kStalledCommits;
 }
 
-/// Whether a commit had no answer, or still waits for one after a long time.
-bool Proxy::CommitWaits(const ServerPool& pool) const {
-  const auto waits = [&](ConnectionId id) {
-    const auto& expected = connections_.at(id).expected;
-    return !expected.empty() && expected.front().commits_writes &&
-           CommitEvidence::Stalls(expected.front().sent, now_);
-  };
-  return pool.lost_commits > 0 ||
-         std::any_of(pool.connections.begin(), pool.connections.end(), waits);
-}
-
 bool Proxy::PrimaryLost(const Service& service) const {
   const Duration primary_loss_timeout = options_.failover.primary_loss_timeout;
   if (service.primary.empty()) {
@@ -330,6 +328,21 @@
   }
 }
 
+/// Has a promotion wait for the last primary, which has all that it
+/// acknowledged, if the logs of the others may lack some of it.
+void Proxy::AwaitLastPrimary(const Service& service,
+                             Failover::Situation& situation) const {
+  if (!LogsMayLack(service, situation.replicas)) return;
+  const auto last = pools_.find(LastPrimaryOf(service));
+  if (last == pools_.end() || last->second.superseded) return;
+  const ServerPool& pool = last->second;
+  const bool gone =
+      pool.failing && (pool.listed ? IsPhantom(pool) : !MayReturn(pool));
+  if (gone) return;
+  situation.needed_log = last->first;
+  if (pool.failing) situation.replicas_reachable = false;
+}
+
 Failover::Situation Proxy::SituationOf(const Service& service) const {
   Failover::Situation situation;
   situation.now = now_;
@@ -346,7 +359,9 @@
   situation.primary_lost =
       view_is_fresh && (PrimaryLost(service) || OrphanedOrder(service));
   situation.server_list_complete = server_list_complete_ && members_known_;
-  situation.fallback_token = fallback_token_;
+  if (now_ - servers_read_at_ <= kMaxListAge) {
+    situation.fallback_token = fallback_token_;
+  }
   situation.fallback_token_delay = FallbackTokenDelay(service);
   if (situation.primary_lost) situation.claim_delay = ClaimDelay(service);
   const MemberRecord& record = service.members.record();
@@ -377,6 +392,7 @@
     situation.replicas[id] = pool.entry.draining;
     if (pool.failing) situation.replicas_reachable = false;
   }
+  AwaitLastPrimary(service, situation);
   // Fences would keep a primary that returns from acknowledging commits, so
   // none are set for a promotion that can't succeed.
   const bool reached =
@@ -433,15 +449,14 @@
       ProbeLeadership(pool->second);
     }
     CheckProofs(service);
+    CheckLogs(service);
     QueryReceived(service);
     RefuseWithoutPrimary(service);
     ConsiderSwitchover(id, service);
-    const bool doubted =
-        has_primary &&
-        (service.failover.PromotionInProgress(now_) || PrimaryLost(service) ||
-         service.proof.FenceReported(now_));
-    if (doubted) service.primary_doubted_at = now_;
-    if (!in_use && service.failover.phase() == Failover::Phase::kIdle) continue;
+    const bool needs_failover =
+        in_use || service.failover.phase() != Failover::Phase::kIdle ||
+        !service.failover.fences_left().empty();
+    if (!needs_failover) continue;
     const Failover::Situation situation = SituationOf(service);
     Perform(id, service.failover.Step(situation));
     NotePromotionWait(service, situation);
--- a/src/session/proxy_members.cc
+++ b/src/session/proxy_members.cc
@@ -15,6 +15,9 @@
 /// Time since the start until the list of instances names the others, from
 /// which their ranks follow.
 constexpr Duration kInstancesListedTime = std::chrono::milliseconds(3000);
+/// Time for which the term of a new primary is asked for before its order is
+/// removed from the record.
+constexpr Duration kLeaderTermWait = std::chrono::milliseconds(1000);
 /// Time after which a server whose entry was not renewed, although entries
 /// expire after three heartbeats, and that never answered any instance, is
 /// taken not to exist.
@@ -47,7 +50,7 @@
   for (auto& [id, service] : services_) {
     if (!event.all && !event.records.contains(id)) continue;
     service.members_current_at = event.current_at;
-    if (!service.awaiting_proof.empty()) ReleaseProven(service);
+    if (!service.awaiting_proof.empty()) ReleaseCommits(service);
   }
 }
 
@@ -90,6 +93,15 @@
     return !service.members.record().servers.contains(id);
   });
   situation.order_expired = OrderEnded(service);
+  const MemberRecord& record = service.members.record();
+  const auto primary = pools_.find(service.primary);
+  const bool accepted = record.ordered == service.primary &&
+                        service.failover.OwnOrderAccepted(record.order_token) &&
+                        primary != pools_.end();
+  if (accepted) {
+    situation.leader = service.primary;
+    situation.leader_term = primary->second.leader_term;
+  }
   situation.rank = PromotionRank(service);
   return situation;
 }
@@ -104,9 +116,11 @@
          service->second.members.Names(pool.entry);
 }
 
-/// Whether an entry in the list is taken to name no server.
+/// Whether an entry in the list is taken to name no server. That it was not
+/// renewed shows only in lists that were read.
 bool Proxy::IsPhantom(const ServerPool& pool) const {
-  return now_ - pool.known_since >= kConfirmTime && !IsConfirmed(pool);
+  return servers_read_at_ - pool.known_since >= kConfirmTime &&
+         !IsConfirmed(pool);
 }
 
 /// Whether an instance that starts now would learn of all servers to which the
@@ -136,14 +150,34 @@
 bool Proxy::OrderEnded(const Service& service) const {
   const MemberRecord& record = service.members.record();
   if (record.ordered.empty()) return false;
-  if (service.failover.OwnOrderEnded(record.order_token, now_)) return true;
+  if (service.failover.OwnOrderEnded(record.order_token, now_)) {
+    return LeaderTermKnown(service);
+  }
   const Duration known = now_ - service.members.order_known_since();
   return known >= options_.failover.max_order_delay &&
          service.failover.phase() == Failover::Phase::kIdle &&
          PromotionRank(service) == 0;
 }
 
+/// Whether the term of the primary that this instance had promoted is known, or
+/// can't be learned soon. It is recorded when the order is removed.
+bool Proxy::LeaderTermKnown(const Service& service) const {
+  const auto primary = pools_.find(service.primary);
+  return primary == pools_.end() || primary->second.failing ||
+         primary->second.leader_term != 0 ||
+         now_ - service.primary_since >= kLeaderTermWait;
+}
+
 void Proxy::RecordMembers(Service& service) {
+  // The promoted server is asked in which term it leads.
+  const MemberRecord& record = service.members.record();
+  const bool ended = !record.ordered.empty() &&
+                     service.failover.OwnOrderEnded(record.order_token, now_);
+  const auto primary = pools_.find(service.primary);
+  if (ended && !LeaderTermKnown(service) &&
+      now_ - primary->second.last_query >= kMembersCheckInterval) {
+    QueryServer(primary->second);
+  }
   const bool as_recorded = std::all_of(
       service.servers.begin(), service.servers.end(), [&](const ServerId& id) {
         const ServerPool& pool = pools_.at(id);
--- a/src/session/proxy_servers.cc
+++ b/src/session/proxy_servers.cc
@@ -104,6 +104,7 @@
   servers_read_at_ = event.as_of.value_or(now_);
   servers_known_ = servers_known_ || !event.servers.empty();
   server_list_complete_ = event.complete;
+  if (event.complete && !list_complete_since_) list_complete_since_ = now_;
 }
 
 /// Finds the servers that left the list and whose address another server of the
@@ -120,6 +121,10 @@
     const auto it = listed.find({pool.entry.service, pool.entry.address});
     if (it == listed.end()) continue;
     pool.superseded = true;
+    // A log that lacks entries of the one before was lost.
+    if (pool.newest_end) {
+      NoteLogPosition(pools_.at(it->second), *pool.newest_end, now_);
+    }
     Warn("server superseded id=" + id + " by=" + it->second);
   }
 }
@@ -482,9 +487,7 @@
   if (expected.commits_writes) expected.known_position = pool.log_position;
   if (expected.uses_slot) ++pool.running;
   connection.expected.push_back(expected);
-  const ServiceId service = connection.service;
   Emit(SendCommand{id, std::move(command)});
-  if (expected.commits_writes) ContactNearestReplica(ServiceOf(service));
 }
 
 void Proxy::NoteHeard(ServerPool& pool) {
--- a/tests/session_decision_log_test.cc
+++ b/tests/session_decision_log_test.cc
@@ -44,8 +44,9 @@
     const std::size_t answered = driver.answers.size();
     driver.Query(2, Verb::kWrite, {}, "item data");
     driver.AnswerFirst(ErrorCode::kNone, position);
-    for (int n = 0; n < 4; ++n) {
+    for (int n = 0; n < 16; ++n) {  // servers are asked at 300 ms
       driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnects();
       driver.AnswerAll({});
     }
     REQUIRE(driver.answers.size() > answered);
@@ -56,7 +57,9 @@
 /// Lets the primary "a" fall silent and "b" of the `replicas` be promoted.
 void FailOver(ProxyDriver& driver,
               const std::set<ServerId>& replicas = {"b", "c"}) {
-  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", 5}, {"d", 5}};
+  // No log ends before what a reply has shown of it.
+  const std::uint64_t shown = driver.statuses > 0 ? driver.complete_log : 5;
+  driver.log_ends = {{"a", 10}, {"b", 10}, {"c", shown}, {"d", shown}};
   driver.keeps_order = true;
   driver.OpenSession(1, "claims");
   driver.Query(1, Verb::kWrite, {}, "item data");
@@ -106,7 +109,7 @@
         " fence_term=2 ", " primary=a ", " last_primary=a ",
         " last_primary_end=1.10 ", " required=- ", " acknowledged=1.10 ",
         " recorded_order=b ", " recorded_token=1 ",
-        " fences=b:1.10:", ",c:1.5:", " left_out=-"}) {
+        " fences=b:1.10:", ",c:1.10:", " left_out=-"}) {
     INFO(line << " lacks" << field);
     CHECK(line.find(field) != std::string::npos);
   }
@@ -177,8 +180,8 @@
   INFO(line);
   CHECK(line.find("earliest=1.12 latest=1.12 term=2 position=2.12") !=
         std::string::npos);
-  CHECK(line.find(" holders=") != std::string::npos);
-  CHECK(line.find(" fence_reported=0 record_age_ms=") != std::string::npos);
+  CHECK(line.find(" basis=unanimity holders=b:") != std::string::npos);
+  CHECK(line.find(",c:") != std::string::npos);
   CHECK(driver.proxy.counters().at("acknowledged_commits_missing") == 1);
 }
 
@@ -244,6 +247,7 @@
       std::size_t fenced, std::size_t /*replicas*/) const override {
     return fenced >= 1;
   }
+  [[nodiscard]] bool RequireReplicaProof() const override { return false; }
 };
 
 }  // namespace
@@ -255,6 +259,8 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     WorldOptions options;
     options.seed = seed;
+    // Commits that not all servers have are answered after the settle time.
+    options.duration = std::chrono::seconds(30);
     CHECK(RunSessionSchedule(options).losses_reported == 0);
     options.proxy.safety = &unsafe;
     const WorldResult result = RunSessionSchedule(options);
--- a/tests/session_failover_test.cc
+++ b/tests/session_failover_test.cc
@@ -126,6 +126,23 @@
   CHECK(Fixture::OnlyAction<Failover::Order>(actions).token == 7);
 }
 
+// Guards against the loss of commits that only the last primary still has, as
+// another server that had them has lost its log.
+TEST_CASE("no order is given without a log that is needed") {
+  Fixture it;
+  it.situation.last_primary = "a";
+  it.situation.last_primary_term = 3;
+  it.situation.needed_log = "a";
+  (void)it.Step();
+  (void)it.AnswerClaim(7);
+  (void)it.AnswerFence("b", 0);
+  CHECK(it.AnswerFence("c", 12).empty());
+  CHECK(it.failover.WaitsFor(it.situation) == Failover::Wait::kDemotion);
+  it.situation.replicas["a"] = false;
+  CHECK(Fixture::OnlyAction<Failover::Order>(it.AnswerFence("a", 14)).server ==
+        "a");
+}
+
 TEST_CASE("nothing is claimed while a replica does not answer") {
   Fixture it;
   it.situation.replicas_reachable = false;
@@ -263,6 +280,46 @@
           .size() == 1);
 }
 
+// Guards against the loss of commits of a server that joined after the list was
+// read on which an instance without the store relies.
+TEST_CASE("without the store nothing is ordered by an old list") {
+  Fixture it;
+  it.situation.fallback_token = 5;
+  (void)it.Step();
+  (void)it.AnswerClaim(0, true);
+  (void)it.AnswerFence("b", 10);
+  it.situation.fallback_token = 0;
+  CHECK(it.AnswerFence("c", 12).empty());
+  CHECK(it.failover.WaitsFor(it.situation) == Failover::Wait::kServerList);
+}
+
+TEST_CASE("without the store a server list is relied on for nine seconds") {
+  const auto orders_after = [](Duration age) {
+    ProxyDriver driver;
+    driver.Feed(session::TokenObtained{3});
+    driver.OpenSession(1, "claims");
+    driver.OpenSession(2, "lookups");
+    for (Duration passed{0}; passed < age; passed += Milliseconds(25)) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnects();
+      driver.AnswerAll({});
+    }
+    driver.LoseAllConnections();
+    driver.keeps_order = true;
+    driver.log_ends = {{"b", 10}, {"c", 10}};
+    driver.Query(2, Verb::kRead, {}, "item");
+    for (int n = 0; n < 80 && driver.promotions.empty(); ++n) {
+      driver.AdvanceTime(Milliseconds(25));
+      driver.CompleteConnectsTo({"b", "c"});
+      driver.FailClaims();
+      driver.AnswerAs("", {"b", "c"});
+    }
+    return !driver.promotions.empty();
+  };
+  CHECK(orders_after(std::chrono::seconds(6)));
+  CHECK_FALSE(orders_after(std::chrono::seconds(10)));
+}
+
 TEST_CASE("a primary that still answers is demoted with the order") {
   Fixture it;
   it.situation.primary = "a";
@@ -599,12 +656,7 @@
   it.situation.now += std::chrono::seconds(1);
   CHECK(it.AnswerClaim(0).empty());
   CHECK(it.failover.phase() == Failover::Phase::kIdle);
-  CHECK(it.Step(std::chrono::seconds(1)).empty());
-  CHECK(it.Step(std::chrono::seconds(3)).empty());
-  Fixture::OnlyAction<Failover::Claim>(it.Step(std::chrono::seconds(5)));
-  for (const auto& action : it.AnswerClaim(12)) {
-    CHECK(std::holds_alternative<Failover::Resume>(action));
-  }
+  for (int n = 0; n < 60; ++n) CHECK(it.Step(std::chrono::seconds(1)).empty());
 }
 
 // Guards against two servers under orders of two instances: the claim would end
@@ -805,7 +857,10 @@
   CHECK(it.AnswerClaim(9).size() == 2);
 }
 
-TEST_CASE("an abandoned claim unfences replicas only after a delay") {
+// Guards against the loss of commits that a replica receives after its fence
+// was lifted: nothing shows the orders of instances without the store, which
+// may rely on it.
+TEST_CASE("an abandoned claim never unfences replicas") {
   Fixture it;
   (void)it.Step();
   (void)it.AnswerClaim(7);
@@ -813,21 +868,11 @@
   (void)it.AnswerFence("c", 12);
   CHECK(it.failover.OnOrdered(it.situation, PromotionResult::kRefused).empty());
   it.situation.primary_lost = false;
-  CHECK(it.Step(std::chrono::seconds(1)).empty());
-  CHECK(it.Step(std::chrono::seconds(3)).empty());
-  Fixture::OnlyAction<Failover::Claim>(it.Step(std::chrono::seconds(2)));
-  CHECK(it.AnswerClaim(9).size() == 2);
-}
-
-TEST_CASE("replicas are not unfenced while another instance has the claim") {
-  Fixture it;
-  (void)it.Step();
-  (void)it.AnswerClaim(7);
-  it.situation.primary_lost = false;
-  (void)it.Step(std::chrono::seconds(1));
-  (void)it.Step(std::chrono::seconds(1));
-  Fixture::OnlyAction<Failover::Claim>(it.Step(std::chrono::seconds(5)));
-  CHECK(it.AnswerClaim(0).empty());
+  for (int n = 0; n < 60; ++n) CHECK(it.Step(std::chrono::seconds(1)).empty());
+  CHECK(it.failover.fences_left() == std::set<ServerId>{"b", "c"});
+  // Another instance promoted a server, or it restarted.
+  it.failover.OnUnfenced("b");
+  CHECK(it.failover.fences_left() == std::set<ServerId>{"c"});
 }
 
 TEST_CASE("without the store instances claim after staggered delays") {
--- a/tests/session_orders_test.cc
+++ b/tests/session_orders_test.cc
@@ -9,9 +9,11 @@
 
 namespace {
 
-/// A driver whose servers have answered, with a session that writes.
-ProxyDriver WritingDriver() {
+/// A driver whose servers have answered, with a session that writes. The logs
+/// of the replicas end at `index`.
+ProxyDriver WritingDriver(std::optional<std::uint64_t> index = {}) {
   ProxyDriver driver;
+  driver.status_index = index;
   driver.OpenSession(1, "claims");
   for (int n = 0; n < 8; ++n) {
     driver.AdvanceTime(Milliseconds(25));
@@ -61,7 +63,7 @@
 // through a replica that receives again, before a late order for another server
 // is executed.
 TEST_CASE("a commit waits until the server under another's order has it") {
-  ProxyDriver driver = WritingDriver();
+  ProxyDriver driver = WritingDriver(10);
   driver.keeps_order = true;
   driver.answers_member_reads = false;
   RecordOrder(driver, "c");
@@ -76,12 +78,18 @@
 }
 
 TEST_CASE("a commit needs no more than before if its primary is under order") {
-  ProxyDriver driver = WritingDriver();
-  RecordOrder(driver, "a");
-  driver.Feed(session::MembersRead{driver.stored_members, true});
-  const std::size_t answered = driver.answers.size();
-  Write(driver, 11);
-  CHECK(driver.answers.size() == answered + 1);
+  for (const bool ordered : {false, true}) {
+    CAPTURE(ordered);
+    ProxyDriver driver = WritingDriver();
+    driver.keeps_order = true;
+    if (ordered) RecordOrder(driver, "a");
+    driver.Feed(session::MembersRead{driver.stored_members, true});
+    const std::size_t answered = driver.answers.size();
+    Write(driver, 11);
+    Answer(driver, 11);
+    REQUIRE(driver.answers.size() == answered + 1);
+    CHECK(driver.answers.back().reply.error == ErrorCode::kNone);
+  }
 }
 
 // Guards against an order that nobody completes, while commits wait for it: its
--- a/tests/support/proxy_driver.h
+++ b/tests/support/proxy_driver.h
@@ -28,6 +28,7 @@
 using session::Verb;
 
 constexpr Milliseconds kMaxAge{1000};
+/// An index that logs don't reach unless a test says so.
 constexpr std::uint64_t kCompleteLog = 1'000'000;
 
 /// A proxy and one service with the primary "a" and the replicas "b" and "c".
@@ -102,43 +103,78 @@
 
   void Feed(const session::Event& event) {
     for (auto& effect : proxy.Reduce(now, event)) Apply(std::move(effect));
-    AnswerStatusQueries();
-    AnswerContacts();
-  }
-
-  /// Answers the transactions without statements at servers in
-  /// `answers_contacts`.
-  void AnswerContacts() {
-    for (const ConnectionId it : std::exchange(contacts, {})) {
-      if (!answers_contacts.contains(server_of[it]) || unanswered[it] > 0) {
-        contacts.push_back(it);
-        continue;
-      }
-      for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
-        SendCommand command{it, {}};
-        command.command.statement.verb = verb;
-        Feed(session::ServerReplied{it, Run(command, {1, contact_index})});
-      }
+    while (AnswerStatusQuery() || AnswerContact()) {
     }
   }
 
-  /// Answers the queries of servers in `answers_status` as unfenced members of
-  /// term 1 with a complete log, led by "a".
-  void AnswerStatusQueries() {
-    for (const SendCommand& it : std::exchange(status_queries, {})) {
-      const auto server = server_of.find(it.connection);
-      if (server == server_of.end()) continue;
-      // A connection answers in order.
-      if (!answers_status.contains(server->second) ||
-          unanswered[it.connection] > 0) {
-        status_queries.push_back(it);
-        continue;
+  /// Answers a transaction without statements at a server in
+  /// `answers_contacts`. Returns false if there is none.
+  bool AnswerContact() {
+    const auto next =
+        std::find_if(contacts.begin(), contacts.end(), [this](auto id) {
+          return answers_contacts.contains(ServerOf(id)) && IsNext(id, true);
+        });
+    if (next == contacts.end()) return false;
+    const ConnectionId id = *next;
+    contacts.erase(next);
+    ++unanswered[id];  // until its end is answered
+    for (const Verb verb : {Verb::kBeginRead, Verb::kRollback}) {
+      SendCommand command{id, {}};
+      command.command.statement.verb = verb;
+      if (verb == Verb::kRollback) --unanswered[id];
+      Feed(session::ServerReplied{id, Run(command, {1, contact_index})});
+    }
+    return true;
+  }
+
+  /// Answers a query of a server in `answers_status` as an unfenced member of
+  /// term 1 with a log up to `status_index`, led by "a". Returns false if there
+  /// is none.
+  bool AnswerStatusQuery() {
+    std::erase_if(status_queries, [this](const SendCommand& it) {
+      return !server_of.contains(it.connection);
+    });
+    const auto next = std::find_if(
+        status_queries.begin(), status_queries.end(), [this](const auto& it) {
+          return answers_status.contains(ServerOf(it.connection)) &&
+                 IsNext(it.connection, false);
+        });
+    if (next == status_queries.end()) return false;
+    const SendCommand query = *next;
+    status_queries.erase(next);
+    const bool leads = ServerOf(query.connection) == "a";
+    Reply reply = Run(query, {1, leads ? 10 : contact_index});
+    // The row has the lag, by which it differs from the one before.
+    reply.rows = {"replica 1 1.10 0 " + std::to_string(++statuses) + " 0 3"};
+    const std::uint64_t index = status_index.value_or(complete_log);
+    reply.status = session::ServerStatus{leads, 1, {1, index}, 0};
+    Feed(session::ServerReplied{query.connection, reply});
+    return true;
+  }
+
+  [[nodiscard]] ServerId ServerOf(ConnectionId id) const {
+    const auto server = server_of.find(id);
+    return server == server_of.end() ? ServerId() : server->second;
+  }
+
+  /// Whether a contact, or a status query, is the oldest unanswered command of
+  /// its connection, which answers in order.
+  bool IsNext(ConnectionId id, bool contact) {
+    if (unanswered[id] > 0) return false;
+    std::vector<bool>& order = apart_order[id];
+    // Tests take some themselves, the oldest ones first.
+    const auto queries = std::count_if(
+        status_queries.begin(), status_queries.end(),
+        [id](const SendCommand& it) { return it.connection == id; });
+    const auto left = std::count(contacts.begin(), contacts.end(), id);
+    for (const bool kind : {false, true}) {
+      auto taken = std::count(order.begin(), order.end(), kind) -
+                   (kind ? left : queries);
+      while (taken-- > 0) {
+        order.erase(std::find(order.begin(), order.end(), kind));
       }
-      Reply reply = Run(it, {1, 10});
-      reply.status =
-          session::ServerStatus{server->second == "a", 1, {1, kCompleteLog}, 0};
-      Feed(session::ServerReplied{it.connection, reply});
     }
+    return !order.empty() && order.front() == contact;
   }
 
   /// Advances the time and fires the timers that become due.
@@ -247,6 +283,9 @@
     if (succeeds && (verb == Verb::kCommit || verb == Verb::kRollback)) {
       state = TransactionState::kIdle;
     }
+    if (position.term == 1) {
+      complete_log = std::max(complete_log, position.index);
+    }
     Reply reply;
     reply.error = error;
     reply.position = position;
@@ -284,7 +323,7 @@
   /// Takes an unanswered status query to a replica, which the proxy is made to
   /// send by passing time. Returns its connection; 0 if the proxy sends none.
   [[nodiscard]] ConnectionId TakeReplicaQuery() {
-    for (int n = 0; n < 10; ++n) {
+    for (int n = 0; n < 16; ++n) {
       for (const SendCommand& it : status_queries) {
         const ConnectionId id = it.connection;
         const auto to = server_of.find(id);
@@ -387,12 +426,18 @@
   std::vector<SendCommand> status_queries;  ///< unanswered
   /// Connections to replicas with unanswered transactions without statements.
   std::vector<ConnectionId> contacts;
+  /// The order of both on a connection; true for contacts.
+  std::map<ConnectionId, std::vector<bool>> apart_order;
   std::map<ConnectionId, int> unanswered;                 ///< other commands
   std::map<ConnectionId, TransactionState> transactions;  ///< at the servers
+  int statuses = 0;                                       ///< given so far
   std::uint64_t receipts = 0;                             ///< given so far
+  std::uint64_t complete_log = 10;  ///< newest index that a reply showed
   std::set<ServerId> answers_status{"a", "b", "c"};
   std::set<ServerId> answers_contacts{"a", "b", "c"};
   std::uint64_t contact_index = 10;  ///< of the logs of the contacted replicas
+  /// Of the logs in statuses; null: `complete_log`.
+  std::optional<std::uint64_t> status_index;
   std::vector<AnswerSession> answers;
   std::vector<session::CloseSession> closed;
   std::vector<session::AnswerPeer> peer_answers;
@@ -451,7 +496,10 @@
   void Record(const SendCommand& it) {
     const bool query = it.command.statement.verb == Verb::kStatus;
     all_sent.push_back(it);
-    if (query && !keeps_order) return status_queries.push_back(it);
+    if (query && !keeps_order) {
+      apart_order[it.connection].push_back(false);
+      return status_queries.push_back(it);
+    }
     sent.push_back(it);
     ++unanswered[it.connection];
     if (!keeps_order) RecordContact();
@@ -467,6 +515,7 @@
                          end.command.statement.verb == Verb::kRollback;
     if (!contact) return;
     contacts.push_back(begin.connection);
+    apart_order[begin.connection].push_back(true);
     unanswered[begin.connection] -= 2;
     sent.pop_back();
     sent.pop_back();
--- a/tests/support/session_world.cc
+++ b/tests/support/session_world.cc
@@ -133,7 +133,8 @@
   TimePoint hidden_until;  ///< its reports don't reach the store
   TimePoint drains_from = TimePoint::max();  ///< as the list shows
   std::uint64_t process_start = 1;
-  TimePoint paused_until;  ///< executes nothing, and keeps what it receives
+  TimePoint fence_lifted_at;  ///< by a start or a promotion
+  TimePoint paused_until;     ///< executes nothing, and keeps what it receives
   Backlog backlog;
 
   ServerId joined_at;  ///< the server that it replaces, on whose side it is
@@ -588,16 +589,17 @@
 
   void Apply(std::size_t n, const PromoteServer& effect) {
     const bool delayed = RandomFraction() < (options_.late_orders ? 0.8 : 0.2);
-    Schedule(
-        !delayed               ? milliseconds(4)
-        : options_.late_orders ? milliseconds(2000 + RandomBelow(9900))
-                               : milliseconds(1500 + RandomBelow(2500)),
-        [this, n, effect, delayed] {
-          const auto result = Promote(effect);
-          if (!delayed) {
-            Feed(n, PromotionAnswered{effect.service, effect.server, result});
-          }
-        });
+    const Duration delay = !delayed ? milliseconds(4)
+                           : options_.late_orders
+                               ? milliseconds(2000 + RandomBelow(9900))
+                               : milliseconds(1500 + RandomBelow(2500));
+    orders_.push_back({now_, now_ + delay + options_.promotion_time});
+    Schedule(delay, [this, n, effect, delayed] {
+      const auto result = Promote(effect);
+      if (!delayed) {
+        Feed(n, PromotionAnswered{effect.service, effect.server, result});
+      }
+    });
     if (options_.overlap) DisturbOrder(n, effect.server);
     if (!delayed) return;
     Schedule(milliseconds(600), [this, n, effect] {
@@ -690,9 +692,10 @@
   }
 
   /// A server learns of a promotion: rolls back what the new primary lacks.
-  static void Follow(Server& server, const Server& primary) {
+  void Follow(Server& server, const Server& primary) const {
     server.primary = false;
     server.fence_term = 0;
+    server.fence_lifted_at = now_;
     server.term = primary.term;
     if (server.alive) {
       server.log = primary.log;
@@ -916,11 +919,11 @@
     if (!IsPrimaryInTerm(id, entry.position.term)) return;
     if (!CatchUp(servers_[id], to, entry.position)) return;
     if (std::exchange(*acked, true)) return;
-    Schedule(kNetworkDelay, [this, n, id, entry, effect, reply] {
+    const bool clients_judge = ClientsJudge() || OutlivedOrder(to);
+    Schedule(kNetworkDelay, [this, n, id, entry, effect, reply, clients_judge] {
       if (!IsPrimaryInTerm(id, entry.position.term)) return;
-      if (!ClientsJudge()) {
-        acknowledged_.push_back(
-            {now_, entry.write_id, ClientOf(effect.command.id)});
+      if (!clients_judge) {
+        NoteAcknowledged(entry.write_id, ClientOf(effect.command.id));
       }
       Trace(std::string("acknowledged ")
                 .append(entry.write_id)
@@ -963,6 +966,21 @@
     return true;
   }
 
+  void NoteAcknowledged(const std::string& write_id, std::uint64_t client) {
+    if (!acknowledged_ids_.insert(write_id).second) return;
+    acknowledged_.push_back({now_, write_id, client});
+  }
+
+  /// Whether an order that may still be executed was given before a start of
+  /// the server, or a promotion, lifted its fence. No instance can keep a
+  /// primary from acknowledging a commit through such a server, only from
+  /// passing it on.
+  [[nodiscard]] bool OutlivedOrder(const Server& server) const {
+    return std::any_of(orders_.begin(), orders_.end(), [&](const auto& it) {
+      return it.given < server.fence_lifted_at && now_ <= it.promoted;
+    });
+  }
+
   /// Whether a commit counts as acknowledged when its client has the answer. A
   /// primary may acknowledge a commit to an instance through a server that
   /// nobody knows of, or that was left out of a promotion and has returned
@@ -970,7 +988,8 @@
   /// when the primary acknowledges it.
   [[nodiscard]] bool ClientsJudge() const {
     return options_.joiners || options_.restarts || options_.overlap ||
-           !options_.fencing || options_.repeats.rate > 0;
+           options_.reborn || options_.cut_joiners || !options_.fencing ||
+           options_.repeats.rate > 0;
   }
 
   void RecordCommit() {
@@ -1351,8 +1370,8 @@
       CheckReceipt(client, reply);
       CheckExecuted(client, reply);
       const auto write = write_ids_.find(client.statement_id);
-      if (ClientsJudge() && write != write_ids_.end()) {
-        acknowledged_.push_back({now_, write->second, client.id});
+      if (write != write_ids_.end()) {
+        NoteAcknowledged(write->second, client.id);
       }
     }
     const bool not_executed = reply.error == ErrorCode::kBusy ||
@@ -1549,14 +1568,22 @@
     constexpr int kJoinerKinds = 2;
     constexpr int kRestartKinds = 2;
     constexpr int kOverlapKinds = 4;
+    constexpr int kAllKinds =
+        kCommonKinds + kJoinerKinds + kRestartKinds + kOverlapKinds;
+    const int other_kinds =
+        (options_.reborn ? 1 : 0) + (options_.cut_joiners ? 1 : 0);
     int kind =
         RandomBelow(kCommonKinds + (options_.joiners ? kJoinerKinds : 0) +
                     (options_.restarts ? kRestartKinds : 0) +
-                    (options_.overlap ? kOverlapKinds : 0));
+                    (options_.overlap ? kOverlapKinds : 0) + other_kinds);
     if (!options_.joiners && kind >= kCommonKinds) kind += kJoinerKinds;
     if (!options_.restarts && kind >= kCommonKinds + kJoinerKinds) {
       kind += kRestartKinds;
     }
+    if (!options_.overlap && kind >= kAllKinds - kOverlapKinds) {
+      kind += kOverlapKinds;
+    }
+    if (!options_.reborn && kind >= kAllKinds) ++kind;
     Trace("fault " + std::to_string(kind) + " " + id + " p" +
           std::to_string(n));
     switch (kind) {
@@ -1597,6 +1624,10 @@
       case 14:
         store_unreachable_ = true;
         return Schedule(4 * time, [this] { store_unreachable_ = false; });
+      case kAllKinds:
+        return LoseLog(id, time / 4);
+      case kAllKinds + 1:
+        return JoinBesideCut(id, n, 2 * time);
       default:
         return ResetConnections(n);
     }
@@ -1629,6 +1660,53 @@
     });
   }
 
+  /// Starts a replica again under its id without its log. The primary may be
+  /// lost soon after, and comes back with its log.
+  void LoseLog(const ServerId& id, Duration time) {
+    Server& server = servers_[id];
+    const bool ordered =
+        std::any_of(orders_.begin(), orders_.end(),
+                    [&](const auto& it) { return now_ <= it.promoted; });
+    if (!server.alive || server.primary || ordered) return;
+    Trace("loses its log " + id);
+    Crash(id, time);
+    server.log.clear();
+    if (RandomBelow(2) == 0) return;
+    Schedule(time + milliseconds(RandomBelow(1000)), [this] {
+      const Server* leader = NewestLeader();
+      if (leader != nullptr) Crash(leader->id, milliseconds(3000));
+    });
+  }
+
+  /// Replaces the replica `id`: a new server receives from the primary before
+  /// it is listed, while all instances but `n` can't reach the primary.
+  void JoinBesideCut(const ServerId& id, std::size_t n, Duration time) {
+    const Server* leader = NewestLeader();
+    const bool replica = leader != nullptr && leader->id != id;
+    if (!replica || !leader->alive || servers_[id].gone || replacing_) return;
+    replacing_ = true;
+    const ServerId joiner_id = "s" + std::to_string(servers_.size() + 1);
+    Server& joiner = servers_[joiner_id];
+    joiner.id = joiner_id;
+    joiner.term = leader->term;
+    joiner.log = leader->log;
+    joiner.split = leader->split;
+    joiner.joined_at = leader->id;
+    joiner.process_start = servers_.size();
+    joiner.listed_from = now_ + milliseconds(1200 + RandomBelow(1200));
+    servers_[id].drains_from = now_ + milliseconds(RandomBelow(800));
+    Trace("joins " + joiner_id + " at " + leader->id + " for " + id);
+    Schedule(milliseconds(RandomBelow(300)),
+             [this, n, time] { CutOffPrimary(n, time); });
+    Schedule(milliseconds(3500), [this, id, joiner_id] {
+      replacing_ = false;
+      servers_[id].gone = true;
+      servers_[joiner_id].joined_at.clear();
+      servers_[joiner_id].split = servers_[id].split;
+      Crash(id, std::chrono::hours(1));
+    });
+  }
+
   /// Restarts all instances in turn while the reports of a replica don't reach
   /// the store. Afterwards, the other replicas receive nothing for some time,
   /// within which the primary crashes.
@@ -1765,6 +1843,7 @@
   void Restart(const ServerId& id) {
     Server& server = servers_[id];
     server.alive = true;
+    server.fence_lifted_at = now_;
     ++server.process_start;
     const Server* newest = NewestLeader();
     if (newest != nullptr && newest->term > server.term) {
@@ -1833,6 +1912,12 @@
   std::map<std::uint64_t, Client> clients_;
   std::uint64_t next_client_ = 1;
   std::vector<AcknowledgedWrite> acknowledged_;
+  std::set<std::string> acknowledged_ids_;
+  struct OrderTimes {
+    TimePoint given;
+    TimePoint promoted;  ///< when the promotion is complete, at the latest
+  };
+  std::vector<OrderTimes> orders_;
   std::uint64_t receipts_issued_ = 0;
   /// By receipt, what it was issued for.
   struct Issued {
